--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+)
+
+// Guards against example settings that the binaries refuse.
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/*.json")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) >= 26, qt.IsTrue)
+	for _, file := range files {
+		switch name := filepath.Base(file); {
+		case strings.HasPrefix(name, "entry-"):
+			_, err = LoadEntry(file)
+		case strings.HasPrefix(name, "control-"):
+			_, err = LoadControl(file)
+		default:
+			d := document.Empty()
+			raw, readErr := os.ReadFile(file)
+			qt.Assert(t, readErr, qt.IsNil)
+			err = Decode(file, raw, d)
+			qt.Check(t, d.Validate(), qt.HasLen, 0, qt.Commentf("%s", file))
+		}
+		qt.Check(t, err, qt.IsNil, qt.Commentf("%s", file))
+	}
+}
+
+// Guards against settings whose first fault hides the others, and against
+// misspelt keys that are silently ignored.
+func TestFaultsAreReported(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry.json")
+	qt.Assert(t, os.WriteFile(file, []byte(`{"caller_address": "host:80", "policy": "x"}`), 0o600), qt.IsNil)
+	_, err := LoadEntry(file)
+	faults, ok := err.(*FaultsError)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, faults.Faults, qt.HasLen, 9)
+	qt.Assert(t, os.WriteFile(file, []byte("{\n  \"polcy\": 1\n}"), 0o600), qt.IsNil)
+	_, err = LoadEntry(file)
+	qt.Assert(t, err, qt.ErrorMatches, `.*entry.json:\d+:\d+: json: unknown field "polcy"`)
+}
+
+// Guards against a decoder that panics on hostile input.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte("{ // comment\n \"instance\": {\"id\": \"a\"}, }"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s := DefaultEntry()
+		if Decode("input", raw, &s) == nil {
+			s.check()
+		}
+	})
+}
