rpc, settings: source address of connections, advertised peer address

Cause: behind address translation an instance is reached at another address than it listens on, and failure tests need to tell who calls in order to cut one data centre off. Ruled out: a header with the caller's name, which a relay cannot read under TLS.

--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -49,7 +49,7 @@
 	now := time.Now()
 	self := Member{
 		ID: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre,
-		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress,
+		PeerAddress: s.AdvertisedPeerAddress(), CallerAddress: s.CallerAddress,
 		Incarnation: uint64(now.UnixMilli()),
 	}
 	seed := uint64(now.UnixNano())
--- a/pkg/rpc/rpc.go
+++ b/pkg/rpc/rpc.go
@@ -9,6 +9,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,6 +114,7 @@
 	pool     *drpcpool.Pool[peerKey, *drpcconn.Conn]
 	tls      *tls.Config
 	counters *Counters
+	source   net.Addr
 
 	mu          sync.Mutex
 	generations map[string]uint64
@@ -128,6 +130,31 @@
 	}
 }
 
+// BindSource makes connections leave from the IP of address (an IP and a port),
+// so that firewalls between data centres can tell who calls. It must be called
+// before the first call.
+func (d *Dialer) BindSource(address string) error {
+	source, err := SourceOf(address)
+	if err != nil {
+		return err
+	}
+	d.source = source
+	return nil
+}
+
+// SourceOf returns the local address for connections that leave from the IP of
+// address, with any port.
+func SourceOf(address string) (net.Addr, error) {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "source address %q", address)
+	}
+	if ap.Addr().IsUnspecified() {
+		return nil, nil
+	}
+	return &net.TCPAddr{IP: ap.Addr().AsSlice()}, nil
+}
+
 // Close closes the cached connections.
 func (d *Dialer) Close() error { return d.pool.Close() }
 
@@ -147,7 +174,7 @@
 func (d *Dialer) dial(ctx context.Context, key peerKey) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var nd net.Dialer
+	nd := net.Dialer{LocalAddr: d.source}
 	raw, err := nd.DialContext(ctx, "tcp", key.address)
 	if err != nil {
 		return nil, &DialError{Address: key.address, Err: err}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -47,6 +47,8 @@
 	CallerAddress string `json:"caller_address"`
 	// PeerAddress serves our own processes.
 	PeerAddress string `json:"peer_address"`
+	// PeerAdvertiseAddress is told to other instances; empty means PeerAddress.
+	PeerAdvertiseAddress string `json:"peer_advertise_address"`
 	// AdminAddress serves metrics and health.
 	AdminAddress string `json:"admin_address"`
 	// Seeds are entry instances to join through.
@@ -235,6 +237,9 @@
 	f.instance(e.Instance)
 	f.address("caller_address", e.CallerAddress)
 	f.address("peer_address", e.PeerAddress)
+	if e.PeerAdvertiseAddress != "" {
+		f.address("peer_advertise_address", e.PeerAdvertiseAddress)
+	}
 	f.address("admin_address", e.AdminAddress)
 	f.peers("seeds", e.Seeds)
 	f.peers("control", e.Control)
@@ -256,6 +261,14 @@
 	return f.faults
 }
 
+// AdvertisedPeerAddress returns the address at which others reach this instance.
+func (e Entry) AdvertisedPeerAddress() string {
+	if e.PeerAdvertiseAddress != "" {
+		return e.PeerAdvertiseAddress
+	}
+	return e.PeerAddress
+}
+
 func (c Control) check() []string {
 	f := &faultList{}
 	f.instance(c.Instance)
