--- /dev/null
+++ b/pkg/entry/entry_test.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+)
+
+const fillKey = "Authorization: Bearer fill-key"
+
+// TestStreamedAnswer guards the event identifiers: a resume after each of them
+// must continue with the next token.
+func TestStreamedAnswer(t *testing.T) {
+	g := newRig(t)
+	body := `{"model":"summary","prompt":"a b c","stream":true}`
+	response, text := g.send(t, "POST", "/v1/completions", body, fillKey)
+	qt.Assert(t, response.StatusCode, qt.Equals, 200)
+	qt.Assert(t, eventIDs(text), qt.DeepEquals, []string{"s1.0", "s1.1", "s1.2", "s1.3"})
+	qt.Assert(t, strings.HasSuffix(text, "data: [DONE]\n\n"), qt.IsTrue)
+
+	for _, path := range []string{"/v1/streams/s1", "/v1/completions"} {
+		method := map[bool]string{true: "GET", false: "POST"}[path == "/v1/streams/s1"]
+		_, text = g.send(t, method, path, body, fillKey, "Last-Event-ID: s1.1")
+		qt.Assert(t, eventIDs(text), qt.DeepEquals, []string{"s1.2", "s1.3"}, qt.Commentf("%s", path))
+	}
+	_, text = g.send(t, "GET", "/v1/streams/s1", "", fillKey)
+	qt.Assert(t, len(eventIDs(text)), qt.Equals, 4)
+}
+
+func eventIDs(text string) []string {
+	var ids []string
+	for line := range strings.SplitSeq(text, "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// TestWholeAnswer guards the form of answers that are not streamed.
+func TestWholeAnswer(t *testing.T) {
+	g := newRig(t)
+	_, text := g.send(t, "POST", "/v1/chat/completions",
+		`{"model":"summary","messages":[{"role":"user","content":"hi"}]}`, fillKey)
+	qt.Assert(t, text, qt.Contains, `"message":{"role":"assistant","content":"user: hi assistant: "}`)
+	qt.Assert(t, g.runner.opened[0].Rank, qt.Equals, document.Urgent)
+	qt.Assert(t, g.runner.opened[0].MaxTokens, qt.Equals, 100)
+}
+
+// TestRefusal guards that a refusal is told as not run, with a time to wait.
+func TestRefusal(t *testing.T) {
+	g := newRig(t)
+	g.runner.err = &broker.Refusal{Reason: "too_late", RetryAfter: 2500 * time.Millisecond}
+	response, text := g.send(t, "POST", "/v1/completions", `{"model":"summary","prompt":"a"}`, fillKey)
+	qt.Assert(t, response.StatusCode, qt.Equals, 503)
+	qt.Assert(t, response.Header.Get("Retry-After"), qt.Equals, "3")
+	qt.Assert(t, text, qt.Contains, `"outcome":"not_run","code":"too_late"`)
+}
+
+// TestKeyIndexFollowsTheConfiguration guards against a key that stays valid
+// after the configuration dropped it.
+func TestKeyIndexFollowsTheConfiguration(t *testing.T) {
+	g := newRig(t)
+	response, _ := g.send(t, "GET", "/v1/models", "", fillKey)
+	qt.Assert(t, response.StatusCode, qt.Equals, 200)
+	next := testDocument()
+	next.Version = 2
+	delete(next.Organisations, "fill")
+	g.config.Set(next)
+	response, _ = g.send(t, "GET", "/v1/models", "", fillKey)
+	qt.Assert(t, response.StatusCode, qt.Equals, 401)
+}
+
+// TestBadInput guards that each kind of bad input gets a 4xx that names the field.
+func TestBadInput(t *testing.T) {
+	g := newRig(t)
+	drafts := "Authorization: Bearer drafts-key"
+	ok := `{"model":"summary","prompt":"a"}`
+	tests := []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		want                     string
+	}{
+		{"no key", "GET", "/v1/models", "", nil, 401, `"field":"Authorization"`},
+		{"unknown key", "GET", "/v1/models", "", []string{"Authorization: Bearer nobody"}, 401, `"code":"unknown_key"`},
+		{"no such path", "GET", "/v2", "", nil, 404, `"code":"no_such_path"`},
+		{"method", "GET", "/v1/keys", "", nil, 405, `"code":"method_not_allowed"`},
+		{"malformed", "POST", "/v1/completions", `{"model":`, []string{fillKey}, 400, `"code":"bad_json"`},
+		{"text after", "POST", "/v1/completions", ok + `x`, []string{fillKey}, 400, `"code":"bad_json"`},
+		{"not UTF-8", "POST", "/v1/completions", "{\"model\":\"\xff\"}", []string{fillKey}, 400, `"code":"bad_json"`},
+		{"null", "POST", "/v1/completions", `null`, []string{fillKey}, 400, `"field":"prompt"`},
+		{"type", "POST", "/v1/completions", `{"model":"summary","prompt":"a","max_tokens":"9"}`, []string{fillKey}, 400, `"field":"max_tokens"`},
+		{"overflow", "POST", "/v1/completions", `{"model":"summary","prompt":"a","max_tokens":1e30}`, []string{fillKey}, 400, `"field":"max_tokens"`},
+		{"negative", "POST", "/v1/completions", `{"model":"summary","prompt":"a","max_tokens":-1}`, []string{fillKey}, 400, `"field":"max_tokens"`},
+		{"too many tokens", "POST", "/v1/completions", `{"model":"summary","prompt":"a","max_tokens":101}`, []string{fillKey}, 400, `"field":"max_tokens"`},
+		{"unknown model", "POST", "/v1/completions", `{"model":"other","prompt":"a"}`, []string{fillKey}, 404, `"field":"model"`},
+		{"plain service as model", "POST", "/v1/completions", `{"model":"desk","prompt":"a"}`, []string{fillKey}, 404, `"field":"model"`},
+		{"several answers", "POST", "/v1/completions", `{"model":"summary","prompt":"a","n":2}`, []string{fillKey}, 400, `"field":"n"`},
+		{"huge body", "POST", "/v1/completions", strings.Repeat("x", 5000), []string{fillKey}, 413, `"field":"body"`},
+		{"rank", "POST", "/v1/completions", ok, []string{fillKey, "X-Rank: now"}, 400, `"field":"X-Rank"`},
+		{"rank not allowed", "POST", "/v1/completions", ok, []string{drafts, "X-Rank: urgent"}, 403, `"code":"rank_not_allowed"`},
+		{"long key", "POST", "/v1/completions", ok, []string{fillKey, "Idempotency-Key: " + strings.Repeat("k", 300)}, 400, `"field":"Idempotency-Key"`},
+		{"no messages", "POST", "/v1/chat/completions", `{"model":"summary","messages":[]}`, []string{fillKey}, 400, `"field":"messages"`},
+		{"role", "POST", "/v1/chat/completions", `{"model":"summary","messages":[{"role":"boss","content":"a"}]}`, []string{fillKey}, 400, `"field":"messages[0].role"`},
+		{"content", "POST", "/v1/chat/completions", `{"model":"summary","messages":[{"role":"user","content":7}]}`, []string{fillKey}, 400, `"field":"messages.content"`},
+		{"event id", "POST", "/v1/completions", ok, []string{fillKey, "Last-Event-ID: s1"}, 400, `"field":"Last-Event-ID"`},
+		{"event id position", "GET", "/v1/streams/s1", "", []string{fillKey, "Last-Event-ID: s1.-1"}, 400, `"field":"Last-Event-ID"`},
+		{"event id of another stream", "GET", "/v1/streams/s1", "", []string{fillKey, "Last-Event-ID: s2.1"}, 400, `"code":"other_stream"`},
+		{"unknown stream", "GET", "/v1/streams/s9", "", []string{fillKey}, 404, `"outcome":"unknown","code":"no_such_stream"`},
+		{"count", "POST", "/v1/keys?count=0", "", []string{fillKey}, 400, `"field":"count"`},
+		{"unknown service", "GET", "/v1/services/other/a", "", []string{fillKey}, 404, `"field":"service"`},
+		{"service not allowed", "GET", "/v1/services/desk/a", "", []string{drafts}, 404, `"field":"service"`},
+		{"call without key", "POST", "/v1/services/desk/orders", "", []string{fillKey}, 400, `"field":"Idempotency-Key"`},
+		{"dot segments", "PUT", "/v1/services/desk/stock/../orders", "", []string{fillKey}, 400, `"field":"path"`},
+		{"escaped slash", "PUT", "/v1/services/desk/stock%2f..%2forders", "", []string{fillKey}, 400, `"field":"path"`},
+		{"announcement", "POST", "/v1/backends/announce", `{"id":"e1","address":"nowhere"}`, nil, 400, `"field":"address"`},
+		{"leave", "POST", "/v1/backends/leave", `{}`, nil, 400, `"field":"id"`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			response, text := g.send(t, test.method, test.path, test.body, test.headers...)
+			qt.Assert(t, response.StatusCode, qt.Equals, test.status, qt.Commentf("%s", text))
+			qt.Assert(t, text, qt.Contains, test.want)
+		})
+	}
+}
+
+// TestAnnouncements guards the path from backend servers to the broker.
+func TestAnnouncements(t *testing.T) {
+	g := newRig(t)
+	one := `{"id":"e1","address":"10.0.0.1:80","data_centre":"vannes","pools":["summary"],"slots":4,"sequence":7}`
+	response, text := g.send(t, "POST", "/v1/backends/announce", one)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	_, _ = g.send(t, "POST", "/v1/backends/announce", "["+one+","+one+"]")
+	qt.Assert(t, len(g.backends.announced), qt.Equals, 3)
+	qt.Assert(t, g.backends.announced[0].Sequence, qt.Equals, uint64(7))
+	_, _ = g.send(t, "POST", "/v1/backends/leave", `{"id":"e1","incarnation":1}`)
+	qt.Assert(t, g.backends.left, qt.DeepEquals, []string{"e1"})
+}
--- /dev/null
+++ b/pkg/entry/fakes_test.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
+	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/generation"
+	"github.com/geraniumpitch/geraniumpitch/pkg/once"
+	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+)
+
+// fakeRunner keeps answers in memory; each generation repeats the prompt's words.
+type fakeRunner struct {
+	mu      sync.Mutex
+	err     error
+	opened  []generation.Request
+	streams map[string]generation.Request
+	// hold makes Next block before the token at this position.
+	hold int
+	gate chan struct{}
+}
+
+func (f *fakeRunner) Open(_ context.Context, r generation.Request) (generation.Session, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil {
+		return nil, f.err
+	}
+	f.opened = append(f.opened, r)
+	f.streams["s1"] = r
+	return &fakeSession{runner: f, request: r}, nil
+}
+
+func (f *fakeRunner) Resume(_ context.Context, organisation, stream string, after int) (generation.Session, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.streams[stream]
+	if !ok || r.Organisation != organisation {
+		return nil, generation.ErrNotFound
+	}
+	return &fakeSession{runner: f, request: r, next: after + 1}, nil
+}
+
+type fakeSession struct {
+	runner  *fakeRunner
+	request generation.Request
+	next    int
+}
+
+func (s *fakeSession) Stream() string              { return "s1" }
+func (s *fakeSession) Request() generation.Request { return s.request }
+func (s *fakeSession) Close()                      {}
+
+func (s *fakeSession) Next(ctx context.Context) (generation.Event, error) {
+	words := strings.Fields(s.request.Prompt)
+	if s.runner.gate != nil && s.next == s.runner.hold {
+		select {
+		case <-s.runner.gate:
+		case <-ctx.Done():
+			return generation.Event{}, ctx.Err()
+		}
+	}
+	position := s.next
+	s.next++
+	switch {
+	case position < len(words):
+		return generation.Event{Position: position, Text: words[position] + " "}, nil
+	case position == len(words):
+		return generation.Event{Position: position, Finished: true, FinishReason: "stop"}, nil
+	}
+	return generation.Event{}, io.EOF
+}
+
+// fakeSlots grants the first address that is not excluded.
+type fakeSlots struct {
+	mu        sync.Mutex
+	addresses []string
+	err       error
+	results   []broker.Result
+}
+
+func (f *fakeSlots) Acquire(_ context.Context, r broker.Request) (broker.Lease, error) {
+	if f.err != nil {
+		return nil, f.err
+	}
+	for _, address := range f.addresses {
+		excluded := false
+		for _, id := range r.Exclude {
+			excluded = excluded || id == address
+		}
+		if !excluded {
+			return &fakeLease{slots: f, address: address}, nil
+		}
+	}
+	return nil, &broker.Refusal{Reason: "no_backend", RetryAfter: time.Second}
+}
+
+type fakeLease struct {
+	slots   *fakeSlots
+	address string
+}
+
+func (l *fakeLease) Backend() (id, address string) { return l.address, l.address }
+func (l *fakeLease) Preempted() <-chan struct{}    { return nil }
+func (l *fakeLease) Release(u broker.Usage) {
+	l.slots.mu.Lock()
+	defer l.slots.mu.Unlock()
+	l.slots.results = append(l.slots.results, u.Result)
+}
+
+type fakeBackends struct {
+	announced []*wire.BackendAnnouncement
+	left      []string
+}
+
+func (f *fakeBackends) Announce(_ context.Context, list []*wire.BackendAnnouncement) error {
+	f.announced = append(f.announced, list...)
+	return nil
+}
+
+func (f *fakeBackends) Leave(_ context.Context, id string, _ uint64) error {
+	f.left = append(f.left, id)
+	return nil
+}
+
+// fakeOnce answers every claim with one verdict.
+type fakeOnce struct {
+	verdict   once.Verdict
+	completed []once.Answer
+	released  int
+}
+
+func (f *fakeOnce) Mint(organisation string, count int) []string {
+	keys := make([]string, count)
+	for i := range keys {
+		keys[i] = organisation + "-key"
+	}
+	return keys
+}
+
+func (f *fakeOnce) Claim(context.Context, string, string, once.Digest) once.Verdict {
+	return f.verdict
+}
+
+func (f *fakeOnce) Complete(_ context.Context, _ once.Claim, a once.Answer) error {
+	f.completed = append(f.completed, a)
+	return nil
+}
+
+func (f *fakeOnce) Release(context.Context, once.Claim) bool {
+	f.released++
+	return true
+}
+
+// rig is a whole API over fakes.
+type rig struct {
+	service  *Service
+	config   *configwatch.Holder
+	runner   *fakeRunner
+	slots    *fakeSlots
+	backends *fakeBackends
+	once     *fakeOnce
+	server   *httptest.Server
+}
+
+func testDocument() *document.Document {
+	d := document.Empty()
+	d.Version = 1
+	d.Services["summary"] = document.Service{Kind: document.Generation, MaxTokens: 100}
+	d.Services["desk"] = document.Service{Kind: document.Plain, TimeoutMS: 400, Routes: []document.Route{
+		{Method: "PUT", PathPrefix: "/stock", Idempotent: true},
+	}}
+	d.Organisations["fill"] = document.Organisation{
+		KeyHashes: []string{document.HashKey("fill-key")}, Weight: 1, Ranks: []string{"urgent", "patient"},
+	}
+	d.Organisations["drafts"] = document.Organisation{
+		KeyHashes: []string{document.HashKey("drafts-key")}, Weight: 1, Ranks: []string{"patient"}, Services: []string{"summary"},
+	}
+	return d
+}
+
+func newRig(t testing.TB) *rig {
+	t.Helper()
+	g := &rig{
+		config: &configwatch.Holder{}, runner: &fakeRunner{streams: map[string]generation.Request{}},
+		slots: &fakeSlots{}, backends: &fakeBackends{}, once: &fakeOnce{verdict: once.Verdict{Outcome: once.Claimed}},
+	}
+	g.config.Set(testDocument())
+	log := slog.New(slog.DiscardHandler)
+	values := settings.DefaultEntry()
+	values.MaxBodyBytes = 4096
+	service, err := New(Dependencies{
+		Settings: values, Config: g.config, Runner: g.runner, Slots: g.slots, Backends: g.backends,
+		Once: g.once, Log: log, Meter: noop.Meter{},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	g.service = service
+	g.server = httptest.NewUnstartedServer(service.Handler())
+	g.server.Config = NewServer(service.Handler(), log)
+	g.server.Start()
+	t.Cleanup(g.server.Close)
+	return g
+}
+
+// send makes one request; headers are "Name: value" lines.
+func (g *rig) send(t testing.TB, method, path, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, g.server.URL+path, strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	for _, line := range headers {
+		name, value, _ := strings.Cut(line, ": ")
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return response, string(raw)
+}
