--- a/pkg/consensus/types.go
+++ b/pkg/consensus/types.go
@@ -47,7 +47,10 @@
 	Index   uint64              `json:"index"`
 	Term    uint64              `json:"term"`
 	Members map[MemberID]DiskID `json:"members"`
-	Data    []byte              `json:"data,omitempty"`
+	// Group is the hash of the first member table; members of different groups
+	// ignore each other.
+	Group uint64 `json:"group"`
+	Data  []byte `json:"data,omitempty"`
 }
 
 // Config holds what a member knows at start.
@@ -75,6 +78,9 @@
 // install the snapshot, append the entries (cutting the log before the first of
 // them), write the hard state, sync, then send the messages and apply.
 type Ready struct {
+	// Snapshot is written to disk. It comes from the leader, from the first
+	// member table or from Compact; the state machine is restored from its data
+	// only if its index is above the last applied index.
 	Snapshot *Snapshot
 	Entries  []Entry
 	Hard     *HardState
@@ -130,7 +136,32 @@
 	Hint     uint64              `json:"hint,omitempty"`
 	Round    uint64              `json:"round,omitempty"`
 	Members  map[MemberID]DiskID `json:"members,omitempty"`
+	// Group is the group of the sender, 0 if it is empty.
+	Group uint64 `json:"group,omitempty"`
 }
 
-// MessageKind tells what a message is; the values are defined by the node.
+// MessageKind tells what a message is.
 type MessageKind uint8
+
+// Kinds of messages.
+const (
+	// Hello is sent by a member that is empty (Granted is set, Members holds the
+	// disks that it knows) and answered by members that are not (Members holds
+	// their table).
+	Hello MessageKind = iota + 1
+	// PreVote asks for a vote without raising the term.
+	PreVote
+	PreVoteReply
+	Vote
+	VoteReply
+	Append
+	// AppendReply answers Append and Install: Index is the last matching entry
+	// if Granted, otherwise Hint is where the leader should try next.
+	AppendReply
+	// Heartbeat carries the commit index and, in LogTerm, the term of its entry.
+	Heartbeat
+	HeartbeatReply
+	// Install carries a snapshot.
+	Install
+	lastKind = Install
+)
