generation, replica, engine, stand-in: first whole path

Cause: the entry instance needs a runner that carries an answer over the loss of engines, connections and entry instances (design 3.1).

Change: the HTTP + SSE adapter to engines; the stand-in engine, whose tokens depend on the prompt, the seed and all tokens before; the store of stream records with terms (epoch, owner); sessions that batch appends to one holder; takeover from the best reachable copy; the pure state of a generation and the runner around it. A takeover asks every known instance, since a former holder can have an outdated copy, and takes the copy with the newest written term.

Conclusion: in-process tests over loopback with three entry instances pass with the race detector: engine killed early, in the middle and late, engine frozen and back, owner lost, owner and engine lost, holder lost. Not done yet: two simultaneous opens with one idempotency key, the check for a newer term before a move to another holder, property tests and measurements.

--- /dev/null
+++ b/cmd/gp-standin/main.go
@@ -0,0 +1,23 @@
+// Command gp-standin runs a stand-in for a backend server, for trials and tests.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&engineCommand{}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(code))
+}
--- /dev/null
+++ b/pkg/generation/harness_test.go
@@ -0,0 +1,267 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
+	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
+	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
+	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
+	"github.com/geraniumpitch/geraniumpitch/pkg/standin"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// table is a member table that the test changes.
+type table struct {
+	mu      sync.Mutex
+	members []membership.Member
+}
+
+func (t *table) set(id string, state membership.State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.members {
+		if t.members[i].ID == id {
+			t.members[i].State = state
+		}
+	}
+}
+
+type view struct {
+	*table
+	self string
+}
+
+func (v view) Self() membership.Member {
+	m, _ := v.Member(v.self)
+	return m
+}
+
+func (v view) Members() []membership.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(v.members), func(m membership.Member) bool {
+		return m.State == membership.Dead
+	})
+}
+
+func (v view) Member(id string) (membership.Member, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, m := range v.members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// slots grants the engines in turn.
+type slots struct {
+	mu      sync.Mutex
+	engines []string
+	turn    int
+	refuse  bool
+	leases  []*lease
+}
+
+type lease struct {
+	address   string
+	preempted chan struct{}
+	mu        sync.Mutex
+	usage     *broker.Usage
+}
+
+func (l *lease) Backend() (string, string)  { return l.address, l.address }
+func (l *lease) Preempted() <-chan struct{} { return l.preempted }
+func (l *lease) Release(u broker.Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.usage == nil {
+		l.usage = &u
+	}
+}
+
+func (s *slots) Acquire(_ context.Context, r broker.Request) (broker.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range s.engines {
+		s.turn++
+		address := s.engines[s.turn%len(s.engines)]
+		if !s.refuse && !slices.Contains(r.Exclude, address) {
+			l := &lease{address: address, preempted: make(chan struct{})}
+			s.leases = append(s.leases, l)
+			return l, nil
+		}
+	}
+	return nil, &broker.Refusal{Reason: "no_backend", RetryAfter: time.Second}
+}
+
+func (s *slots) setRefuse(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = refuse
+}
+
+// node is one entry instance.
+type node struct {
+	id      string
+	store   *replica.Service
+	service *Service
+	cancel  context.CancelFunc
+}
+
+// backend is a stand-in engine behind a listener.
+type backend struct {
+	*standin.Engine
+	server  *httptest.Server
+	address string
+}
+
+// kill closes the listener and all connections with a reset.
+func (b *backend) kill() {
+	b.server.CloseClientConnections()
+	b.server.Listener.Close()
+	b.Freeze()
+}
+
+type cluster struct {
+	*quicktest.C
+	table    *table
+	nodes    []*node
+	backends []*backend
+	slots    *slots
+}
+
+type clusterOptions struct {
+	dataCentres   []string
+	engines       int
+	interval      time.Duration
+	slotCount     int
+	attemptChains bool
+	storeBytes    int64
+}
+
+func newCluster(tb testing.TB, o clusterOptions) *cluster {
+	c := &cluster{C: quicktest.New(tb), table: &table{}, slots: &slots{}}
+	if o.storeBytes == 0 {
+		o.storeBytes = 64 << 20
+	}
+	if o.slotCount == 0 {
+		o.slotCount = 1000
+	}
+	for i := range o.engines {
+		c.addBackend(o, i)
+	}
+	for i, dc := range o.dataCentres {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, quicktest.IsNil)
+		address := l.Addr().String()
+		c.Assert(l.Close(), quicktest.IsNil)
+		c.table.members = append(c.table.members, membership.Member{
+			ID: fmt.Sprintf("n%d", i+1), DataCentre: dc, PeerAddress: address,
+		})
+	}
+	for _, m := range c.table.members {
+		c.startNode(m, o.storeBytes)
+	}
+	return c
+}
+
+func (c *cluster) addBackend(o clusterOptions, i int) {
+	e := standin.NewEngine(standin.EngineOptions{
+		ID: fmt.Sprintf("e%d", i), Models: []string{"m"}, Slots: o.slotCount, Interval: o.interval,
+		AttemptChains: o.attemptChains, Linger: 5 * time.Second,
+	}, quiet)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(e.ServeHTTP))
+	server.Start()
+	b := &backend{Engine: e, server: server, address: server.Listener.Addr().String()}
+	c.backends = append(c.backends, b)
+	c.slots.engines = append(c.slots.engines, b.address)
+	c.Cleanup(func() { server.CloseClientConnections(); server.Listener.Close(); e.Unfreeze() })
+}
+
+func (c *cluster) startNode(m membership.Member, limit int64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	counters := &rpc.Counters{}
+	v := view{table: c.table, self: m.ID}
+	n := &node{id: m.ID, cancel: cancel}
+	n.store = replica.New(v, rpc.NewDialer(nil, counters), limit, nil, quiet)
+	server := rpc.NewServer(nil, counters, quiet)
+	c.Assert(n.store.Register(server.Mux()), quicktest.IsNil)
+	c.Assert(server.Listen(ctx, m.PeerAddress), quicktest.IsNil)
+	c.Assert(n.store.Start(ctx), quicktest.IsNil)
+	n.service = New(v, &configwatch.Holder{}, c.slots, n.store, quiet)
+	c.nodes = append(c.nodes, n)
+	c.Cleanup(n.kill)
+}
+
+// kill makes an entry instance unreachable and ends its work.
+func (n *node) kill() {
+	n.cancel()
+	n.service.cancel()
+	_ = n.store.Stop(context.Background())
+}
+
+func request(tokens int) Request {
+	return Request{Organisation: "o", Rank: "urgent", Model: "m", Prompt: "prompt", MaxTokens: tokens}
+}
+
+func (c *cluster) backendAt(address string) *backend {
+	for _, b := range c.backends {
+		if b.address == address {
+			return b
+		}
+	}
+	c.Fatalf("no engine at %s", address)
+	return nil
+}
+
+// current returns the engine that the newest lease names.
+func (c *cluster) current() *backend {
+	c.slots.mu.Lock()
+	defer c.slots.mu.Unlock()
+	return c.backendAt(c.slots.leases[len(c.slots.leases)-1].address)
+}
+
+// read reads until the end or until the answer has n tokens.
+func (c *cluster) read(s Session, tokens []string, n int) []string {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for len(tokens) < n {
+		e, err := s.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		c.Assert(err, quicktest.IsNil, quicktest.Commentf("after %d tokens", len(tokens)))
+		if e.Finished {
+			c.Assert(e.Position, quicktest.Equals, len(tokens))
+			continue
+		}
+		c.Assert(e.Position, quicktest.Equals, len(tokens))
+		tokens = append(tokens, e.Text)
+	}
+	return tokens
+}
+
+// whole reads to the end and checks that the answer is one chain of n tokens.
+func (c *cluster) whole(s Session, tokens []string, n int) {
+	tokens = c.read(s, tokens, n+1)
+	c.Assert(tokens, quicktest.HasLen, n)
+	c.Assert(standin.Verify("prompt", Seed(s.Stream()), tokens), quicktest.IsNil)
+	s.Close()
+}
--- /dev/null
+++ b/pkg/generation/running.go
@@ -0,0 +1,526 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
+	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
+)
+
+// prefixBytes is the length of the start of a prompt that chooses a backend
+// server with a warm cache.
+const prefixBytes = 256
+
+// quickTries is the number of engines that are tried without a pause.
+const quickTries = 4
+
+// ReasonDetached is the reason of the end of a stream without a caller.
+const ReasonDetached = "detached"
+
+// errAbandoned ends a generation whose caller left before anything ran.
+var errAbandoned = errors.New("the caller left")
+
+// running is one generation at its owner. The goroutine of run owns all fields
+// below state.
+type running struct {
+	service *Service
+	st      *replica.Stream
+	request Request
+	// admitted is closed when the first attempt runs or the request is refused.
+	admitted chan struct{}
+	refused  error
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mu       sync.Mutex
+	sessions int
+	expiry   *time.Timer
+
+	state    State
+	started  bool
+	events   chan event
+	lease    broker.Lease
+	engine   engine.Engine
+	at       replica.Engine
+	stream   engine.Stream
+	exclude  []string
+	lostAt   time.Time
+	granted  time.Time
+	first    time.Duration
+	lastSeen time.Time
+	timer    *time.Timer
+}
+
+// event is an engine event with the connection that it came from. A non-nil
+// stream is a new connection to the same engine stream.
+type event struct {
+	attempt, connection uint32
+	engine.Event
+	err    error
+	stream engine.Stream
+}
+
+func newRunning(s *Service, st *replica.Stream, r Request, state State, last replica.Engine) *running {
+	g := &running{
+		service: s, st: st, request: r, admitted: make(chan struct{}),
+		state: state, at: last, events: make(chan event, 16),
+	}
+	g.started = last.Address != ""
+	g.ctx, g.cancel = context.WithCancelCause(s.ctx)
+	g.timer = time.NewTimer(time.Hour)
+	return g
+}
+
+// attach adds a caller.
+func (g *running) attach(position int) *session {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sessions++
+	if g.expiry != nil {
+		g.expiry.Stop()
+		g.expiry = nil
+	}
+	return newSession(g, g.st, g.request, position)
+}
+
+// detach removes a caller; without callers the generation ends after a while.
+func (g *running) detach() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sessions--
+	if g.sessions == 0 && g.expiry == nil {
+		g.expiry = time.AfterFunc(detachedLimit, func() { g.cancel(nil) })
+	}
+}
+
+// abandon ends the generation if nothing runs yet.
+func (g *running) abandon() {
+	select {
+	case <-g.admitted:
+	default:
+		g.cancel(errAbandoned)
+	}
+}
+
+// run goes on until the answer is complete, the ownership ends, or nobody
+// wants the answer any more.
+func (g *running) run() {
+	defer g.close()
+	if g.started {
+		close(g.admitted)
+		g.service.metrics.attempts.Add(g.ctx, 0)
+		if g.adopt() && g.follow() {
+			return
+		}
+	}
+	for {
+		if !g.begin() {
+			return
+		}
+		if g.follow() {
+			return
+		}
+	}
+}
+
+func (g *running) close() {
+	g.cancel(nil)
+	g.timer.Stop()
+	if g.stream != nil {
+		g.stream.Close()
+	}
+	g.release(broker.Cancelled)
+	if !g.started && g.refused == nil {
+		err := g.ctx.Err()
+		if g.taken() {
+			err = ErrTakenOver
+		}
+		g.refuse(err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.expiry != nil {
+		g.expiry.Stop()
+	}
+}
+
+// refuse ends a generation of which nothing ran.
+func (g *running) refuse(err error) {
+	g.refused = err
+	g.st.Drop()
+	close(g.admitted)
+}
+
+// adopt tries to resume the engine stream of the owner before.
+func (g *running) adopt() bool {
+	g.lostAt = time.Now()
+	if g.at.Stream == "" || g.state.Next() >= g.request.MaxTokens {
+		return false
+	}
+	g.engine = g.service.connect(g.at.Address)
+	ctx, cancel := context.WithTimeout(g.ctx, resumeLimit)
+	defer cancel()
+	stream, err := g.engine.Resume(ctx, g.at.Stream, g.state.Next())
+	if err != nil {
+		g.cancelEngine()
+		return false
+	}
+	g.state.Adopt()
+	g.connected(stream)
+	return true
+}
+
+// begin starts the next attempt. It reports false when the generation ended.
+func (g *running) begin() bool {
+	backoff := retryFirst
+	for tries := 1; ; tries++ {
+		if g.state.Next() >= g.request.MaxTokens {
+			g.state.Begin()
+			return g.finish()
+		}
+		lease, err := g.service.slots.Acquire(g.ctx, g.ask())
+		if err == nil {
+			g.lease, g.granted, g.first = lease, time.Now(), 0
+			if err = g.try(); err == nil {
+				return true
+			}
+		}
+		if g.ctx.Err() != nil || g.taken() {
+			return g.stopped()
+		}
+		var refusal *broker.Refusal
+		refused := errors.As(err, &refusal)
+		if final(err) || refused && !g.started && len(g.exclude) == 0 {
+			return g.giveUp(err)
+		}
+		if refused {
+			g.exclude = nil
+		} else if tries < quickTries {
+			continue
+		}
+		if !g.pause(backoff) {
+			return g.stopped()
+		}
+		backoff = min(2*backoff, retryMost)
+	}
+}
+
+// final reports whether an error recurs at every engine.
+func final(err error) bool {
+	var e *engine.Error
+	return errors.As(err, &e) && e.Reason == engine.BadRequest
+}
+
+func (g *running) giveUp(err error) bool {
+	if !g.started {
+		g.refuse(err)
+		return false
+	}
+	g.service.log.Warn("generation cannot be continued", "stream", g.st.Name(), "error", err)
+	_ = g.st.Finish(reasonError)
+	return false
+}
+
+func (g *running) taken() bool {
+	select {
+	case <-g.st.Lost():
+		return true
+	default:
+		return false
+	}
+}
+
+// pause waits between two requests for a slot.
+func (g *running) pause(d time.Duration) bool {
+	g.timer.Reset(d)
+	select {
+	case <-g.timer.C:
+		return true
+	case <-g.ctx.Done():
+	case <-g.st.Lost():
+	}
+	return false
+}
+
+func (g *running) ask() broker.Request {
+	return broker.Request{
+		Pool: g.request.Model, Organisation: g.request.Organisation, Rank: g.request.Rank,
+		EstimatedTokens: g.request.MaxTokens - g.state.Next(),
+		PrefixHash:      xxhash.Sum64String(g.request.Prompt[:min(len(g.request.Prompt), prefixBytes)]),
+		Exclude:         g.exclude, ResumedTokens: g.state.Next(),
+	}
+}
+
+// try starts an attempt at the granted backend server.
+func (g *running) try() error {
+	id, address := g.lease.Backend()
+	record, ok := g.st.Record()
+	if !ok {
+		g.release(broker.Cancelled)
+		return replica.ErrTakenOver
+	}
+	g.state.Begin()
+	g.engine = g.service.connect(address)
+	g.at = replica.Engine{
+		Address: address, Attempt: g.state.Attempt(),
+		Stream: g.st.Name() + "." + strconv.FormatUint(g.st.Epoch(), 10) + "." +
+			strconv.FormatUint(uint64(g.state.Attempt()), 10),
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, silenceLimit)
+	defer cancel()
+	stream, err := g.engine.Start(ctx, engine.Request{
+		Stream: g.at.Stream, Model: g.request.Model, Prompt: g.request.Prompt, Prefix: record.Tokens,
+		MaxTokens: g.request.MaxTokens, Urgent: g.request.Rank == document.Urgent, Seed: Seed(g.st.Name()),
+	})
+	g.service.metrics.attempts.Add(g.ctx, 1)
+	if err != nil {
+		g.failedStart(id, err)
+		return err
+	}
+	if g.started {
+		g.service.metrics.recomputed.Add(g.ctx, int64(len(record.Tokens)))
+	}
+	g.admit()
+	if err := g.st.SetEngine(g.at); err != nil {
+		stream.Close()
+		return err
+	}
+	g.connected(stream)
+	return nil
+}
+
+func (g *running) admit() {
+	if !g.started {
+		g.started = true
+		close(g.admitted)
+	}
+}
+
+func (g *running) failedStart(id string, err error) {
+	g.state.End()
+	g.exclude = append(g.exclude, id)
+	var e *engine.Error
+	switch {
+	case errors.As(err, &e) && e.Reason == engine.Refused:
+		g.release(broker.Refused)
+	case errors.As(err, &e) && e.Reason == engine.BadRequest:
+		g.release(broker.Cancelled)
+	default:
+		g.release(broker.Failed)
+	}
+	if errors.As(err, &e) && e.Reason == engine.Broken {
+		// The engine may run it, so the request cannot be refused any more.
+		g.admit()
+		g.cancelEngine()
+	}
+}
+
+// connected reads the events of a new connection.
+func (g *running) connected(stream engine.Stream) {
+	if g.stream != nil {
+		g.stream.Close()
+	}
+	g.stream = stream
+	g.lastSeen = time.Now()
+	go g.pump(stream, g.state.Attempt(), g.state.Connection())
+}
+
+func (g *running) pump(stream engine.Stream, attempt, connection uint32) {
+	for {
+		e, err := stream.Next(g.ctx)
+		select {
+		case g.events <- event{attempt: attempt, connection: connection, Event: e, err: err}:
+		case <-g.ctx.Done():
+			return
+		}
+		if err != nil || e.Kind == engine.Finished {
+			return
+		}
+	}
+}
+
+// follow handles the events of the present attempt. It reports true when the
+// generation ended and false when another engine has to go on.
+func (g *running) follow() bool {
+	for {
+		g.timer.Reset(time.Until(g.deadline()))
+		var preempted <-chan struct{}
+		if g.lease != nil {
+			preempted = g.lease.Preempted()
+		}
+		var step Step
+		result := broker.Failed
+		select {
+		case e := <-g.events:
+			step = g.handle(e)
+		case now := <-g.timer.C:
+			if now.Before(g.deadline()) {
+				continue
+			}
+			if g.lostAt.IsZero() {
+				g.lostAt = g.lastSeen
+			}
+			step = g.state.Silence()
+		case <-preempted:
+			g.state.End()
+			g.lostAt = time.Now()
+			step, result = Another, broker.Cancelled
+		case <-g.st.Lost():
+			return !g.stopped()
+		case <-g.ctx.Done():
+			return !g.stopped()
+		}
+		switch step {
+		case Resume:
+			g.resume()
+		case Another:
+			g.leave(result)
+			return false
+		case Finish:
+			return !g.finish()
+		}
+	}
+}
+
+// deadline returns the time at which the present connection counts as silent.
+func (g *running) deadline() time.Time {
+	if g.state.Resuming() {
+		return g.lastSeen.Add(resumeLimit)
+	}
+	return g.lastSeen.Add(silenceLimit)
+}
+
+// handle passes an engine event to the state.
+func (g *running) handle(e event) Step {
+	current := e.attempt == g.state.Attempt() && e.connection == g.state.Connection()
+	if e.stream != nil {
+		if !current || !g.state.Resuming() {
+			e.stream.Close()
+			return Ignore
+		}
+		g.connected(e.stream)
+		return Ignore
+	}
+	if e.err != nil {
+		if current && g.lostAt.IsZero() {
+			g.lostAt = time.Now()
+		}
+		return g.state.Reset(e.attempt, e.connection)
+	}
+	if current {
+		g.lastSeen = time.Now()
+	}
+	switch e.Kind {
+	case engine.Token:
+		step := g.state.Token(e.attempt, e.connection, e.Position)
+		if step == Accept {
+			g.accept(e)
+		}
+		return step
+	case engine.Finished:
+		return g.state.EngineEnd(e.attempt, e.connection, e.Position, e.FinishReason)
+	}
+	return g.state.Alive(e.attempt, e.connection)
+}
+
+// accept adds the next token to the record.
+func (g *running) accept(e event) {
+	_ = g.st.Append(e.Position, e.Text)
+	if g.first == 0 && g.lease != nil {
+		g.first = time.Since(g.granted)
+	}
+	if !g.lostAt.IsZero() {
+		g.service.metrics.resume.Record(g.ctx, time.Since(g.lostAt).Seconds())
+		g.lostAt = time.Time{}
+	}
+	if len(g.exclude) > 0 {
+		g.exclude = nil
+	}
+}
+
+// resume connects again to the engine stream in the background.
+func (g *running) resume() {
+	g.lastSeen = time.Now()
+	attempt, connection, from := g.state.Attempt(), g.state.Connection(), g.state.Next()
+	eng, name := g.engine, g.at.Stream
+	g.service.metrics.reconnects.Add(g.ctx, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(g.ctx, resumeLimit)
+		defer cancel()
+		stream, err := eng.Resume(ctx, name, from)
+		select {
+		case g.events <- event{attempt: attempt, connection: connection, err: err, stream: stream}:
+		case <-g.ctx.Done():
+			if stream != nil {
+				stream.Close()
+			}
+		}
+	}()
+}
+
+// leave gives up the present attempt; the engine is told in the background.
+func (g *running) leave(result broker.Result) {
+	if g.stream != nil {
+		g.stream.Close()
+		g.stream = nil
+	}
+	if g.lease != nil && result == broker.Failed {
+		id, _ := g.lease.Backend()
+		g.exclude = append(g.exclude, id)
+	}
+	g.cancelEngine()
+	g.release(result)
+}
+
+func (g *running) release(result broker.Result) {
+	if g.lease == nil {
+		return
+	}
+	g.lease.Release(broker.Usage{Result: result, Tokens: g.state.Next(), FirstToken: g.first})
+	g.lease = nil
+}
+
+// cancelEngine ends the present attempt at its engine, which may not answer at
+// the moment.
+func (g *running) cancelEngine() {
+	eng, name, parent := g.engine, g.at.Stream, g.service.ctx
+	go func() {
+		for range cancelTries {
+			ctx, cancel := context.WithTimeout(parent, cancelTimeout)
+			err := eng.Cancel(ctx, name)
+			cancel()
+			var e *engine.Error
+			if err == nil || parent.Err() != nil ||
+				errors.As(err, &e) && (e.Reason == engine.UnknownStream || e.Reason == engine.NotSent) {
+				return
+			}
+		}
+	}()
+}
+
+// finish records the end of a complete answer.
+func (g *running) finish() bool {
+	reason, _ := g.state.Finished()
+	_ = g.st.Finish(reason)
+	g.release(broker.OK)
+	return false
+}
+
+// stopped handles the end of the ownership or of the interest in the answer.
+// After a takeover the engine stream is left to the new owner.
+func (g *running) stopped() bool {
+	if g.taken() || !g.started {
+		return false
+	}
+	g.cancelEngine()
+	_ = g.st.Finish(ReasonDetached)
+	return false
+}
--- /dev/null
+++ b/pkg/generation/service.go
@@ -0,0 +1,322 @@
+package generation
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
+	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
+	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
+	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
+	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+)
+
+// ServiceName is the name of the service in the kernel.
+const ServiceName = "generation"
+
+// DefaultMaxTokens bounds the output when neither the request nor the
+// configuration does.
+const DefaultMaxTokens = 4096
+
+// Timing of recovery.
+const (
+	// silenceLimit is the longest time without any event of an engine; engines
+	// send a heartbeat every 200 ms.
+	silenceLimit = 800 * time.Millisecond
+	// resumeLimit bounds the attempt to resume the same engine stream.
+	resumeLimit = 500 * time.Millisecond
+	// cancelTimeout bounds one attempt to cancel an engine stream, cancelTries
+	// the number of attempts.
+	cancelTimeout = time.Second
+	cancelTries   = 5
+	// detachedLimit is how long a stream without a caller continues.
+	detachedLimit = 60 * time.Second
+	// retryFirst and retryMost bound the back-off between requests for a slot
+	// of a generation that already runs.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = time.Second
+
+	dialTimeout = 500 * time.Millisecond
+	// idleConnections is the number of idle connections kept to one engine.
+	idleConnections = 16
+)
+
+// Option changes a Service.
+type Option func(*Service)
+
+// WithMeter records the metrics of the service.
+func WithMeter(m metric.Meter) Option { return func(s *Service) { s.meter = m } }
+
+// WithEngines replaces the adapter to engines.
+func WithEngines(connect func(address string) engine.Engine) Option {
+	return func(s *Service) { s.connect = connect }
+}
+
+// Service runs the generations of this instance. It implements Runner.
+type Service struct {
+	view    membership.View
+	config  configwatch.Source
+	slots   broker.Acquirer
+	store   *replica.Service
+	log     *slog.Logger
+	meter   metric.Meter
+	metrics metrics
+	connect func(address string) engine.Engine
+
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	running map[string]*running
+	// idle is closed when the last generation ends; nil while nobody waits.
+	idle chan struct{}
+}
+
+// New returns a service without generations.
+func New(
+	view membership.View, config configwatch.Source, slots broker.Acquirer, store *replica.Service,
+	log *slog.Logger, options ...Option,
+) *Service {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+	}}
+	s := &Service{
+		view: view, config: config, slots: slots, store: store, log: log,
+		meter: noop.Meter{}, running: map[string]*running{},
+		connect: func(address string) engine.Engine { return engine.NewHTTP(address, client) },
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	for _, option := range options {
+		option(s)
+	}
+	s.metrics = newMetrics(s.meter)
+	return s
+}
+
+// ServiceName implements kernel.Service.
+func (s *Service) ServiceName() string { return ServiceName }
+
+// Stop implements kernel.Stopper: it waits until all generations have ended or
+// ctx ends.
+func (s *Service) Stop(ctx context.Context) error {
+	defer s.cancel()
+	s.mu.Lock()
+	if len(s.running) == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+	}
+	idle := s.idle
+	s.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Running returns the number of generations that this instance runs.
+func (s *Service) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running)
+}
+
+// Seed returns the seed of a stream, which all its attempts share.
+func Seed(stream string) int64 { return int64(xxhash.Sum64String(stream) >> 1) }
+
+// streamID derives the identifier from the idempotency key, or makes one that
+// names its first owner.
+func (s *Service) streamID(r Request) string {
+	if r.IdempotencyKey != "" {
+		raw, _ := json.Marshal([2]string{r.Organisation, r.IdempotencyKey})
+		d := xxhash.New()
+		_, _ = d.Write(raw)
+		low := d.Sum64()
+		_, _ = d.Write(raw)
+		return "k" + hex.EncodeToString(sum(low, d.Sum64()))
+	}
+	var random [12]byte
+	_, _ = rand.Read(random[:])
+	return "s" + hex.EncodeToString(random[:]) + "-" + s.view.Self().ID
+}
+
+func sum(parts ...uint64) []byte {
+	var raw []byte
+	for _, p := range parts {
+		for shift := 0; shift < 64; shift += 8 {
+			raw = append(raw, byte(p>>shift))
+		}
+	}
+	return raw
+}
+
+// Open implements Runner.
+func (s *Service) Open(ctx context.Context, r Request) (Session, error) {
+	r.MaxTokens = s.bound(r)
+	stream := s.streamID(r)
+	if r.IdempotencyKey != "" {
+		session, err := s.Resume(ctx, r.Organisation, stream, -1)
+		switch {
+		case err == nil && session.Request() != r:
+			session.Close()
+			return nil, ErrKeyReused
+		case err == nil:
+			return session, nil
+		case !errors.Is(err, ErrNotFound):
+			return nil, err
+		}
+	}
+	return s.open(ctx, stream, r)
+}
+
+func (s *Service) open(ctx context.Context, stream string, r Request) (Session, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	st, err := s.store.Own(replica.Record{
+		Stream: stream, Organisation: r.Organisation, Request: body,
+		Term: replica.Term{Epoch: 1, Owner: s.view.Self().ID},
+	})
+	if errors.Is(err, replica.ErrFull) {
+		return nil, &broker.Refusal{Reason: "queue_full", RetryAfter: time.Second}
+	}
+	if err != nil {
+		return nil, ErrTakenOver
+	}
+	g := s.start(st, r, NewState(r.MaxTokens, 0, 0), replica.Engine{})
+	session := g.attach(0)
+	select {
+	case <-g.admitted:
+	case <-ctx.Done():
+		session.Close()
+		g.abandon()
+		return nil, ctx.Err()
+	}
+	if g.refused != nil {
+		session.Close()
+		return nil, g.refused
+	}
+	return session, nil
+}
+
+func (s *Service) bound(r Request) int {
+	most := DefaultMaxTokens
+	if service, ok := s.config.Current().Services[r.Model]; ok && service.MaxTokens > 0 {
+		most = service.MaxTokens
+	}
+	if r.MaxTokens < 1 || r.MaxTokens > most {
+		return most
+	}
+	return r.MaxTokens
+}
+
+// Resume implements Runner.
+func (s *Service) Resume(ctx context.Context, organisation, stream string, after int) (Session, error) {
+	if session := s.resumeHere(organisation, stream, after); session != nil {
+		return session, nil
+	}
+	st, err := s.store.TakeOver(ctx, stream, organisation, after+1)
+	switch {
+	case errors.Is(err, replica.ErrNotFound):
+		return nil, ErrNotFound
+	case errors.Is(err, replica.ErrStaleCopy), errors.Is(err, replica.ErrFull):
+		return nil, ErrLost
+	case errors.Is(err, replica.ErrTakenOver):
+		return nil, ErrTakenOver
+	case err != nil:
+		return nil, err
+	}
+	st.Replicate()
+	return s.adopt(st, after)
+}
+
+// resumeHere attaches to a stream that this instance owns.
+func (s *Service) resumeHere(organisation, stream string, after int) Session {
+	st, ok := s.store.Owned(stream)
+	if !ok {
+		return nil
+	}
+	record, ok := st.Record()
+	if !ok || record.Organisation != organisation || len(record.Tokens) < after+1 {
+		return nil
+	}
+	s.mu.Lock()
+	g := s.running[stream]
+	s.mu.Unlock()
+	if g != nil && g.st == st {
+		return g.attach(after + 1)
+	}
+	if !record.Finished {
+		return nil
+	}
+	return s.replay(st, record, after)
+}
+
+// replay returns a session of a finished stream.
+func (s *Service) replay(st *replica.Stream, record replica.Record, after int) Session {
+	var r Request
+	if json.Unmarshal(record.Request, &r) != nil {
+		return nil
+	}
+	return newSession(nil, st, r, after+1)
+}
+
+// adopt continues a stream that was taken over.
+func (s *Service) adopt(st *replica.Stream, after int) (Session, error) {
+	record, ok := st.Record()
+	if !ok {
+		return nil, ErrTakenOver
+	}
+	var r Request
+	if err := json.Unmarshal(record.Request, &r); err != nil {
+		return nil, ErrLost
+	}
+	if record.Finished {
+		return newSession(nil, st, r, after+1), nil
+	}
+	s.log.Info("stream taken over", "stream", record.Stream, "epoch", record.Term.Epoch, "tokens", len(record.Tokens))
+	g := s.start(st, r, NewState(r.MaxTokens, len(record.Tokens), record.Engine.Attempt), record.Engine)
+	return g.attach(after + 1), nil
+}
+
+// start runs a generation in the background.
+func (s *Service) start(st *replica.Stream, r Request, state State, last replica.Engine) *running {
+	g := newRunning(s, st, r, state, last)
+	s.mu.Lock()
+	s.running[st.Name()] = g
+	s.mu.Unlock()
+	go func() {
+		g.run()
+		s.ended(g)
+	}()
+	return g
+}
+
+func (s *Service) ended(g *running) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running[g.st.Name()] == g {
+		delete(s.running, g.st.Name())
+	}
+	if len(s.running) == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+}
--- /dev/null
+++ b/pkg/replica/service.go
@@ -0,0 +1,306 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"storj.io/drpc"
+)
+
+// ServiceName is the name of the service in the kernel.
+const ServiceName = "replica"
+
+// Timing of replication.
+const (
+	// ackTimeout is the longest time without an acknowledgement before a
+	// connection is dropped.
+	ackTimeout = 500 * time.Millisecond
+	// connectTries is the number of connections to one holder that may fail in
+	// a row before its streams move to the next holder.
+	connectTries = 2
+	// avoidFailed is how long a failed holder is not chosen again.
+	avoidFailed = time.Second
+	// maintainEvery is the interval of checks for lost and leaving holders.
+	maintainEvery = 100 * time.Millisecond
+	// expireEvery is the interval of checks for expired records.
+	expireEvery = 5 * time.Second
+	// takeOverTimeout bounds one question for a record to one instance.
+	takeOverTimeout = 400 * time.Millisecond
+	// takeOverRetry is the pause and takeOverLimit the total time of a search
+	// while instances do not answer.
+	takeOverRetry = 200 * time.Millisecond
+	takeOverLimit = 2 * time.Second
+)
+
+// Errors of streams.
+var (
+	// ErrNotFound tells that no reachable instance has a record of the stream.
+	ErrNotFound = errors.New("no record of the stream")
+	// ErrStaleCopy tells that all reachable copies lack tokens that the caller has.
+	ErrStaleCopy = errors.New("no complete record of the stream is reachable")
+	// ErrTakenOver tells that another instance owns the stream.
+	ErrTakenOver = errors.New("another instance owns the stream")
+	// ErrFull tells that the byte limit leaves no room for a new stream.
+	ErrFull = errors.New("the store of stream records is full")
+	// ErrGone tells that the record expired or was removed.
+	ErrGone = errors.New("the record of the stream is gone")
+)
+
+// Service keeps the records of this instance and copies those that it owns to
+// other instances.
+type Service struct {
+	view   membership.View
+	dialer *rpc.Dialer
+	log    *slog.Logger
+
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	store    *Store
+	owned    map[string]*Stream
+	sessions map[string]*session
+	// avoid maps an instance to the time until which it is not chosen as a holder.
+	avoid map[string]time.Time
+	// unheld holds the streams without a holder.
+	unheld map[*Stream]struct{}
+	alone  bool
+
+	moves       metric.Int64Counter
+	withoutCopy metric.Int64Counter
+	takeovers   metric.Int64Counter
+}
+
+// New returns a service that keeps at most limit bytes of records. A nil meter
+// records nothing.
+func New(view membership.View, dialer *rpc.Dialer, limit int64, meter metric.Meter, log *slog.Logger) *Service {
+	if meter == nil {
+		meter = noop.Meter{}
+	}
+	s := &Service{
+		view: view, dialer: dialer, log: log, store: NewStore(view.Self().ID, limit),
+		owned: map[string]*Stream{}, sessions: map[string]*session{},
+		avoid: map[string]time.Time{}, unheld: map[*Stream]struct{}{},
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.moves, _ = meter.Int64Counter("gp_replica_holder_moves",
+		metric.WithDescription("Streams that were moved to another holder."))
+	s.withoutCopy, _ = meter.Int64Counter("gp_replica_tokens_without_holder",
+		metric.WithDescription("Tokens sent while no other instance could be reached."))
+	s.takeovers, _ = meter.Int64Counter("gp_replica_takeovers",
+		metric.WithDescription("Streams that this instance took over."))
+	return s
+}
+
+// ServiceName implements kernel.Service.
+func (s *Service) ServiceName() string { return ServiceName }
+
+// Register makes the service answer the calls of other instances.
+func (s *Service) Register(mux drpc.Mux) error {
+	return wire.DRPCRegisterReplica(mux, (*server)(s))
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	go s.maintain()
+	return nil
+}
+
+// Stop implements kernel.Stopper. Streams must have ended before.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	return nil
+}
+
+// Stats describes what the service keeps.
+type Stats struct {
+	Records, Owned int
+	Bytes          int64
+}
+
+// Stats returns the number and size of the records.
+func (s *Service) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Stats{Records: s.store.Len(), Owned: len(s.owned), Bytes: s.store.Bytes()}
+}
+
+// Own makes this instance the owner of a stream. The record is copied to a
+// holder from the first call of SetEngine or Replicate on.
+func (s *Service) Own(r Record) (*Stream, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.store.Open(r, time.Now()) {
+	case Accepted:
+	case Full:
+		return nil, ErrFull
+	default:
+		return nil, ErrTakenOver
+	}
+	if old := s.owned[r.Stream]; old != nil {
+		old.lose()
+	}
+	st := &Stream{service: s, name: r.Stream, term: r.Term, lost: make(chan struct{})}
+	s.owned[r.Stream] = st
+	return st, nil
+}
+
+// Owned returns a stream that this instance owns, running or finished.
+func (s *Service) Owned(stream string) (*Stream, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, ok := s.owned[stream]
+	return st, ok
+}
+
+// checkOwned ends the local ownership of a stream when its record has another term.
+func (s *Service) checkOwned(stream string) {
+	st := s.owned[stream]
+	if st == nil {
+		return
+	}
+	if r, ok := s.store.Get(stream); !ok || r.Term != st.term {
+		st.lose()
+	}
+}
+
+// maintain moves streams away from lost and leaving holders and removes
+// expired records.
+func (s *Service) maintain() {
+	ticker := time.NewTicker(maintainEvery)
+	defer ticker.Stop()
+	expired := time.Now()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.mu.Lock()
+			s.checkHolders(now)
+			if now.Sub(expired) >= expireEvery {
+				expired = now
+				s.expire(now)
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *Service) expire(now time.Time) {
+	s.store.Expire(now)
+	for name, st := range s.owned {
+		r, ok := s.store.Get(name)
+		switch {
+		case !ok:
+			st.end(ErrGone)
+		case !r.Finished && now.Sub(st.sentAt) >= RefreshEvery && st.target != nil:
+			st.target.enqueue(st)
+		}
+	}
+}
+
+// checkHolders gives every stream whose holder is gone or leaving another one.
+func (s *Service) checkHolders(now time.Time) {
+	for id, until := range s.avoid {
+		if now.After(until) {
+			delete(s.avoid, id)
+		}
+	}
+	usable := map[string]bool{}
+	for _, m := range s.view.Members() {
+		usable[m.ID] = m.State == membership.Alive || m.State == membership.Suspect
+	}
+	for id, c := range s.sessions {
+		if !usable[id] {
+			c.abandon()
+		}
+	}
+	for st := range s.unheld {
+		s.assign(st)
+	}
+}
+
+// assign chooses a holder for a stream. Without a usable instance the stream
+// goes on alone until one appears.
+func (s *Service) assign(st *Stream) {
+	st.target, st.opened = nil, false
+	member, ok := s.choose(st)
+	if !ok {
+		s.unheld[st] = struct{}{}
+		s.goAlone(st)
+		return
+	}
+	delete(s.unheld, st)
+	if s.alone {
+		s.alone = false
+		s.log.Info("another instance can be reached again", "holder", member.ID)
+	}
+	c := s.sessions[member.ID]
+	if c == nil {
+		c = newSession(s, member)
+		s.sessions[member.ID] = c
+		go c.run()
+	}
+	st.target = c
+	c.streams[st] = struct{}{}
+	c.enqueue(st)
+}
+
+// choose returns the first usable instance in the order of holders.
+func (s *Service) choose(st *Stream) (membership.Member, bool) {
+	for _, m := range Holders(st.name, s.view.Self(), s.view.Members()) {
+		if _, failed := s.avoid[m.ID]; !failed && m.ID != st.refusedBy {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// goAlone lets the tokens of a stream be sent although no copy exists, because
+// no other instance can be reached.
+func (s *Service) goAlone(st *Stream) {
+	if !s.alone {
+		s.alone = true
+		s.log.Warn("no other instance can be reached, tokens are sent without a copy")
+	}
+	r, ok := s.store.Get(st.name)
+	if !ok {
+		return
+	}
+	if n := len(r.Tokens) - st.held; n > 0 {
+		s.withoutCopy.Add(s.ctx, int64(n))
+	}
+	st.hold(len(r.Tokens), r.Finished)
+}
+
+// Holders orders the instances that can hold the copy of a stream: instances
+// of other data centres first, those that are suspected or leaving last.
+func Holders(stream string, self membership.Member, members []membership.Member) []membership.Member {
+	var groups [4][]membership.Member
+	for _, m := range membership.Rank(stream, members) {
+		if m.ID == self.ID || m.State == membership.Dead {
+			continue
+		}
+		group := 0
+		if m.DataCentre == self.DataCentre {
+			group = 1
+		}
+		if m.State != membership.Alive {
+			group += 2
+		}
+		groups[group] = append(groups[group], m)
+	}
+	var ordered []membership.Member
+	for _, g := range groups {
+		ordered = append(ordered, g...)
+	}
+	return ordered
+}
--- /dev/null
+++ b/pkg/replica/wire.go
@@ -0,0 +1,41 @@
+package replica
+
+import (
+	"math"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+)
+
+func recordToWire(r *Record) *wire.StreamRecord {
+	return &wire.StreamRecord{
+		Stream: r.Stream, Organisation: r.Organisation, Epoch: r.Term.Epoch, Owner: r.Term.Owner,
+		Request: r.Request, Tokens: r.Tokens, EngineAddress: r.Engine.Address,
+		EngineStream: r.Engine.Stream, Attempt: r.Engine.Attempt,
+		Finished: r.Finished, FinishReason: r.FinishReason,
+		WrittenEpoch: r.Written.Epoch, WrittenOwner: r.Written.Owner,
+	}
+}
+
+func recordFromWire(r *wire.StreamRecord) Record {
+	return Record{
+		Stream: r.GetStream(), Organisation: r.GetOrganisation(),
+		Term:    Term{Epoch: r.GetEpoch(), Owner: r.GetOwner()},
+		Written: Term{Epoch: r.GetWrittenEpoch(), Owner: r.GetWrittenOwner()},
+		Request: r.GetRequest(), Tokens: r.GetTokens(),
+		Engine:   Engine{Address: r.GetEngineAddress(), Stream: r.GetEngineStream(), Attempt: r.GetAttempt()},
+		Finished: r.GetFinished(), FinishReason: r.GetFinishReason(),
+	}
+}
+
+func appendFromWire(a *wire.ReplicaAppend, owner string) Append {
+	position := math.MaxInt
+	if a.GetPosition() < math.MaxInt {
+		position = int(a.GetPosition())
+	}
+	return Append{
+		Stream: a.GetStream(), Term: Term{Epoch: a.GetEpoch(), Owner: owner},
+		Position: position, Tokens: a.GetTokens(),
+		Engine:   Engine{Address: a.GetEngineAddress(), Stream: a.GetEngineStream(), Attempt: a.GetAttempt()},
+		Finished: a.GetFinished(), FinishReason: a.GetFinishReason(),
+	}
+}
