--- a/pkg/generation/service.go
+++ b/pkg/generation/service.go
@@ -7,8 +7,6 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -46,10 +44,6 @@
 	// of a generation that already runs.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = time.Second
-
-	dialTimeout = 500 * time.Millisecond
-	// idleConnections is the number of idle connections kept to one engine.
-	idleConnections = 16
 )
 
 // Option changes a Service.
@@ -88,10 +82,7 @@
 	view membership.View, config configwatch.Source, slots broker.Acquirer, store *replica.Service,
 	log *slog.Logger, options ...Option,
 ) *Service {
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-	}}
+	client := engine.NewClient(nil)
 	s := &Service{
 		view: view, config: config, slots: slots, store: store, log: log,
 		meter: noop.Meter{}, running: map[string]*running{},
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -2,6 +2,7 @@
 package telemetry
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net/http"
@@ -9,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
 	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
@@ -42,3 +44,15 @@
 func NewLogger(w io.Writer, instance string) *slog.Logger {
 	return slog.New(slog.NewJSONHandler(w, nil)).With("instance", instance)
 }
+
+// CountBytes publishes the bytes on connections between our processes.
+func CountBytes(meter metric.Meter, sent, received func() uint64) error {
+	_, err := meter.Int64ObservableCounter("peer_bytes",
+		metric.WithUnit("By"), metric.WithDescription("Bytes on connections between our processes."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(sent()), metric.WithAttributes(attribute.String("direction", "sent")))
+			o.Observe(int64(received()), metric.WithAttributes(attribute.String("direction", "received")))
+			return nil
+		}))
+	return eris.Wrap(err, "create the byte counter")
+}
