--- a/pkg/consensus/node.go
+++ b/pkg/consensus/node.go
@@ -55,10 +55,13 @@
 	reads     []pendingRead
 	confirmed []ReadState
 
-	// known, echoes and retired are used only while empty.
-	known   map[MemberID]DiskID
-	echoes  map[MemberID]map[MemberID]DiskID
-	retired map[DiskID]bool
+	// The fields below are used only while empty: the disks known, the tables
+	// that other members repeated, and the numbers of Hello messages: the own
+	// last one, the last ones of others, and the last own ones they answered.
+	known          map[MemberID]DiskID
+	echoes         map[MemberID]map[MemberID]DiskID
+	helloRound     uint64
+	seen, answered map[MemberID]uint64
 
 	messages []Message
 	taken    *taken
@@ -84,7 +87,8 @@
 		commit: max(stored.Hard.Commit, stored.Snapshot.Index), applied: stored.Snapshot.Index,
 		snap: stored.Snapshot, log: append([]Entry(nil), stored.Entries...), role: Follower,
 		known:  map[MemberID]DiskID{cfg.ID: cfg.Disk},
-		echoes: map[MemberID]map[MemberID]DiskID{}, retired: map[DiskID]bool{},
+		echoes: map[MemberID]map[MemberID]DiskID{}, helloRound: uint64(cfg.Rand.Uint32()) << 32,
+		seen: map[MemberID]uint64{}, answered: map[MemberID]uint64{},
 	}
 	n.handed, n.stable = n.lastIndex(), n.lastIndex()
 	for i, e := range n.log {
@@ -96,6 +100,10 @@
 	if n.commit > n.lastIndex() {
 		panic(fmt.Sprintf("consensus: stored commit index %d is above the last entry %d", n.commit, n.lastIndex()))
 	}
+	// A crash can leave a snapshot or entries of a term whose hard state was not written.
+	if last := n.termAt(n.lastIndex()); last > n.term {
+		n.term, n.vote = last, ""
+	}
 	n.refreshTable()
 	n.resetTimer()
 	if n.empty() {
--- a/pkg/consensus/table.go
+++ b/pkg/consensus/table.go
@@ -67,14 +67,30 @@
 }
 
 // sayHello tells all members that this one is empty and which disks it knows.
+// Round numbers the messages of this run of the process; Hint repeats the last
+// number of the receiver.
 func (n *Node) sayHello() {
+	n.helloRound++
 	for _, m := range n.cfg.Members {
 		if m != n.cfg.ID {
-			n.send(Message{To: m, Kind: Hello, Granted: true, Members: maps.Clone(n.known)})
+			n.send(Message{
+				To: m, Kind: Hello, Granted: true, Members: maps.Clone(n.known), Round: n.helloRound, Hint: n.seen[m],
+			})
 		}
 	}
 }
 
+// recent tells whether m answers a later message of this run than all before
+// it. A delayed message of a disk that was lost since is not recent.
+func (n *Node) recent(m Message) bool {
+	const runBits = 32
+	if m.Hint>>runBits != n.helloRound>>runBits || m.Hint > n.helloRound || m.Hint < n.answered[m.From] {
+		return false
+	}
+	n.answered[m.From] = m.Hint
+	return true
+}
+
 func (n *Node) handleHello(m Message) {
 	switch {
 	case n.empty() && m.Granted:
@@ -91,12 +107,10 @@
 // member that recorded a table no longer repeats another, so two tables cannot
 // both get a majority, even when a disk is lost during the exchange.
 func (n *Node) noteEmpty(m Message) {
-	if !slices.Contains(n.cfg.Members, m.From) || n.retired[m.Disk] {
+	n.seen[m.From] = m.Round
+	if !slices.Contains(n.cfg.Members, m.From) || !n.recent(m) {
 		return
 	}
-	if old := n.known[m.From]; old != "" && old != m.Disk {
-		n.retired[old] = true
-	}
 	n.known[m.From] = m.Disk
 	n.echoes[m.From] = m.Members
 	n.maybeRecord()
@@ -114,7 +128,7 @@
 // adopt takes the first table of another member if it names this disk. A table
 // that differs from the first one is not adopted: the leader sends a snapshot.
 func (n *Node) adopt(m Message) {
-	if !n.retired[m.Disk] && m.Members[n.cfg.ID] == n.cfg.Disk && tableHash(m.Members) == m.Group {
+	if n.recent(m) && m.Members[n.cfg.ID] == n.cfg.Disk && tableHash(m.Members) == m.Group {
 		n.record(maps.Clone(m.Members))
 	}
 }
@@ -129,7 +143,7 @@
 
 // answerHello tells an empty member the table; the leader also sends a snapshot.
 func (n *Node) answerHello(m Message) {
-	n.send(Message{To: m.From, Kind: Hello, Members: maps.Clone(n.ahead)})
+	n.send(Message{To: m.From, Kind: Hello, Members: maps.Clone(n.ahead), Hint: m.Round})
 	if n.role != Leader || n.peers[m.From] == nil {
 		return
 	}
--- a/pkg/consensus/types.go
+++ b/pkg/consensus/types.go
@@ -147,7 +147,7 @@
 const (
 	// Hello is sent by a member that is empty (Granted is set, Members holds the
 	// disks that it knows) and answered by members that are not (Members holds
-	// their table).
+	// their table). Hint repeats the Round of the last Hello of the receiver.
 	Hello MessageKind = iota + 1
 	// PreVote asks for a vote without raising the term.
 	PreVote
