generation, replica: fences, claims, confirmed resumes; failure tests

Cause: an owner that wakes up after a freeze could choose a new holder that does not know of the takeover, or serve a reconnecting caller from its old record. Two opens with one idempotency key at two instances could start two generations. A resume with a position beyond the copy took the stream away from its running owner and then failed; TestFrozenOwnerSendsNothing showed it ("another instance took the stream over" after 200 tokens).

Change: a takeover tells all reachable instances the new term, also those without a record; an owner serves a reconnecting caller only after its holder acknowledged a batch sent after the reconnect; the first instance by rendezvous hash decides between opens of one key; copies that are shorter than what the caller has are left unchanged by a takeover. Tokens go out without a copy only while every known instance has failed, not when one has no room.

Ruled out: asking all instances for a newer term before each change of the holder. It delays every change by the time-out of a silent instance, and the fence costs only at a takeover.

Conclusion: go test -race ./pkg/generation passes with frozen and silent engines, owners and holders behind proxies that hold up or drop traffic.

--- a/pkg/generation/harness_test.go
+++ b/pkg/generation/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/frankban/quicktest"
 	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
 	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
+	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
 	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
@@ -31,19 +32,11 @@
 	members []membership.Member
 }
 
-func (t *table) set(id string, state membership.State) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for i := range t.members {
-		if t.members[i].ID == id {
-			t.members[i].State = state
-		}
-	}
-}
-
+// view is the table as one instance sees it: it reaches the others over links.
 type view struct {
 	*table
-	self string
+	self  string
+	links *links
 }
 
 func (v view) Self() membership.Member {
@@ -54,22 +47,33 @@
 func (v view) Members() []membership.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(v.members), func(m membership.Member) bool {
-		return m.State == membership.Dead
-	})
+	var members []membership.Member
+	for _, m := range v.members {
+		if m.State == membership.Alive || m.State == membership.Suspect {
+			members = append(members, v.link(m))
+		}
+	}
+	return members
 }
 
 func (v view) Member(id string) (membership.Member, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, m := range v.members {
-		if m.ID == id {
-			return m, true
+		if m.ID == id && m.State != membership.Dead {
+			return v.link(m), true
 		}
 	}
 	return membership.Member{}, false
 }
 
+func (v view) link(m membership.Member) membership.Member {
+	if m.ID != v.self {
+		m.PeerAddress = v.links.to(v.self, m.PeerAddress).address
+	}
+	return m
+}
+
 // slots grants the engines in turn.
 type slots struct {
 	mu      sync.Mutex
@@ -145,6 +149,8 @@
 	nodes    []*node
 	backends []*backend
 	slots    *slots
+	links    *links
+	options  clusterOptions
 }
 
 type clusterOptions struct {
@@ -154,10 +160,13 @@
 	slotCount     int
 	attemptChains bool
 	storeBytes    int64
+	// delay is the time one way between two entry instances.
+	delay time.Duration
 }
 
 func newCluster(tb testing.TB, o clusterOptions) *cluster {
-	c := &cluster{C: quicktest.New(tb), table: &table{}, slots: &slots{}}
+	c := &cluster{C: quicktest.New(tb), table: &table{}, slots: &slots{}, options: o}
+	c.links = newLinks(c, o.delay)
 	if o.storeBytes == 0 {
 		o.storeBytes = 64 << 20
 	}
@@ -198,18 +207,42 @@
 func (c *cluster) startNode(m membership.Member, limit int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	counters := &rpc.Counters{}
-	v := view{table: c.table, self: m.ID}
+	v := view{table: c.table, self: m.ID, links: c.links}
 	n := &node{id: m.ID, cancel: cancel}
 	n.store = replica.New(v, rpc.NewDialer(nil, counters), limit, nil, quiet)
 	server := rpc.NewServer(nil, counters, quiet)
 	c.Assert(n.store.Register(server.Mux()), quicktest.IsNil)
 	c.Assert(server.Listen(ctx, m.PeerAddress), quicktest.IsNil)
 	c.Assert(n.store.Start(ctx), quicktest.IsNil)
-	n.service = New(v, &configwatch.Holder{}, c.slots, n.store, quiet)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	n.service = New(v, &configwatch.Holder{}, c.slots, n.store, quiet, WithEngines(func(address string) engine.Engine {
+		return engine.NewHTTP(c.links.to(m.ID, address).address, client)
+	}))
 	c.nodes = append(c.nodes, n)
 	c.Cleanup(n.kill)
 }
 
+// holder returns an instance other than the owner that has a record.
+func (c *cluster) holder(owner *node) *node {
+	for _, n := range c.nodes {
+		if n != owner && n.store.Stats().Records > 0 {
+			return n
+		}
+	}
+	c.Fatal("no instance holds a copy")
+	return nil
+}
+
+// freeze stops the traffic of an instance in both directions.
+func (c *cluster) freeze(n *node, frozen bool) {
+	m, _ := view{table: c.table, links: c.links, self: n.id}.Member(n.id)
+	c.links.each(func(from, to string, l *link) {
+		if from == n.id || to == m.PeerAddress {
+			l.pause(frozen)
+		}
+	})
+}
+
 // kill makes an entry instance unreachable and ends its work.
 func (n *node) kill() {
 	n.cancel()
@@ -265,3 +298,14 @@
 	c.Assert(standin.Verify("prompt", Seed(s.Stream()), tokens), quicktest.IsNil)
 	s.Close()
 }
+
+// waitFor waits until a condition holds.
+func (c *cluster) waitFor(holds func() bool) {
+	for range 500 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatal("the condition does not hold after 5 s")
+}
--- a/pkg/generation/running.go
+++ b/pkg/generation/running.go
@@ -91,22 +91,54 @@
 	return newSession(g, g.st, g.request, position)
 }
 
+// wait attaches a caller once the first attempt runs.
+func (g *running) wait(ctx context.Context, position int) (Session, error) {
+	session := g.attach(position)
+	select {
+	case <-g.admitted:
+	case <-ctx.Done():
+		session.Close()
+		g.abandon()
+		return nil, ctx.Err()
+	}
+	if g.refused != nil {
+		session.Close()
+		return nil, g.refused
+	}
+	return session, nil
+}
+
 // detach removes a caller; without callers the generation ends after a while.
 func (g *running) detach() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sessions--
+	g.expireDetached()
+}
+
+// watchDetached ends the generation after a while if no caller attaches.
+func (g *running) watchDetached() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.expireDetached()
+}
+
+func (g *running) expireDetached() {
 	if g.sessions == 0 && g.expiry == nil {
-		g.expiry = time.AfterFunc(detachedLimit, func() { g.cancel(nil) })
+		g.expiry = time.AfterFunc(g.service.detached, func() { g.cancel(nil) })
 	}
 }
 
-// abandon ends the generation if nothing runs yet.
+// abandon ends the generation if nothing runs yet and no caller waits for it.
 func (g *running) abandon() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	select {
 	case <-g.admitted:
 	default:
-		g.cancel(errAbandoned)
+		if g.sessions == 0 {
+			g.cancel(errAbandoned)
+		}
 	}
 }
 
@@ -114,20 +146,16 @@
 // wants the answer any more.
 func (g *running) run() {
 	defer g.close()
+	connected := false
 	if g.started {
 		close(g.admitted)
-		g.service.metrics.attempts.Add(g.ctx, 0)
-		if g.adopt() && g.follow() {
-			return
-		}
+		connected = g.adopt()
 	}
-	for {
-		if !g.begin() {
-			return
-		}
-		if g.follow() {
+	for ended := false; !ended; connected = false {
+		if !connected && !g.begin() {
 			return
 		}
+		ended = g.follow()
 	}
 }
 
@@ -184,7 +212,8 @@
 	for tries := 1; ; tries++ {
 		if g.state.Next() >= g.request.MaxTokens {
 			g.state.Begin()
-			return g.finish()
+			g.finish()
+			return false
 		}
 		lease, err := g.service.slots.Acquire(g.ctx, g.ask())
 		if err == nil {
@@ -194,12 +223,14 @@
 			}
 		}
 		if g.ctx.Err() != nil || g.taken() {
-			return g.stopped()
+			g.stopped()
+			return false
 		}
 		var refusal *broker.Refusal
 		refused := errors.As(err, &refusal)
 		if final(err) || refused && !g.started && len(g.exclude) == 0 {
-			return g.giveUp(err)
+			g.giveUp(err)
+			return false
 		}
 		if refused {
 			g.exclude = nil
@@ -207,7 +238,8 @@
 			continue
 		}
 		if !g.pause(backoff) {
-			return g.stopped()
+			g.stopped()
+			return false
 		}
 		backoff = min(2*backoff, retryMost)
 	}
@@ -219,14 +251,13 @@
 	return errors.As(err, &e) && e.Reason == engine.BadRequest
 }
 
-func (g *running) giveUp(err error) bool {
+func (g *running) giveUp(err error) {
 	if !g.started {
 		g.refuse(err)
-		return false
+		return
 	}
 	g.service.log.Warn("generation cannot be continued", "stream", g.st.Name(), "error", err)
 	_ = g.st.Finish(reasonError)
-	return false
 }
 
 func (g *running) taken() bool {
@@ -374,9 +405,11 @@
 			g.lostAt = time.Now()
 			step, result = Another, broker.Cancelled
 		case <-g.st.Lost():
-			return !g.stopped()
+			g.stopped()
+			return true
 		case <-g.ctx.Done():
-			return !g.stopped()
+			g.stopped()
+			return true
 		}
 		switch step {
 		case Resume:
@@ -385,7 +418,8 @@
 			g.leave(result)
 			return false
 		case Finish:
-			return !g.finish()
+			g.finish()
+			return true
 		}
 	}
 }
@@ -491,6 +525,9 @@
 // cancelEngine ends the present attempt at its engine, which may not answer at
 // the moment.
 func (g *running) cancelEngine() {
+	if g.engine == nil {
+		return
+	}
 	eng, name, parent := g.engine, g.at.Stream, g.service.ctx
 	go func() {
 		for range cancelTries {
@@ -507,20 +544,18 @@
 }
 
 // finish records the end of a complete answer.
-func (g *running) finish() bool {
+func (g *running) finish() {
 	reason, _ := g.state.Finished()
 	_ = g.st.Finish(reason)
 	g.release(broker.OK)
-	return false
 }
 
 // stopped handles the end of the ownership or of the interest in the answer.
 // After a takeover the engine stream is left to the new owner.
-func (g *running) stopped() bool {
+func (g *running) stopped() {
 	if g.taken() || !g.started {
-		return false
+		return
 	}
 	g.cancelEngine()
 	_ = g.st.Finish(ReasonDetached)
-	return false
 }
--- a/pkg/generation/service.go
+++ b/pkg/generation/service.go
@@ -18,6 +18,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
+	"golang.org/x/sync/singleflight"
 )
 
 // ServiceName is the name of the service in the kernel.
@@ -40,6 +41,9 @@
 	cancelTries   = 5
 	// detachedLimit is how long a stream without a caller continues.
 	detachedLimit = 60 * time.Second
+	// confirmLimit bounds the question to the holder before an owner serves a
+	// caller that reconnects.
+	confirmLimit = 2 * time.Second
 	// retryFirst and retryMost bound the back-off between requests for a slot
 	// of a generation that already runs.
 	retryFirst = 50 * time.Millisecond
@@ -67,10 +71,14 @@
 	meter   metric.Meter
 	metrics metrics
 	connect func(address string) engine.Engine
+	// detached is how long a stream without a caller continues.
+	detached time.Duration
 
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	takeovers singleflight.Group
+
 	mu      sync.Mutex
 	running map[string]*running
 	// idle is closed when the last generation ends; nil while nobody waits.
@@ -85,7 +93,7 @@
 	client := engine.NewClient(nil)
 	s := &Service{
 		view: view, config: config, slots: slots, store: store, log: log,
-		meter: noop.Meter{}, running: map[string]*running{},
+		meter: noop.Meter{}, running: map[string]*running{}, detached: detachedLimit,
 		connect: func(address string) engine.Engine { return engine.NewHTTP(address, client) },
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -161,7 +169,17 @@
 func (s *Service) Open(ctx context.Context, r Request) (Session, error) {
 	r.MaxTokens = s.bound(r)
 	stream := s.streamID(r)
-	if r.IdempotencyKey != "" {
+	if r.IdempotencyKey == "" {
+		return s.open(ctx, stream, r, nil)
+	}
+	return s.openKeyed(ctx, stream, r)
+}
+
+// openKeyed finds the stream of the same key or opens it. Of instances that
+// open it at the same time, one gets the claim and the others find its stream.
+func (s *Service) openKeyed(ctx context.Context, stream string, r Request) (Session, error) {
+	self, other := s.view.Self().ID, ""
+	for ctx.Err() == nil {
 		session, err := s.Resume(ctx, r.Organisation, stream, -1)
 		switch {
 		case err == nil && session.Request() != r:
@@ -169,14 +187,31 @@
 			return nil, ErrKeyReused
 		case err == nil:
 			return session, nil
+		case errors.Is(err, ErrTakenOver):
+			continue
 		case !errors.Is(err, ErrNotFound):
 			return nil, err
 		}
+		claim := func() bool {
+			var holder string
+			holder, err = s.store.Claim(ctx, stream, other)
+			if err == nil && holder != self {
+				other = holder
+			}
+			return err == nil && holder == self
+		}
+		session, err = s.open(ctx, stream, r, claim)
+		if !errors.Is(err, ErrTakenOver) {
+			return session, err
+		}
 	}
-	return s.open(ctx, stream, r)
+	return nil, ctx.Err()
 }
 
-func (s *Service) open(ctx context.Context, stream string, r Request) (Session, error) {
+// open starts a new stream. The record exists before claim is called, so that
+// whoever is refused the claim finds it. Without the claim, or when another
+// instance took the stream over before it ran, ErrTakenOver is returned.
+func (s *Service) open(ctx context.Context, stream string, r Request, claim func() bool) (Session, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
 		return nil, err
@@ -191,20 +226,12 @@
 	if err != nil {
 		return nil, ErrTakenOver
 	}
-	g := s.start(st, r, NewState(r.MaxTokens, 0, 0), replica.Engine{})
-	session := g.attach(0)
-	select {
-	case <-g.admitted:
-	case <-ctx.Done():
-		session.Close()
-		g.abandon()
-		return nil, ctx.Err()
-	}
-	if g.refused != nil {
-		session.Close()
-		return nil, g.refused
+	if claim != nil && !claim() {
+		st.Drop()
+		return nil, ErrTakenOver
 	}
-	return session, nil
+	g := s.start(st, r, NewState(r.MaxTokens, 0, 0), replica.Engine{})
+	return g.wait(ctx, 0)
 }
 
 func (s *Service) bound(r Request) int {
@@ -220,71 +247,88 @@
 
 // Resume implements Runner.
 func (s *Service) Resume(ctx context.Context, organisation, stream string, after int) (Session, error) {
-	if session := s.resumeHere(organisation, stream, after); session != nil {
-		return session, nil
+	if after < -1 {
+		return nil, ErrNotFound
+	}
+	session, err := s.resumeHere(ctx, organisation, stream, after)
+	if !errors.Is(err, errNotHere) {
+		return session, err
 	}
+	// Callers of one stream share one takeover, which outlives each of them.
+	_, err, _ = s.takeovers.Do(organisation+"\x00"+stream, func() (any, error) {
+		return nil, s.takeOver(context.WithoutCancel(ctx), organisation, stream, after)
+	})
+	if err != nil {
+		return nil, err
+	}
+	session, err = s.resumeHere(ctx, organisation, stream, after)
+	if errors.Is(err, errNotHere) {
+		return nil, ErrTakenOver
+	}
+	return session, err
+}
+
+// errNotHere tells that this instance does not own the stream.
+var errNotHere = errors.New("this instance does not own the stream")
+
+// takeOver makes this instance the owner of a stream and continues it.
+func (s *Service) takeOver(ctx context.Context, organisation, stream string, after int) error {
 	st, err := s.store.TakeOver(ctx, stream, organisation, after+1)
 	switch {
 	case errors.Is(err, replica.ErrNotFound):
-		return nil, ErrNotFound
+		return ErrNotFound
 	case errors.Is(err, replica.ErrStaleCopy), errors.Is(err, replica.ErrFull):
-		return nil, ErrLost
+		return ErrLost
 	case errors.Is(err, replica.ErrTakenOver):
-		return nil, ErrTakenOver
+		return ErrTakenOver
 	case err != nil:
-		return nil, err
+		return err
 	}
 	st.Replicate()
-	return s.adopt(st, after)
+	record, ok := st.Record()
+	if !ok {
+		return ErrTakenOver
+	}
+	var r Request
+	if err := json.Unmarshal(record.Request, &r); err != nil {
+		return ErrLost
+	}
+	if record.Finished {
+		return nil
+	}
+	s.log.Info("stream taken over", "stream", stream, "epoch", record.Term.Epoch, "tokens", len(record.Tokens))
+	g := s.start(st, r, NewState(r.MaxTokens, len(record.Tokens), record.Engine.Attempt), record.Engine)
+	g.watchDetached()
+	return nil
 }
 
-// resumeHere attaches to a stream that this instance owns.
-func (s *Service) resumeHere(organisation, stream string, after int) Session {
+// resumeHere attaches to a stream that this instance owns, after the holder
+// has confirmed that no other instance took it over.
+func (s *Service) resumeHere(ctx context.Context, organisation, stream string, after int) (Session, error) {
 	st, ok := s.store.Owned(stream)
 	if !ok {
-		return nil
+		return nil, errNotHere
 	}
 	record, ok := st.Record()
 	if !ok || record.Organisation != organisation || len(record.Tokens) < after+1 {
-		return nil
+		return nil, errNotHere
+	}
+	confirmCtx, cancel := context.WithTimeout(ctx, confirmLimit)
+	defer cancel()
+	if st.Confirm(confirmCtx) != nil {
+		return nil, errNotHere
 	}
 	s.mu.Lock()
 	g := s.running[stream]
 	s.mu.Unlock()
 	if g != nil && g.st == st {
-		return g.attach(after + 1)
-	}
-	if !record.Finished {
-		return nil
-	}
-	return s.replay(st, record, after)
-}
-
-// replay returns a session of a finished stream.
-func (s *Service) replay(st *replica.Stream, record replica.Record, after int) Session {
-	var r Request
-	if json.Unmarshal(record.Request, &r) != nil {
-		return nil
-	}
-	return newSession(nil, st, r, after+1)
-}
-
-// adopt continues a stream that was taken over.
-func (s *Service) adopt(st *replica.Stream, after int) (Session, error) {
-	record, ok := st.Record()
-	if !ok {
-		return nil, ErrTakenOver
+		return g.wait(ctx, after+1)
 	}
 	var r Request
-	if err := json.Unmarshal(record.Request, &r); err != nil {
-		return nil, ErrLost
+	if record, ok = st.Record(); !ok || !record.Finished || json.Unmarshal(record.Request, &r) != nil {
+		return nil, errNotHere
 	}
-	if record.Finished {
-		return newSession(nil, st, r, after+1), nil
-	}
-	s.log.Info("stream taken over", "stream", record.Stream, "epoch", record.Term.Epoch, "tokens", len(record.Tokens))
-	g := s.start(st, r, NewState(r.MaxTokens, len(record.Tokens), record.Engine.Attempt), record.Engine)
-	return g.attach(after + 1), nil
+	return newSession(nil, st, r, after+1), nil
 }
 
 // start runs a generation in the background.
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
@@ -50,19 +51,41 @@
 
 // TakeOver implements wire.DRPCReplicaServer.
 func (v *server) TakeOver(_ context.Context, r *wire.TakeOverRequest) (*wire.TakeOverResponse, error) {
-	record, ok := (*Service)(v).takeOverHere(r.GetStream(), r.GetOrganisation(), r.GetNewOwner())
-	if !ok {
-		return &wire.TakeOverResponse{}, nil
+	atLeast := int(min(r.GetAtLeast(), math.MaxInt))
+	record, kind := (*Service)(v).takeOverHere(r.GetStream(), r.GetOrganisation(), r.GetNewOwner(), atLeast)
+	if kind != Usable {
+		return &wire.TakeOverResponse{TooShort: kind == TooShort}, nil
 	}
 	return &wire.TakeOverResponse{Found: true, Record: recordToWire(&record)}, nil
 }
 
-func (s *Service) takeOverHere(stream, organisation, newOwner string) (Record, bool) {
+func (s *Service) takeOverHere(stream, organisation, newOwner string, atLeast int) (Record, Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	record, ok := s.store.TakeOver(stream, organisation, newOwner, time.Now())
-	if ok {
+	record, kind := s.store.TakeOver(stream, organisation, newOwner, atLeast, time.Now())
+	if kind == Usable {
 		s.checkOwned(stream)
 	}
-	return record, ok
+	return record, kind
+}
+
+// Fence implements wire.DRPCReplicaServer.
+func (v *server) Fence(_ context.Context, r *wire.FenceRequest) (*wire.FenceResponse, error) {
+	s := (*Service)(v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Fence(r.GetStream(), Term{Epoch: r.GetEpoch(), Owner: r.GetOwner()}, time.Now())
+	s.checkOwned(r.GetStream())
+	return &wire.FenceResponse{}, nil
+}
+
+// ClaimStream implements wire.DRPCReplicaServer.
+func (v *server) ClaimStream(_ context.Context, r *wire.ClaimStreamRequest) (*wire.ClaimStreamResponse, error) {
+	return &wire.ClaimStreamResponse{Holder: (*Service)(v).claimHere(r.GetStream(), r.GetClaimant(), r.GetInsteadOf())}, nil
+}
+
+func (s *Service) claimHere(stream, claimant, insteadOf string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.Claim(stream, claimant, insteadOf, time.Now())
 }
--- a/pkg/replica/service.go
+++ b/pkg/replica/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,14 +27,19 @@
 	// connectTries is the number of connections to one holder that may fail in
 	// a row before its streams move to the next holder.
 	connectTries = 2
-	// avoidFailed is how long a failed holder is not chosen again.
+	// avoidFailed is how long a failed holder is not chosen again at first;
+	// the time doubles up to avoidMost.
 	avoidFailed = time.Second
+	avoidMost   = 16 * time.Second
 	// maintainEvery is the interval of checks for lost and leaving holders.
 	maintainEvery = 100 * time.Millisecond
 	// expireEvery is the interval of checks for expired records.
 	expireEvery = 5 * time.Second
 	// takeOverTimeout bounds one question for a record to one instance.
 	takeOverTimeout = 400 * time.Millisecond
+	// fenceWait is the longest time that a takeover waits until all instances
+	// know of it.
+	fenceWait = 100 * time.Millisecond
 	// takeOverRetry is the pause and takeOverLimit the total time of a search
 	// while instances do not answer.
 	takeOverRetry = 200 * time.Millisecond
@@ -54,6 +60,12 @@
 	ErrGone = errors.New("the record of the stream is gone")
 )
 
+// avoided is an instance that failed as a holder.
+type avoided struct {
+	until time.Time
+	times int
+}
+
 // Service keeps the records of this instance and copies those that it owns to
 // other instances.
 type Service struct {
@@ -69,10 +81,11 @@
 	owned    map[string]*Stream
 	sessions map[string]*session
 	// avoid maps an instance to the time until which it is not chosen as a holder.
-	avoid map[string]time.Time
+	avoid map[string]avoided
 	// unheld holds the streams without a holder.
 	unheld map[*Stream]struct{}
-	alone  bool
+	// alone tells that every known instance failed and none has answered since.
+	alone bool
 
 	moves       metric.Int64Counter
 	withoutCopy metric.Int64Counter
@@ -88,7 +101,7 @@
 	s := &Service{
 		view: view, dialer: dialer, log: log, store: NewStore(view.Self().ID, limit),
 		owned: map[string]*Stream{}, sessions: map[string]*session{},
-		avoid: map[string]time.Time{}, unheld: map[*Stream]struct{}{},
+		avoid: map[string]avoided{}, unheld: map[*Stream]struct{}{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.moves, _ = meter.Int64Counter("gp_replica_holder_moves",
@@ -138,6 +151,10 @@
 func (s *Service) Own(r Record) (*Stream, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	old := s.owned[r.Stream]
+	if old != nil && !old.term.Before(r.Term) {
+		return nil, ErrTakenOver
+	}
 	switch s.store.Open(r, time.Now()) {
 	case Accepted:
 	case Full:
@@ -145,7 +162,7 @@
 	default:
 		return nil, ErrTakenOver
 	}
-	if old := s.owned[r.Stream]; old != nil {
+	if old != nil {
 		old.lose()
 	}
 	st := &Stream{service: s, name: r.Stream, term: r.Term, lost: make(chan struct{})}
@@ -195,7 +212,7 @@
 }
 
 func (s *Service) expire(now time.Time) {
-	s.store.Expire(now)
+	s.store.Expire(now, func(stream string) bool { return s.owned[stream] != nil })
 	for name, st := range s.owned {
 		r, ok := s.store.Get(name)
 		switch {
@@ -209,17 +226,21 @@
 
 // checkHolders gives every stream whose holder is gone or leaving another one.
 func (s *Service) checkHolders(now time.Time) {
-	for id, until := range s.avoid {
-		if now.After(until) {
-			delete(s.avoid, id)
-		}
-	}
+	members := s.view.Members()
 	usable := map[string]bool{}
-	for _, m := range s.view.Members() {
-		usable[m.ID] = m.State == membership.Alive || m.State == membership.Suspect
+	others := 0
+	for _, m := range members {
+		usable[m.ID] = true
+		if m.ID != s.view.Self().ID && !s.avoids(m.ID, now) {
+			others++
+		}
 	}
 	for id, c := range s.sessions {
-		if !usable[id] {
+		if usable[id] {
+			continue
+		}
+		// A leaving holder is kept when there is no other one.
+		if _, leaving := s.view.Member(id); !leaving || others > 0 {
 			c.abandon()
 		}
 	}
@@ -228,21 +249,21 @@
 	}
 }
 
-// assign chooses a holder for a stream. Without a usable instance the stream
-// goes on alone until one appears.
+func (s *Service) avoids(id string, now time.Time) bool { return now.Before(s.avoid[id].until) }
+
+// assign chooses a holder for a stream. While every known instance has failed,
+// the stream goes on alone.
 func (s *Service) assign(st *Stream) {
 	st.target, st.opened = nil, false
-	member, ok := s.choose(st)
+	member, failed, ok := s.choose(st)
 	if !ok {
 		s.unheld[st] = struct{}{}
-		s.goAlone(st)
+		if failed {
+			s.goAlone(st)
+		}
 		return
 	}
 	delete(s.unheld, st)
-	if s.alone {
-		s.alone = false
-		s.log.Info("another instance can be reached again", "holder", member.ID)
-	}
 	c := s.sessions[member.ID]
 	if c == nil {
 		c = newSession(s, member)
@@ -254,14 +275,21 @@
 	c.enqueue(st)
 }
 
-// choose returns the first usable instance in the order of holders.
-func (s *Service) choose(st *Stream) (membership.Member, bool) {
+// choose returns the first usable instance in the order of holders. Otherwise
+// it reports whether all instances failed: one without room did not.
+func (s *Service) choose(st *Stream) (member membership.Member, failed, ok bool) {
+	now := time.Now()
+	failed = true
 	for _, m := range Holders(st.name, s.view.Self(), s.view.Members()) {
-		if _, failed := s.avoid[m.ID]; !failed && m.ID != st.refusedBy {
-			return m, true
+		switch {
+		case s.avoids(m.ID, now):
+		case st.refusedBy == m.ID && now.Before(st.refusedUntil):
+			failed = false
+		default:
+			return m, false, true
 		}
 	}
-	return membership.Member{}, false
+	return membership.Member{}, failed, false
 }
 
 // goAlone lets the tokens of a stream be sent although no copy exists, because
@@ -281,26 +309,36 @@
 	st.hold(len(r.Tokens), r.Finished)
 }
 
-// Holders orders the instances that can hold the copy of a stream: instances
-// of other data centres first, those that are suspected or leaving last.
+// answered notes that an instance acknowledged a batch.
+func (s *Service) answered(id string) {
+	delete(s.avoid, id)
+	if s.alone {
+		s.alone = false
+		s.log.Info("another instance can be reached again", "holder", id)
+	}
+}
+
+// Holders orders the instances that can hold the copy of a stream: other data
+// centres of the region first, then other regions, then the own data centre;
+// those that are suspected last.
 func Holders(stream string, self membership.Member, members []membership.Member) []membership.Member {
-	var groups [4][]membership.Member
-	for _, m := range membership.Rank(stream, members) {
-		if m.ID == self.ID || m.State == membership.Dead {
-			continue
-		}
-		group := 0
-		if m.DataCentre == self.DataCentre {
-			group = 1
-		}
-		if m.State != membership.Alive {
-			group += 2
-		}
-		groups[group] = append(groups[group], m)
+	ranked := slices.DeleteFunc(membership.Rank(stream, members), func(m membership.Member) bool {
+		return m.ID == self.ID || m.State == membership.Dead
+	})
+	slices.SortStableFunc(ranked, func(a, b membership.Member) int { return distance(self, a) - distance(self, b) })
+	return ranked
+}
+
+func distance(self, m membership.Member) int {
+	d := 0
+	switch {
+	case m.DataCentre == self.DataCentre:
+		d = 2
+	case m.Region != self.Region:
+		d = 1
 	}
-	var ordered []membership.Member
-	for _, g := range groups {
-		ordered = append(ordered, g...)
+	if m.State != membership.Alive {
+		d += 3
 	}
-	return ordered
+	return d
 }
--- a/pkg/replica/session.go
+++ b/pkg/replica/session.go
@@ -98,7 +98,10 @@
 	}
 	c.cancel()
 	delete(s.sessions, c.member.ID)
-	s.avoid[c.member.ID] = time.Now().Add(avoidFailed)
+	a := s.avoid[c.member.ID]
+	s.avoid[c.member.ID] = avoided{
+		until: time.Now().Add(min(avoidFailed<<a.times, avoidMost)), times: min(a.times+1, 8),
+	}
 	streams := c.streams
 	c.streams, c.queue, c.flights = nil, nil, nil
 	if len(streams) > 0 {
@@ -235,7 +238,9 @@
 	for _, r := range ack.GetRejects() {
 		rejects[r.GetStream()] = Reason(r.GetReason())
 	}
+	c.service.answered(c.member.ID)
 	for len(c.flights) > 0 && c.flights[0].sequence <= ack.GetSequence() {
+		at := c.flights[0].at
 		for _, i := range c.flights[0].items {
 			if i.stream.target != c {
 				continue
@@ -244,6 +249,7 @@
 				c.reject(i.stream, reason)
 				continue
 			}
+			i.stream.confirm(at)
 			i.stream.hold(i.upTo, i.end)
 		}
 		c.flights = c.flights[1:]
@@ -258,7 +264,7 @@
 		st.lose()
 	case Full:
 		delete(c.streams, st)
-		st.refusedBy = c.member.ID
+		st.refusedBy, st.refusedUntil = c.member.ID, time.Now().Add(avoidFailed)
 		c.service.moves.Add(c.service.ctx, 1)
 		c.service.assign(st)
 	default:
--- a/pkg/replica/store.go
+++ b/pkg/replica/store.go
@@ -107,6 +107,12 @@
 	FinishReason string
 }
 
+// mark is a term that is known from a time on.
+type mark struct {
+	term Term
+	at   time.Time
+}
+
 type entry struct {
 	Record
 	size    int64
@@ -121,13 +127,20 @@
 	bytes int64
 
 	records map[string]*entry
+	// fences holds the newest known terms of streams without a record.
+	fences map[string]mark
+	// claims holds the instances that were first to open a stream.
+	claims map[string]mark
 	// finished lists finished streams, the oldest first.
 	finished []string
 }
 
 // NewStore returns an empty store of the instance self.
 func NewStore(self string, limit int64) *Store {
-	return &Store{self: self, limit: limit, records: map[string]*entry{}}
+	return &Store{
+		self: self, limit: limit, records: map[string]*entry{},
+		fences: map[string]mark{}, claims: map[string]mark{},
+	}
 }
 
 // Len and Bytes return the number and the size of the records.
@@ -146,17 +159,16 @@
 }
 
 // Open stores a whole record. It replaces a record of the same or an older
-// term, except by a shorter one of the same term.
+// term, unless the stored one of the same term only goes on further: batches
+// of two connections may cross.
 func (s *Store) Open(r Record, now time.Time) Reason {
 	old := s.records[r.Stream]
-	if old != nil {
-		if r.Term.Before(old.Term) {
-			return StaleEpoch
-		}
-		if r.Term == old.Term && (len(r.Tokens) < len(old.Tokens) || old.Finished) {
-			old.updated = now
-			return Accepted
-		}
+	if old != nil && r.Term.Before(old.Term) || r.Term.Before(s.fences[r.Stream].term) {
+		return StaleEpoch
+	}
+	if old != nil && r.Term == old.Written && old.continues(r) {
+		old.updated = now
+		return Accepted
 	}
 	var before int64
 	if old != nil {
@@ -169,6 +181,7 @@
 		return Full
 	}
 	s.remove(r.Stream)
+	delete(s.fences, r.Stream)
 	s.records[r.Stream] = e
 	s.bytes += e.size
 	if r.Finished {
@@ -177,6 +190,13 @@
 	return Accepted
 }
 
+// continues reports whether e has all of r and more.
+func (e *entry) continues(r Record) bool {
+	n := len(r.Tokens)
+	return n <= len(e.Tokens) && slices.Equal(e.Tokens[:n], r.Tokens) &&
+		(e.Finished || n < len(e.Tokens) && !r.Finished)
+}
+
 // Append adds to a record. Tokens at positions that are already taken are
 // accepted when they are equal, so a batch may be sent again.
 func (s *Store) Append(a Append, now time.Time) Reason {
@@ -228,19 +248,58 @@
 	return Accepted
 }
 
+// Copy tells what a store has of a stream that is to be taken over.
+type Copy uint8
+
+// Kinds of copies.
+const (
+	// NoCopy also stands for a copy of another organisation.
+	NoCopy Copy = iota
+	// TooShort is a copy with fewer tokens than the caller has.
+	TooShort
+	// Usable is a copy from which the stream can continue.
+	Usable
+)
+
 // TakeOver makes newOwner the owner of a stream under a higher epoch and
-// returns the record. It reports false for unknown streams and for those of
-// another organisation.
-func (s *Store) TakeOver(stream, organisation, newOwner string, now time.Time) (Record, bool) {
+// returns the record. Only a usable copy changes.
+func (s *Store) TakeOver(stream, organisation, newOwner string, atLeast int, now time.Time) (Record, Copy) {
 	e, ok := s.records[stream]
-	if !ok || e.Organisation != organisation {
-		return Record{}, false
+	switch {
+	case !ok || e.Organisation != organisation:
+		return Record{}, NoCopy
+	case len(e.Tokens) < atLeast:
+		return Record{}, TooShort
 	}
 	e.Term = Term{Epoch: e.Term.Epoch + 1, Owner: newOwner}
 	e.updated = now
 	r := e.Record
 	r.Tokens = slices.Clip(r.Tokens)
-	return r, true
+	return r, Usable
+}
+
+// Fence makes the store refuse older terms of a stream.
+func (s *Store) Fence(stream string, term Term, now time.Time) {
+	if e, ok := s.records[stream]; ok {
+		if e.Term.Before(term) {
+			e.Term = term
+		}
+		return
+	}
+	if s.fences[stream].term.Before(term) {
+		s.fences[stream] = mark{term: term, at: now}
+	}
+}
+
+// Claim returns the instance that was first to open a stream. The claim of
+// insteadOf is replaced.
+func (s *Store) Claim(stream, claimant, insteadOf string, now time.Time) string {
+	c, ok := s.claims[stream]
+	if !ok || c.term.Owner == insteadOf || now.Sub(c.at) >= IdleKept {
+		c = mark{term: Term{Owner: claimant}, at: now}
+		s.claims[stream] = c
+	}
+	return c.term.Owner
 }
 
 // Drop removes a record if it is of the given term.
@@ -250,18 +309,23 @@
 	}
 }
 
-// Expire removes finished records after FinishedKept and copies of running
-// streams that got no append for IdleKept.
-func (s *Store) Expire(now time.Time) {
+// Expire removes finished records after FinishedKept, and after IdleKept the
+// copies of running streams without an append. Streams for which running
+// returns true are kept: this instance runs them.
+func (s *Store) Expire(now time.Time, running func(stream string) bool) {
 	for stream, e := range s.records {
-		kept := IdleKept
-		if e.Finished {
-			kept = FinishedKept
-		}
-		if (e.Finished || e.Term.Owner != s.self) && now.Sub(e.updated) >= kept {
+		age := now.Sub(e.updated)
+		if e.Finished && age >= FinishedKept || !e.Finished && age >= IdleKept && !running(stream) {
 			s.remove(stream)
 		}
 	}
+	for _, marks := range []map[string]mark{s.fences, s.claims} {
+		for stream, m := range marks {
+			if now.Sub(m.at) >= IdleKept {
+				delete(marks, stream)
+			}
+		}
+	}
 }
 
 // reserve makes room by removing finished records, the oldest first. The
--- a/pkg/replica/stream.go
+++ b/pkg/replica/stream.go
@@ -27,11 +27,15 @@
 	sent   int
 	sentAt time.Time
 	// refusedBy is the holder that had no room for the record.
-	refusedBy string
+	refusedBy    string
+	refusedUntil time.Time
 
 	// held is the number of tokens that a holder acknowledged.
 	held    int
 	heldEnd bool
+	// confirmed is the send time of the newest batch that was acknowledged.
+	confirmed  time.Time
+	confirming int
 
 	watchers []chan struct{}
 }
@@ -123,10 +127,13 @@
 	}
 	switch {
 	case !st.replicated:
-	case st.target == nil:
-		s.goAlone(st)
-	default:
+	case st.target != nil:
 		st.target.enqueue(st)
+		if s.alone {
+			s.goAlone(st)
+		}
+	case s.alone:
+		s.goAlone(st)
 	}
 	return nil
 }
@@ -206,6 +213,54 @@
 	}
 }
 
+// Confirm blocks until a holder has acknowledged a batch that was sent after
+// the call: no instance that it can reach knows a newer term. Instances alone
+// do not wait.
+func (st *Stream) Confirm(ctx context.Context) error {
+	watch := st.Watch()
+	defer st.Unwatch(watch)
+	start := time.Now()
+	st.countConfirming(1)
+	defer st.countConfirming(-1)
+	for {
+		if done, err := st.isConfirmed(start); done || err != nil {
+			return err
+		}
+		select {
+		case <-watch:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (st *Stream) countConfirming(change int) {
+	st.service.mu.Lock()
+	defer st.service.mu.Unlock()
+	st.confirming += change
+}
+
+func (st *Stream) isConfirmed(start time.Time) (bool, error) {
+	s := st.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st.err != nil || !st.replicated || s.alone || !st.confirmed.Before(start) {
+		return true, st.err
+	}
+	if st.target != nil {
+		st.target.enqueue(st)
+	}
+	return false, nil
+}
+
+// confirm notes the acknowledgement of a batch that was sent at a time.
+func (st *Stream) confirm(at time.Time) {
+	st.confirmed = at
+	if st.confirming > 0 {
+		st.notify()
+	}
+}
+
 // hold notes what a holder acknowledged.
 func (st *Stream) hold(n int, end bool) {
 	if n <= st.held && (!end || st.heldEnd) {
--- a/pkg/replica/takeover.go
+++ b/pkg/replica/takeover.go
@@ -17,15 +17,16 @@
 func (s *Service) TakeOver(ctx context.Context, stream, organisation string, atLeast int) (*Stream, error) {
 	deadline := time.Now().Add(takeOverLimit)
 	for {
-		best, silent := s.collect(ctx, stream, organisation)
+		f := s.collect(ctx, stream, organisation, max(atLeast, 0))
 		switch {
-		case best != nil && len(best.Tokens) >= atLeast:
+		case f.best != nil:
 			s.takeovers.Add(ctx, 1)
-			return s.Own(*best)
-		case silent == 0 || time.Now().After(deadline):
-			if best != nil {
-				return nil, ErrStaleCopy
-			}
+			s.fence(ctx, stream, f.best.Term)
+			return s.Own(*f.best)
+		case f.silent > 0 && time.Now().Before(deadline):
+		case f.short > 0:
+			return nil, ErrStaleCopy
+		default:
 			return nil, ErrNotFound
 		}
 		select {
@@ -36,34 +37,120 @@
 	}
 }
 
-// collect raises the epoch at every reachable copy and returns the best one
-// under the highest epoch, and the number of instances that did not answer.
-func (s *Service) collect(ctx context.Context, stream, organisation string) (best *Record, silent int) {
+// found is the result of the search for the copies of a stream.
+type found struct {
+	// best is the copy with the newest content, under the highest epoch.
+	best *Record
+	// short counts copies that were too short, silent the instances that did
+	// not answer.
+	short, silent int
+}
+
+// collect raises the epoch at every reachable usable copy.
+func (s *Service) collect(ctx context.Context, stream, organisation string, atLeast int) found {
 	self := s.view.Self().ID
-	members := s.view.Members()
-	answers := make(chan *wire.TakeOverResponse, len(members))
-	asked := 0
-	for _, m := range members {
-		if m.ID == self {
-			continue
-		}
-		asked++
-		go func() { answers <- s.ask(ctx, m, stream, organisation, self) }()
+	request := &wire.TakeOverRequest{
+		Stream: stream, Organisation: organisation, NewOwner: self, AtLeast: uint64(atLeast),
 	}
-	if r, ok := s.takeOverHere(stream, organisation, self); ok {
-		best = &r
+	answers, asked := everywhere(ctx, s, func(ctx context.Context, c wire.DRPCReplicaClient) (*wire.TakeOverResponse, error) {
+		return c.TakeOver(ctx, request)
+	})
+	var f found
+	switch r, kind := s.takeOverHere(stream, organisation, self, atLeast); kind {
+	case Usable:
+		f.best = &r
+	case TooShort:
+		f.short++
 	}
 	for range asked {
 		answer := <-answers
 		switch {
 		case answer == nil:
-			silent++
+			f.silent++
+		case answer.GetTooShort():
+			f.short++
 		case answer.GetFound():
 			r := recordFromWire(answer.GetRecord())
-			best = better(best, &r)
+			f.best = better(f.best, &r)
+		}
+	}
+	return f
+}
+
+// fence tells all reachable instances of the new term, so that none of them
+// becomes the holder of an owner that does not know of it. Instances that do
+// not answer within the time of a round trip are not waited for.
+func (s *Service) fence(ctx context.Context, stream string, term Term) {
+	request := &wire.FenceRequest{Stream: stream, Epoch: term.Epoch, Owner: term.Owner}
+	answers, asked := everywhere(context.WithoutCancel(ctx), s,
+		func(ctx context.Context, c wire.DRPCReplicaClient) (*wire.FenceResponse, error) {
+			return c.Fence(ctx, request)
+		})
+	limit := time.NewTimer(fenceWait)
+	defer limit.Stop()
+	for range asked {
+		select {
+		case <-answers:
+		case <-limit.C:
+			return
 		}
 	}
-	return best, silent
+}
+
+// everywhere calls all other instances at once. An answer is nil when an
+// instance did not answer in time.
+func everywhere[R any](
+	ctx context.Context, s *Service, call func(context.Context, wire.DRPCReplicaClient) (*R, error),
+) (answers chan *R, asked int) {
+	members := s.view.Members()
+	self := s.view.Self().ID
+	answers = make(chan *R, len(members))
+	for _, m := range members {
+		if m.ID == self {
+			continue
+		}
+		asked++
+		go func() {
+			answer, err := callOne(ctx, s, m, call)
+			if err != nil {
+				answer = nil
+			}
+			answers <- answer
+		}()
+	}
+	return answers, asked
+}
+
+func callOne[R any](
+	ctx context.Context, s *Service, m membership.Member,
+	call func(context.Context, wire.DRPCReplicaClient) (*R, error),
+) (*R, error) {
+	return rpc.Call(ctx, s.dialer, m.PeerAddress, takeOverTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*R, error) {
+			return call(ctx, wire.NewDRPCReplicaClient(conn))
+		})
+}
+
+// Claim decides between instances that open one stream at the same time: the
+// first instance by rendezvous hash that answers keeps the claim. It returns
+// the instance whose claim holds. The claim of insteadOf is replaced.
+func (s *Service) Claim(ctx context.Context, stream, insteadOf string) (string, error) {
+	self := s.view.Self().ID
+	for _, m := range membership.Rank(stream, s.view.Members()) {
+		if m.ID == self {
+			return s.claimHere(stream, self, insteadOf), nil
+		}
+		answer, err := callOne(ctx, s, m, func(ctx context.Context, c wire.DRPCReplicaClient) (*wire.ClaimStreamResponse, error) {
+			return c.ClaimStream(ctx, &wire.ClaimStreamRequest{Stream: stream, Claimant: self, InsteadOf: insteadOf})
+		})
+		if err == nil {
+			return answer.GetHolder(), nil
+		}
+		if ctx.Err() != nil {
+			return "", ctx.Err()
+		}
+	}
+	return s.claimHere(stream, self, insteadOf), nil
 }
 
 // better returns the copy with the newer content under the higher epoch.
@@ -86,16 +173,3 @@
 func (r *Record) shorter(o *Record) bool {
 	return len(r.Tokens) < len(o.Tokens) || len(r.Tokens) == len(o.Tokens) && !r.Finished && o.Finished
 }
-
-func (s *Service) ask(ctx context.Context, m membership.Member, stream, organisation, self string) *wire.TakeOverResponse {
-	answer, err := rpc.Call(ctx, s.dialer, m.PeerAddress, takeOverTimeout,
-		func(ctx context.Context, conn drpc.Conn) (*wire.TakeOverResponse, error) {
-			return wire.NewDRPCReplicaClient(conn).TakeOver(ctx, &wire.TakeOverRequest{
-				Stream: stream, Organisation: organisation, NewOwner: self,
-			})
-		})
-	if err != nil {
-		return nil
-	}
-	return answer
-}
