control, configwatch: node, operators' API, watch and follower

Cause: the state machine needs consensus, disk, peers, operators and watchers around it; entry instances need a follower that never goes back. Change: Node drives consensus in one goroutine (log synced before messages leave); the router sends proposals and linearizable reads to the leader and repeats only what was provably not proposed.

Ruled out: writing the whole document for each change (14 MB a change at 35,000 organisations); linearizable reads of the document through the leader (a follower asks for the version only and waits for it).

--- /dev/null
+++ b/pkg/control/group_test.go
@@ -0,0 +1,343 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+)
+
+// memoryStore is a disk that survives restarts of its node.
+type memoryStore struct {
+	mu     sync.Mutex
+	stored consensus.Stored
+}
+
+func (m *memoryStore) Save(r consensus.Ready) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := r.Snapshot; s != nil {
+		kept := []consensus.Entry{}
+		for _, e := range m.stored.Entries {
+			if e.Index > s.Index {
+				kept = append(kept, e)
+			}
+		}
+		m.stored.Snapshot, m.stored.Entries = *s, kept
+	}
+	if len(r.Entries) > 0 {
+		keep := r.Entries[0].Index - m.stored.Snapshot.Index - 1
+		m.stored.Entries = append(m.stored.Entries[:keep:keep], r.Entries...)
+	}
+	if r.Hard != nil {
+		m.stored.Hard = *r.Hard
+	}
+	return nil
+}
+
+func (m *memoryStore) Close() error { return nil }
+
+func (m *memoryStore) read() consensus.Stored {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.stored
+	s.Entries = append([]consensus.Entry(nil), s.Entries...)
+	return s
+}
+
+// gatedCore blocks every call while the instance is frozen.
+type gatedCore struct {
+	core
+	gate *sync.RWMutex
+}
+
+func (g gatedCore) pass() {
+	g.gate.RLock()
+	defer g.gate.RUnlock()
+}
+
+func (g gatedCore) Tick()                    { g.pass(); g.core.Tick() }
+func (g gatedCore) Step(m consensus.Message) { g.pass(); g.core.Step(m) }
+func (g gatedCore) ReadIndex(id uint64) bool { g.pass(); return g.core.ReadIndex(id) }
+func (g gatedCore) Ready() consensus.Ready   { g.pass(); return g.core.Ready() }
+func (g gatedCore) Propose(d []byte) (uint64, uint64, bool) {
+	g.pass()
+	return g.core.Propose(d)
+}
+
+type noAudit struct{}
+
+func (noAudit) append([]AuditEntry) error { return nil }
+
+const (
+	testTick     = 4 * time.Millisecond
+	testCompact  = 40
+	testElection = 10
+)
+
+// group is a control group in one process over a carrier that loses messages.
+type group struct {
+	t   *testing.T
+	ids []consensus.MemberID
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	loss    float64
+	cut     map[consensus.MemberID]bool
+	members map[consensus.MemberID]*member
+}
+
+// member is one instance of a group, over all its restarts.
+type member struct {
+	group  *group
+	id     consensus.MemberID
+	store  *memoryStore
+	gate   sync.RWMutex
+	node   *Node
+	cancel context.CancelFunc
+	starts int
+}
+
+func newGroup(t *testing.T, size int, seed uint64) *group {
+	g := &group{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), cut: map[consensus.MemberID]bool{},
+		members: map[consensus.MemberID]*member{},
+	}
+	for i := range size {
+		g.ids = append(g.ids, consensus.MemberID(fmt.Sprint("c", i+1)))
+	}
+	for _, id := range g.ids {
+		g.members[id] = &member{group: g, id: id, store: &memoryStore{}}
+		g.start(id, seed)
+	}
+	t.Cleanup(func() {
+		for _, id := range g.ids {
+			g.stop(id)
+		}
+	})
+	return g
+}
+
+func (g *group) start(id consensus.MemberID, seed uint64) {
+	m := g.members[id]
+	m.starts++
+	stored := m.store.read()
+	c := consensus.New(consensus.Config{
+		ID: id, Disk: consensus.DiskID("disk-" + string(id)), Members: g.ids, HeartbeatTicks: 2, ElectionTicks: testElection,
+		Rand: rand.New(rand.NewPCG(seed, uint64(m.starts)<<8|uint64(id[1]))),
+	}, stored)
+	node, err := newNode(loopParts{
+		core: gatedCore{c, &m.gate}, store: m.store, carrier: m, audit: noAudit{},
+		tick: testTick, compactAfter: testCompact, now: time.Now,
+	}, stored.Snapshot, slog.New(slog.DiscardHandler))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.mu.Lock()
+	m.node, m.cancel = node, cancel
+	g.mu.Unlock()
+	go func() { _ = node.run(ctx) }()
+}
+
+func (g *group) stop(id consensus.MemberID) {
+	n := g.node(id)
+	g.members[id].cancel()
+	<-n.stopped
+}
+
+func (g *group) node(id consensus.MemberID) *Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[id].node
+}
+
+func (g *group) setCut(id consensus.MemberID, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut[id] = cut
+}
+
+// passes draws whether something sent from one member to another arrives.
+func (g *group) passes(from, to consensus.MemberID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.cut[from] && !g.cut[to] && g.random.Float64() >= g.loss
+}
+
+// send implements carrier: messages are lost, delayed and so reordered.
+func (m *member) send(message consensus.Message) {
+	g := m.group
+	if !g.passes(m.id, message.To) {
+		return
+	}
+	g.mu.Lock()
+	delay := time.Duration(g.random.IntN(3)) * time.Millisecond
+	g.mu.Unlock()
+	data, err := consensus.Encode(message)
+	if err != nil {
+		g.t.Error(err)
+		return
+	}
+	time.AfterFunc(delay, func() {
+		decoded, err := consensus.Decode(data)
+		if err != nil {
+			g.t.Error(err)
+			return
+		}
+		select {
+		case g.node(message.To).messages <- decoded:
+		default:
+		}
+	})
+}
+
+// propose implements remote; a lost answer is Unknown.
+func (m *member) propose(ctx context.Context, leader consensus.MemberID, c *document.Change) Result {
+	if !m.group.passes(m.id, leader) {
+		return Result{ChangeID: c.ID, Outcome: Unavailable}
+	}
+	ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancel()
+	result := m.group.node(leader).ProposeLocal(ctx, c)
+	if !m.group.passes(leader, m.id) {
+		return Result{ChangeID: c.ID, Outcome: Unknown}
+	}
+	return result
+}
+
+// read implements remote.
+func (m *member) read(ctx context.Context, leader consensus.MemberID) (uint64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancel()
+	if !m.group.passes(m.id, leader) || !m.group.node(leader).confirm(ctx) {
+		return 0, false
+	}
+	version := m.group.node(leader).Document().Version
+	return version, m.group.passes(leader, m.id)
+}
+
+func (g *group) router(id consensus.MemberID) *router {
+	return &router{node: g.node(id), self: id, remote: g.members[id]}
+}
+
+// leader waits for a member that leads and has confirmed it to a quorum.
+func (g *group) leader() consensus.MemberID {
+	g.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, id := range g.ids {
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			n := g.node(id)
+			leads := n.Status().Role == consensus.Leader && n.confirm(ctx)
+			cancel()
+			if leads {
+				return id
+			}
+		}
+		time.Sleep(testTick)
+	}
+	g.t.Fatal("no leader within 10 s")
+	return ""
+}
+
+// change proposes under one identifier until the result is known.
+func (g *group) change(id consensus.MemberID, c document.Change) Result {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		result := g.router(id).Propose(ctx, &c)
+		cancel()
+		if result.Outcome != Unavailable && result.Outcome != Unknown {
+			return result
+		}
+	}
+}
+
+func testChange(id string, base uint64, weight int) document.Change {
+	return document.Change{ID: id, Operator: "rozenn", Base: base, Ops: []document.Op{organisationOp("boutique", weight)}}
+}
+
+// Guards against an instance that comes back older or different after 300
+// changes and the snapshots between them.
+func TestRestartAfter300Changes(t *testing.T) {
+	g := newGroup(t, 3, 7)
+	g.leader()
+	for i := range 300 {
+		result := g.change(g.ids[i%3], testChange(fmt.Sprint(i), uint64(i), 1+i%9))
+		qt.Assert(t, result.Version, qt.Equals, uint64(i+1), qt.Commentf("%+v", result))
+	}
+	before := g.node("c1").Document().Version
+	for _, id := range g.ids {
+		g.stop(id)
+		g.start(id, 8)
+	}
+	qt.Assert(t, g.members["c1"].store.read().Snapshot.Index > 200, qt.IsTrue)
+	g.leader()
+	for _, id := range g.ids {
+		d, err := g.router(id).Read(context.Background())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, d.Version, qt.Equals, uint64(300))
+	}
+	qt.Assert(t, before <= 300, qt.IsTrue)
+	resend := g.change("c2", testChange("120", 120, 1+120%9))
+	qt.Assert(t, resend, qt.DeepEquals, Result{ChangeID: "120", Outcome: Accepted, Version: 121})
+	var states [][]byte
+	for _, id := range g.ids {
+		n := g.node(id)
+		n.mu.RLock()
+		data, err := n.state.encode()
+		n.mu.RUnlock()
+		qt.Assert(t, err, qt.IsNil)
+		states = append(states, data)
+	}
+	qt.Assert(t, string(states[1]), qt.Equals, string(states[0]))
+	qt.Assert(t, string(states[2]), qt.Equals, string(states[0]))
+}
+
+// Guards against a former leader that was frozen and, awake again, accepts a
+// change or serves a read from before the freeze.
+func TestFrozenFormerLeader(t *testing.T) {
+	g := newGroup(t, 3, 11)
+	old := g.leader()
+	qt.Assert(t, g.change(old, testChange("before", 0, 1)).Outcome, qt.Equals, Accepted)
+	m := g.members[old]
+	m.gate.Lock()
+	// Only the others answer now; they elect a leader of their own.
+	other := g.ids[0]
+	if other == old {
+		other = g.ids[1]
+	}
+	result := g.change(other, testChange("during", 1, 2))
+	qt.Assert(t, result.Outcome, qt.Equals, Accepted)
+	frozen := g.node(old)
+	reads, changes := make(chan bool, 1), make(chan Result, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		ok := frozen.confirm(ctx)
+		reads <- !ok || frozen.Document().Version >= 2
+	}()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		c := testChange("stale", 1, 3)
+		changes <- frozen.ProposeLocal(ctx, &c)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	m.gate.Unlock()
+	qt.Assert(t, <-reads, qt.IsTrue)
+	qt.Assert(t, (<-changes).Outcome, qt.Not(qt.Equals), Accepted)
+	d, err := g.router(other).Read(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	value, _ := json.Marshal(d.Organisations["boutique"].Weight)
+	qt.Assert(t, string(value), qt.Equals, "2")
+}
--- /dev/null
+++ b/pkg/control/loopback_test.go
@@ -0,0 +1,300 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
+	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
+	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
+)
+
+// freeAddress returns a loopback address with a free port.
+func freeAddress(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// loopback is a control group over TCP, with stores that outlive its instances.
+type loopback struct {
+	t        testing.TB
+	peers    []settings.Peer
+	settings []settings.Control
+	stores   []*memoryStore
+	services []*Service
+	kernels  []*kernel.Kernel
+	cancels  []context.CancelFunc
+}
+
+func newLoopback(t testing.TB, size int) *loopback {
+	l := &loopback{
+		t: t, services: make([]*Service, size), kernels: make([]*kernel.Kernel, size), cancels: make([]context.CancelFunc, size),
+	}
+	for i := range size {
+		l.peers = append(l.peers, settings.Peer{ID: fmt.Sprint("c", i+1), DataCentre: fmt.Sprint("dc", i%3+1), Address: freeAddress(t)})
+		l.stores = append(l.stores, &memoryStore{})
+	}
+	for i, p := range l.peers {
+		s := settings.DefaultControl()
+		s.Instance = settings.Instance{ID: p.ID, DataCentre: p.DataCentre, Region: "west"}
+		s.PeerAddress, s.OperatorAddress, s.Members, s.DataFolder = p.Address, freeAddress(t), l.peers, t.TempDir()
+		s.HeartbeatMS, s.ElectionMS, s.CompactAfter = 40, 200, 100
+		l.settings = append(l.settings, s)
+		l.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range size {
+			l.stop(i)
+		}
+	})
+	return l
+}
+
+func (l *loopback) start(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	log := slog.New(slog.DiscardHandler)
+	counters := &rpc.Counters{}
+	metrics, err := telemetry.New()
+	qt.Assert(l.t, err, qt.IsNil)
+	open := func(string) (Store, consensus.Stored, consensus.DiskID, error) {
+		return l.stores[i], l.stores[i].read(), consensus.DiskID("disk-" + l.peers[i].ID), nil
+	}
+	l.services[i] = New(l.settings[i], rpc.NewDialer(nil, counters), rpc.NewServer(nil, counters, log), metrics, open)
+	l.kernels[i], l.cancels[i] = kernel.New(log), cancel
+	qt.Assert(l.t, l.kernels[i].Register(l.services[i]), qt.IsNil)
+	qt.Assert(l.t, l.kernels[i].Start(ctx), qt.IsNil)
+}
+
+func (l *loopback) stop(i int) {
+	if l.services[i] == nil {
+		return
+	}
+	l.kernels[i].Stop(context.Background())
+	l.cancels[i]()
+	_ = l.services[i].dialer.Close()
+	l.services[i] = nil
+}
+
+// change proposes at an instance until the change is accepted.
+func (l *loopback) change(i int, c document.Change) uint64 {
+	for range 20 {
+		result := l.services[i].Propose(context.Background(), &c)
+		if result.Outcome == Accepted {
+			return result.Version
+		}
+		if result.Outcome != Unknown && result.Outcome != Unavailable {
+			l.t.Fatalf("%+v", result)
+		}
+	}
+	l.t.Fatal("no change was accepted")
+	return 0
+}
+
+// watcher is a follower that records every version that it puts in force.
+type watcher struct {
+	*configwatch.Service
+	counters rpc.Counters
+	kernel   *kernel.Kernel
+	dialer   *rpc.Dialer
+}
+
+func (l *loopback) watch(id, dataCentre, folder string, control []settings.Peer, seeds []settings.Peer) *watcher {
+	w := &watcher{kernel: kernel.New(slog.New(slog.DiscardHandler))}
+	s := settings.DefaultEntry()
+	s.Instance = settings.Instance{ID: id, DataCentre: dataCentre, Region: "west"}
+	s.Control, s.Seeds, s.DataFolder = control, seeds, folder
+	w.dialer = rpc.NewDialer(nil, &w.counters)
+	w.Service = configwatch.New(s, w.dialer)
+	qt.Assert(l.t, w.kernel.Register(w.Service), qt.IsNil)
+	qt.Assert(l.t, w.kernel.Start(context.Background()), qt.IsNil)
+	l.t.Cleanup(w.stop)
+	return w
+}
+
+func (w *watcher) stop() {
+	if w.kernel != nil {
+		w.kernel.Stop(context.Background())
+		_ = w.dialer.Close()
+		w.kernel = nil
+	}
+}
+
+// until waits for a condition that must come true, far beyond its usual time.
+func until(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within 30 s", what)
+}
+
+// Guards against a watcher that goes back to an older version, misses one or
+// stays behind while control instances stop and start under it.
+func TestWatchersNeverGoBack(t *testing.T) {
+	l := newLoopback(t, 3)
+	var watchers []*watcher
+	done := make(chan struct{})
+	var observers sync.WaitGroup
+	for i := range 4 {
+		w := l.watch(fmt.Sprint("e", i), fmt.Sprint("dc", i%3+1), "", l.peers, nil)
+		watchers = append(watchers, w)
+		observers.Go(func() {
+			last := uint64(0)
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				version := w.Current().Version
+				if version < last {
+					t.Errorf("watcher %d went back from version %d to %d", i, last, version)
+				}
+				last = version
+				time.Sleep(50 * time.Microsecond)
+			}
+		})
+	}
+	const changes = 60
+	for i := range changes {
+		if i%20 == 10 {
+			victim := i / 20
+			l.stop(victim)
+			version := l.change((victim+1)%3, testChange(fmt.Sprint(i), uint64(i), 1+i%9))
+			qt.Assert(t, version, qt.Equals, uint64(i+1))
+			l.start(victim)
+			continue
+		}
+		qt.Assert(t, l.change(i%3, testChange(fmt.Sprint(i), uint64(i), 1+i%9)), qt.Equals, uint64(i+1))
+	}
+	want, err := l.services[0].Read(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	text, _ := json.Marshal(want)
+	for _, w := range watchers {
+		until(t, "the watcher is up to date", func() bool { return w.Current().Version == changes })
+		got, _ := json.Marshal(w.Current())
+		qt.Assert(t, string(got), qt.Equals, string(text))
+	}
+	close(done)
+	observers.Wait()
+}
+
+// Guards against an instance without a stored version that is ready with an
+// older one than the instances around it have, and against an instance that
+// forgets its version when it restarts alone.
+func TestWatcherStartsWithNewest(t *testing.T) {
+	l := newLoopback(t, 3)
+	for i := range 5 {
+		l.change(i%3, testChange(fmt.Sprint(i), uint64(i), 1+i))
+	}
+	folder := t.TempDir()
+	first := l.watch("e1", "dc1", folder, l.peers, nil)
+	until(t, "the first watcher is ready", first.Ready)
+	qt.Assert(t, first.Current().Version, qt.Equals, uint64(5))
+	l.change(0, testChange("5", 5, 9))
+	until(t, "the change is in force", func() bool { return first.Current().Version == 6 })
+
+	// The control group is gone; only another entry instance answers.
+	for i := range 3 {
+		l.stop(i)
+	}
+	address := freeAddress(t)
+	server := rpc.NewServer(nil, &rpc.Counters{}, slog.New(slog.DiscardHandler))
+	qt.Assert(t, first.Register(server.Mux()), qt.IsNil)
+	qt.Assert(t, server.Listen(t.Context(), address), qt.IsNil)
+	second := l.watch("e2", "dc1", "", l.peers, []settings.Peer{{ID: "e1", Address: address}})
+	until(t, "the second watcher is ready", second.Ready)
+	qt.Assert(t, second.Current().Version, qt.Equals, uint64(6))
+
+	first.stop()
+	again := l.watch("e1", "dc1", folder, l.peers, nil)
+	qt.Assert(t, again.Ready(), qt.IsTrue)
+	qt.Assert(t, again.Current().Version, qt.Equals, uint64(6))
+
+	nobody := l.watch("e3", "dc1", "", l.peers, nil)
+	time.Sleep(200 * time.Millisecond)
+	qt.Assert(t, nobody.Ready(), qt.IsFalse)
+}
+
+// silentServer accepts connections and never answers.
+func silentServer(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			if _, err := l.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a watcher that waits for ever on a connection that is open and silent.
+func TestSilentWatchIsReplaced(t *testing.T) {
+	l := newLoopback(t, 1)
+	l.change(0, testChange("0", 0, 1))
+	silent := settings.Peer{ID: "c0", DataCentre: "dc1", Address: silentServer(t)}
+	far := l.peers[0]
+	far.DataCentre = "dc2"
+	w := l.watch("e1", "dc1", "", []settings.Peer{silent, far}, nil)
+	until(t, "the watcher is ready", w.Ready)
+	l.change(0, testChange("1", 1, 2))
+	until(t, "the change is in force", func() bool { return w.Current().Version == 2 })
+}
+
+// BenchmarkTimeInForce measures the time from a proposal until it is in force at
+// 7 watchers, and the bytes that each of them sends and receives for a change.
+func BenchmarkTimeInForce(b *testing.B) {
+	l := newLoopback(b, 5)
+	var watchers []*watcher
+	for i := range 7 {
+		w := l.watch(fmt.Sprint("e", i), fmt.Sprint("dc", i%3+1), "", l.peers, nil)
+		until(b, "the watcher is ready", w.Ready)
+		watchers = append(watchers, w)
+	}
+	version := l.change(0, testChange("first", 0, 1))
+	until(b, "all watch", func() bool {
+		return !slices.ContainsFunc(watchers, func(w *watcher) bool { return w.Current().Version != version })
+	})
+	received := func() (total uint64) {
+		for _, w := range watchers {
+			total += w.counters.Received.Load() + w.counters.Sent.Load()
+		}
+		return total
+	}
+	before := received()
+	var times []time.Duration
+	for b.Loop() {
+		start := time.Now()
+		version = l.change(len(times)%5, testChange(fmt.Sprint(version), version, 1+int(version)%9))
+		for _, w := range watchers {
+			for w.Current().Version < version {
+				time.Sleep(50 * time.Microsecond)
+			}
+		}
+		times = append(times, time.Since(start))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(received()-before)/float64(len(times)*len(watchers)), "bytes/change/watcher")
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "ms-p50")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "ms-p99")
+}
--- /dev/null
+++ b/pkg/control/node.go
@@ -0,0 +1,662 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+)
+
+const (
+	// requestTimeout bounds a proposal or a linearizable read as a whole: two
+	// elections of usual length.
+	requestTimeout = 4 * time.Second
+	// forwardTimeout bounds one call to the leader.
+	forwardTimeout = 2 * time.Second
+	// retryPause is the wait before a request that was provably not proposed is
+	// tried again.
+	retryPause = 50 * time.Millisecond
+	// inbox bounds the queued messages, proposals and reads of the loop.
+	inbox = 1024
+)
+
+// core is the consensus state machine, implemented by consensus.Node.
+type core interface {
+	Tick()
+	Step(consensus.Message)
+	Propose(data []byte) (index, term uint64, ok bool)
+	ReadIndex(id uint64) bool
+	HasReady() bool
+	Ready() consensus.Ready
+	Advance()
+	Compact(index uint64, data []byte)
+	Status() consensus.Status
+}
+
+// Store is the synced log, implemented by wal.Log.
+type Store interface {
+	// Save makes the snapshot, the entries and the hard state durable.
+	Save(consensus.Ready) error
+	Close() error
+}
+
+// proposal is one entry that waits to be applied.
+type proposal struct {
+	data []byte
+	// changeID and digest name a change; a lease request has none.
+	changeID, digest string
+	term             uint64
+	done             chan answer
+}
+
+// answer tells what became of a proposal. Fields of applied are set only when
+// outcome is Accepted, which here means that the entry was applied.
+type answer struct {
+	outcome Outcome
+	applied applied
+}
+
+// read is one linearizable read that waits for confirmation.
+type read struct {
+	// done gets true when the state is linearizable for this read, false when
+	// this instance is not the leader.
+	done chan bool
+}
+
+// loopParts are the parts that the loop drives.
+type loopParts struct {
+	core    core
+	store   Store
+	carrier carrier
+	audit   auditSink
+	// tick is the interval of calls of core.Tick.
+	tick         time.Duration
+	compactAfter uint64
+	now          func() time.Time
+}
+
+// auditSink takes audit entries that left the state, before the snapshot
+// without them is saved.
+type auditSink interface {
+	append([]AuditEntry) error
+}
+
+// Node runs consensus and applies the committed commands. One goroutine owns
+// the consensus state machine and the log.
+type Node struct {
+	parts loopParts
+	log   *slog.Logger
+
+	messages  chan consensus.Message
+	proposals chan *proposal
+	reads     chan *read
+	stopped   chan struct{}
+
+	// applied and compacted are indices of the log; they, waiting and pending
+	// belong to the loop.
+	applied   uint64
+	compacted uint64
+	waiting   map[uint64]*proposal
+	pending   map[uint64]*read
+	confirmed []consensus.ReadState
+	nextRead  uint64
+	// readTerm is the term of the newest pending read.
+	readTerm uint64
+
+	// watchers counts the open watches.
+	watchers atomic.Int64
+
+	mu     sync.RWMutex
+	state  *State
+	status consensus.Status
+	// changed is closed and replaced when a newer version is in force.
+	changed chan struct{}
+	// encoded caches the document for watchers that are far behind.
+	encoded        []byte
+	encodedVersion uint64
+	err            error
+}
+
+// newNode returns a node whose state is that of the stored snapshot.
+func newNode(parts loopParts, snapshot consensus.Snapshot, log *slog.Logger) (*Node, error) {
+	state, err := decodeState(snapshot.Data)
+	if err != nil {
+		return nil, err
+	}
+	return &Node{
+		parts: parts, log: log, state: state, status: parts.core.Status(),
+		messages: make(chan consensus.Message, inbox), proposals: make(chan *proposal, inbox),
+		reads: make(chan *read, inbox), stopped: make(chan struct{}), changed: make(chan struct{}),
+		applied: snapshot.Index, compacted: snapshot.Index,
+		waiting: map[uint64]*proposal{}, pending: map[uint64]*read{},
+	}, nil
+}
+
+// run drives consensus until ctx ends or the log cannot be written. After it
+// returns, the node answers nothing more.
+func (n *Node) run(ctx context.Context) error {
+	defer close(n.stopped)
+	defer n.abandon()
+	ticker := time.NewTicker(n.parts.tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.parts.core.Tick()
+		case m := <-n.messages:
+			n.parts.core.Step(m)
+		case p := <-n.proposals:
+			n.propose(p)
+		case r := <-n.reads:
+			n.startRead(r)
+		}
+		n.drain()
+		if err := n.carryOut(); err != nil {
+			n.mu.Lock()
+			n.err = err
+			n.mu.Unlock()
+			n.log.Error("the consensus log cannot be written, this instance takes no further part", "error", err)
+			return err
+		}
+	}
+}
+
+// drain takes what else is queued, so that one sync serves several requests.
+func (n *Node) drain() {
+	for range inbox {
+		select {
+		case m := <-n.messages:
+			n.parts.core.Step(m)
+		case p := <-n.proposals:
+			n.propose(p)
+		case r := <-n.reads:
+			n.startRead(r)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) propose(p *proposal) {
+	index, term, ok := n.parts.core.Propose(p.data)
+	if !ok {
+		p.done <- answer{outcome: Unavailable}
+		return
+	}
+	if old, found := n.waiting[index]; found {
+		// The entry of an earlier term is not in this log, but another member
+		// may still hold and commit it.
+		old.done <- answer{outcome: Unknown}
+	}
+	p.term = term
+	n.waiting[index] = p
+}
+
+func (n *Node) startRead(r *read) {
+	n.nextRead++
+	n.readTerm = n.parts.core.Status().Term
+	n.pending[n.nextRead] = r
+	if !n.parts.core.ReadIndex(n.nextRead) {
+		delete(n.pending, n.nextRead)
+		r.done <- false
+	}
+}
+
+// carryOut does the work that consensus asks for: the log is synced before
+// messages leave and before entries are applied.
+func (n *Node) carryOut() error {
+	for n.parts.core.HasReady() {
+		ready := n.parts.core.Ready()
+		if err := n.parts.store.Save(ready); err != nil {
+			return eris.Wrap(err, "save the consensus log")
+		}
+		for _, m := range ready.Messages {
+			n.parts.carrier.send(m)
+		}
+		if err := n.install(ready.Snapshot); err != nil {
+			return err
+		}
+		n.applyAll(ready.Committed)
+		n.confirmed = append(n.confirmed, ready.Reads...)
+		n.parts.core.Advance()
+	}
+	n.finishReads()
+	n.publishStatus()
+	return n.compact()
+}
+
+// install replaces the state by a snapshot from the leader.
+func (n *Node) install(snapshot *consensus.Snapshot) error {
+	if snapshot == nil || snapshot.Index <= n.applied {
+		return nil
+	}
+	state, err := decodeState(snapshot.Data)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.state = state
+	n.announce()
+	n.mu.Unlock()
+	n.applied, n.compacted = snapshot.Index, snapshot.Index
+	for index, p := range n.waiting {
+		if index <= n.applied {
+			p.done <- answerFromState(state, p)
+			delete(n.waiting, index)
+		}
+	}
+	return nil
+}
+
+// answerFromState answers a proposal whose entry is covered by a snapshot.
+func answerFromState(s *State, p *proposal) answer {
+	if entry, ok := s.lookup(p.changeID); ok && entry.Digest == p.digest {
+		return answer{outcome: Accepted, applied: applied{result: entry.Result}}
+	}
+	return answer{outcome: Unknown}
+}
+
+func (n *Node) applyAll(entries []consensus.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := n.state.document.Version
+	for _, e := range entries {
+		n.applyOne(e)
+	}
+	if n.state.document.Version != before {
+		n.announce()
+	}
+}
+
+func (n *Node) applyOne(e consensus.Entry) {
+	if e.Index <= n.applied {
+		return
+	}
+	if e.Index != n.applied+1 {
+		panic(eris.Errorf("log entry %d is committed after entry %d", e.Index, n.applied))
+	}
+	n.applied = e.Index
+	var got applied
+	if e.Kind == consensus.Command {
+		got = n.state.apply(e.Data)
+	}
+	p, ok := n.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(n.waiting, e.Index)
+	if p.term != e.Term {
+		// Another entry holds the index, so the proposal can never be committed.
+		p.done <- answer{outcome: Unavailable}
+		return
+	}
+	p.done <- answer{outcome: Accepted, applied: got}
+}
+
+// announce wakes the watchers; n.mu is held.
+func (n *Node) announce() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// finishReads answers the confirmed reads, and all others when this instance is
+// not the leader of their term any more: consensus forgets them then.
+func (n *Node) finishReads() {
+	rest := n.confirmed[:0]
+	for _, c := range n.confirmed {
+		if c.Index > n.applied {
+			rest = append(rest, c)
+			continue
+		}
+		if r, ok := n.pending[c.ID]; ok {
+			r.done <- true
+			delete(n.pending, c.ID)
+		}
+	}
+	n.confirmed = rest
+	if len(n.pending) == 0 {
+		return
+	}
+	if status := n.parts.core.Status(); status.Role != consensus.Leader || status.Term != n.readTerm {
+		for id, r := range n.pending {
+			r.done <- false
+			delete(n.pending, id)
+		}
+		n.confirmed = nil
+	}
+}
+
+func (n *Node) publishStatus() {
+	status := n.parts.core.Status()
+	n.mu.Lock()
+	old := n.status
+	n.status = status
+	n.mu.Unlock()
+	if old.Role != status.Role || old.Leader != status.Leader {
+		n.log.Info("consensus role changed", "role", roleName(status.Role), "term", status.Term, "leader", status.Leader)
+	}
+}
+
+// compact writes a snapshot when enough entries were applied since the last one.
+func (n *Node) compact() error {
+	if n.applied-n.compacted < n.parts.compactAfter {
+		return nil
+	}
+	if err := n.parts.audit.append(n.state.takeEvicted()); err != nil {
+		return err
+	}
+	data, err := n.state.encode()
+	if err != nil {
+		return err
+	}
+	n.parts.core.Compact(n.applied, data)
+	n.compacted = n.applied
+	return nil
+}
+
+// abandon answers what waits when the loop ends.
+func (n *Node) abandon() {
+	for _, p := range n.waiting {
+		p.done <- answer{outcome: Unknown}
+	}
+	for _, r := range n.pending {
+		r.done <- false
+	}
+}
+
+// submit hands a proposal to the loop and waits for its answer.
+func (n *Node) submit(ctx context.Context, p *proposal) answer {
+	p.done = make(chan answer, 1)
+	select {
+	case n.proposals <- p:
+	case <-n.stopped:
+		return answer{outcome: Unavailable}
+	case <-ctx.Done():
+		return answer{outcome: Unavailable}
+	}
+	select {
+	case a := <-p.done:
+		return a
+	case <-n.stopped:
+		return answer{outcome: Unknown}
+	case <-ctx.Done():
+		return answer{outcome: Unknown}
+	}
+}
+
+// ProposeLocal submits a change to this instance alone. The outcome is
+// Unavailable when it is not the leader.
+func (n *Node) ProposeLocal(ctx context.Context, c *document.Change) Result {
+	if first, ok := n.Decided(c); ok {
+		return first
+	}
+	data, err := json.Marshal(command{Time: n.parts.now().UTC(), Change: c})
+	if err != nil {
+		return Result{ChangeID: c.ID, Outcome: Invalid, Message: err.Error()}
+	}
+	a := n.submit(ctx, &proposal{data: data, changeID: c.ID, digest: digestOf(c)})
+	if a.outcome == Accepted {
+		return a.applied.result
+	}
+	return Result{ChangeID: c.ID, Outcome: a.outcome, Version: n.Document().Version}
+}
+
+// Decided returns the first result of a change that this instance has applied.
+func (n *Node) Decided(c *document.Change) (Result, bool) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	entry, ok := n.state.lookup(c.ID)
+	if !ok || entry.Digest != digestOf(c) {
+		return Result{}, false
+	}
+	return entry.Result, true
+}
+
+// RequestLease submits a lease request to this instance. It returns the lease in
+// force and whether the request was granted; the error tells that the instance
+// is not the leader or that the outcome is unknown.
+func (n *Node) RequestLease(ctx context.Context, r LeaseRequest) (Lease, bool, error) {
+	data, err := json.Marshal(command{Time: n.parts.now().UTC(), Lease: &r})
+	if err != nil {
+		return Lease{}, false, eris.Wrap(err, "encode the lease request")
+	}
+	a := n.submit(ctx, &proposal{data: data})
+	if a.outcome != Accepted {
+		return Lease{}, false, eris.Errorf("the lease request is %s", a.outcome)
+	}
+	return a.applied.lease, a.applied.granted, nil
+}
+
+// confirm reports whether the applied state is linearizable for a read that
+// began before the call. It is false when this instance is not the leader.
+func (n *Node) confirm(ctx context.Context) bool {
+	r := &read{done: make(chan bool, 1)}
+	select {
+	case n.reads <- r:
+	case <-n.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case ok := <-r.done:
+		return ok
+	case <-n.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Document returns the applied document; it may be stale.
+func (n *Node) Document() *document.Document {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.state.document
+}
+
+// Status returns the consensus status of this instance.
+func (n *Node) Status() consensus.Status {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.status
+}
+
+// Lease returns the applied lease; it may be stale.
+func (n *Node) Lease() Lease {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.state.lease
+}
+
+// Audit returns up to limit applied audit entries after a sequence number.
+func (n *Node) Audit(after uint64, limit int) []AuditEntry {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.state.Audit(after, limit)
+}
+
+// failure returns the error that ended the loop.
+func (n *Node) failure() error {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.err
+}
+
+// inTouch reports whether this instance takes part and knows a leader.
+func (n *Node) inTouch() bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.err == nil && n.status.Role != consensus.Learner && n.status.Leader != ""
+}
+
+// reliable reports whether the applied state came from this group: an empty
+// disk that was not brought up to date holds nothing that may be served.
+func (n *Node) reliable() bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.err == nil && n.status.Role != consensus.Learner
+}
+
+// waitVersion returns the document once at least the given version is applied.
+func (n *Node) waitVersion(ctx context.Context, version uint64) (*document.Document, error) {
+	for {
+		n.mu.RLock()
+		d, changed := n.state.document, n.changed
+		n.mu.RUnlock()
+		if d.Version >= version {
+			return d, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, eris.Wrapf(ctx.Err(), "wait for version %d", version)
+		}
+	}
+}
+
+// roleName returns the name of a role in logs and answers.
+func roleName(r consensus.Role) string {
+	switch r {
+	case consensus.Learner:
+		return "learner"
+	case consensus.Follower:
+		return "follower"
+	case consensus.Candidate:
+		return "candidate"
+	case consensus.Leader:
+		return "leader"
+	}
+	return "unknown"
+}
+
+// remote calls other control instances.
+type remote interface {
+	propose(ctx context.Context, leader consensus.MemberID, c *document.Change) Result
+	read(ctx context.Context, leader consensus.MemberID) (version uint64, ok bool)
+}
+
+// rpcRemote is the remote over pkg/rpc.
+type rpcRemote struct {
+	dialer    *rpc.Dialer
+	addresses map[consensus.MemberID]string
+}
+
+func (r *rpcRemote) propose(ctx context.Context, leader consensus.MemberID, c *document.Change) Result {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return Result{ChangeID: c.ID, Outcome: Invalid, Message: err.Error()}
+	}
+	response, err := rpc.Call(ctx, r.dialer, r.addresses[leader], forwardTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*wire.ProposeResponse, error) {
+			return wire.NewDRPCControlClient(conn).Propose(ctx, &wire.ProposeRequest{Change: data, Forwarded: true})
+		})
+	var dial *rpc.DialError
+	if errors.As(err, &dial) {
+		return Result{ChangeID: c.ID, Outcome: Unavailable, Message: err.Error()}
+	}
+	var result Result
+	if err == nil {
+		err = json.Unmarshal(response.Result, &result)
+	}
+	if err != nil {
+		return Result{ChangeID: c.ID, Outcome: Unknown, Message: err.Error()}
+	}
+	return result
+}
+
+func (r *rpcRemote) read(ctx context.Context, leader consensus.MemberID) (uint64, bool) {
+	response, err := rpc.Call(ctx, r.dialer, r.addresses[leader], forwardTimeout,
+		func(ctx context.Context, conn drpc.Conn) (*wire.ReadResponse, error) {
+			return wire.NewDRPCControlClient(conn).Read(ctx, &wire.ReadRequest{Linearizable: true, Forwarded: true})
+		})
+	if err != nil {
+		return 0, false
+	}
+	return response.Version, response.Confirmed
+}
+
+// router sends proposals and reads to the leader, here or elsewhere.
+type router struct {
+	node   *Node
+	self   consensus.MemberID
+	remote remote
+}
+
+// Propose submits a change at the leader and returns its result. Only attempts
+// that were provably not proposed are repeated, until ctx or requestTimeout
+// ends. After Unknown the caller resends the change under the same identifier.
+func (r *router) Propose(ctx context.Context, c *document.Change) Result {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	for {
+		result := r.proposeOnce(ctx, c)
+		if result.Outcome != Unavailable || !pause(ctx, retryPause) {
+			return result
+		}
+	}
+}
+
+func (r *router) proposeOnce(ctx context.Context, c *document.Change) Result {
+	if leader := r.node.Status().Leader; leader != "" && leader != r.self {
+		return r.remote.propose(ctx, leader, c)
+	}
+	return r.node.ProposeLocal(ctx, c)
+}
+
+// Read returns the document in force: every change that was accepted before the
+// call is in it. It fails when no leader confirms in time.
+func (r *router) Read(ctx context.Context) (*document.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	for {
+		if d, ok := r.readOnce(ctx); ok {
+			return d, nil
+		}
+		if !pause(ctx, retryPause) {
+			return nil, eris.New("no leader confirms the version in force")
+		}
+	}
+}
+
+func (r *router) readOnce(ctx context.Context) (*document.Document, bool) {
+	leader := r.node.Status().Leader
+	if leader == "" || leader == r.self {
+		if !r.node.confirm(ctx) {
+			return nil, false
+		}
+		return r.node.Document(), true
+	}
+	version, ok := r.remote.read(ctx, leader)
+	if !ok {
+		return nil, false
+	}
+	d, err := r.node.waitVersion(ctx, version)
+	return d, err == nil
+}
+
+// pause waits and reports whether ctx is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
