gpctl: operators' command line

Cause: operators need to read, compare and change the configuration from a shell, and to resend a change safely after a lost answer. Change: get, diff, apply, validate, audit, status, hash-key. Requests go to the control addresses in turn until one gives a final answer; a change keeps its identifier over all attempts. Exit statuses tell a refusal (1), wrong usage (2), nothing changed (3) and an unknown outcome (4). Ruled out: reporting only the last attempt: an attempt that may have taken effect makes the outcome unknown whatever follows without a final answer.

--- /dev/null
+++ b/cmd/gpctl/commands.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+)
+
+// get calls the API with the time of the flags.
+func get(ctx context.Context, path string) ([]byte, error) {
+	c, err := newClient()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, *timeoutFlag)
+	defer cancel()
+	return c.call(ctx, http.MethodGet, path, nil)
+}
+
+// printJSON prints an answer indented.
+func printJSON(raw []byte, err error) subcommands.ExitStatus {
+	if err != nil {
+		return report(err)
+	}
+	var out bytes.Buffer
+	if err := json.Indent(&out, raw, "", "  "); err != nil {
+		return report(err)
+	}
+	fmt.Println(out.String())
+	return subcommands.ExitSuccess
+}
+
+func readDocument(file string) (*document.Document, []byte, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "-file")
+	}
+	d := document.Empty()
+	return d, raw, settings.Decode(file, raw, d)
+}
+
+type getCommand struct{ stale bool }
+
+func (*getCommand) Name() string     { return "get" }
+func (*getCommand) Synopsis() string { return "print the configuration in force" }
+func (*getCommand) Usage() string    { return "get [-stale]: print the configuration in force\n" }
+func (c *getCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.stale, "stale", false, "take the version that one instance has applied")
+}
+
+func (c *getCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.stale {
+		return printJSON(get(ctx, "/v1/config?stale=1"))
+	}
+	return printJSON(get(ctx, "/v1/config"))
+}
+
+type diffCommand struct{ file string }
+
+func (*diffCommand) Name() string     { return "diff" }
+func (*diffCommand) Synopsis() string { return "print what a file would change" }
+func (*diffCommand) Usage() string {
+	return "diff -file FILE: print the ops that lead from the configuration in force to FILE\n"
+}
+func (c *diffCommand) SetFlags(f *flag.FlagSet) { f.StringVar(&c.file, "file", "", "wanted document") }
+
+func (c *diffCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	wanted, _, err := readDocument(c.file)
+	if err != nil {
+		return usage(err)
+	}
+	raw, err := get(ctx, "/v1/config")
+	if err != nil {
+		return report(err)
+	}
+	current := document.Empty()
+	if err := json.Unmarshal(raw, current); err != nil {
+		return report(eris.Wrap(err, "decode the configuration in force"))
+	}
+	ops, err := document.Diff(current, wanted)
+	if err != nil {
+		return report(err)
+	}
+	fmt.Printf("base %d, %d ops\n", current.Version, len(ops))
+	for _, op := range ops {
+		if len(op.Value) == 0 {
+			fmt.Printf("delete %s/%s\n", op.Section, op.Name)
+		} else {
+			fmt.Printf("set    %s/%s %s\n", op.Section, op.Name, op.Value)
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+type applyCommand struct{ file, base, changeID string }
+
+func (*applyCommand) Name() string     { return "apply" }
+func (*applyCommand) Synopsis() string { return "put a file in force" }
+func (*applyCommand) Usage() string {
+	return "apply -file FILE -base VERSION [-change-id ID]: put FILE in force if VERSION is still in force\n"
+}
+func (c *applyCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "file", "", "wanted document")
+	f.StringVar(&c.base, "base", "", "version that the file was made from")
+	f.StringVar(&c.changeID, "change-id", "", "identifier of the change (default: a new one)")
+}
+
+func (c *applyCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if _, err := strconv.ParseUint(c.base, 10, 64); err != nil {
+		return usage(eris.New("-base: must be a version"))
+	}
+	wanted, raw, err := readDocument(c.file)
+	if err != nil {
+		return usage(err)
+	}
+	if faults := wanted.Validate(); len(faults) > 0 {
+		return printFaults(c.file, faults)
+	}
+	if c.changeID == "" {
+		c.changeID = rand.Text()
+	}
+	fmt.Fprintln(os.Stderr, "change-id", c.changeID)
+	client, err := newClient()
+	if err != nil {
+		return usage(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, *timeoutFlag)
+	defer cancel()
+	query := url.Values{"base": {c.base}, "change_id": {c.changeID}}
+	return printJSON(client.call(ctx, http.MethodPut, "/v1/config?"+query.Encode(), raw))
+}
+
+type validateCommand struct{ file string }
+
+func (*validateCommand) Name() string     { return "validate" }
+func (*validateCommand) Synopsis() string { return "check a file without a control instance" }
+func (*validateCommand) Usage() string    { return "validate -file FILE: check a document\n" }
+func (c *validateCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "file", "", "document to check")
+}
+
+func (c *validateCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	d, _, err := readDocument(c.file)
+	if err != nil {
+		return report(err)
+	}
+	if faults := d.Validate(); len(faults) > 0 {
+		return printFaults(c.file, faults)
+	}
+	fmt.Println(c.file, "is valid")
+	return subcommands.ExitSuccess
+}
+
+func printFaults(file string, faults []document.Fault) subcommands.ExitStatus {
+	for _, f := range faults {
+		fmt.Fprintf(os.Stderr, "%s: %s\n", file, f)
+	}
+	return exitRefused
+}
+
+type auditCommand struct{ after, limit uint64 }
+
+func (*auditCommand) Name() string     { return "audit" }
+func (*auditCommand) Synopsis() string { return "print the audit trail" }
+func (*auditCommand) Usage() string    { return "audit [-after SEQ] [-limit N]: print audit entries\n" }
+func (c *auditCommand) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.after, "after", 0, "print entries after this sequence number")
+	f.Uint64Var(&c.limit, "limit", 1000, "print at most this many entries")
+}
+
+func (c *auditCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return printJSON(get(ctx, fmt.Sprintf("/v1/audit?after=%d&limit=%d", c.after, c.limit)))
+}
+
+type statusCommand struct{}
+
+func (*statusCommand) Name() string           { return "status" }
+func (*statusCommand) Synopsis() string       { return "print the state of all control instances" }
+func (*statusCommand) Usage() string          { return "status: print the state of each control instance\n" }
+func (*statusCommand) SetFlags(*flag.FlagSet) {}
+
+func (*statusCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c, err := newClient()
+	if err != nil {
+		return usage(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, *timeoutFlag)
+	defer cancel()
+	answers := 0
+	for _, address := range c.addresses {
+		raw, _, err := c.attempt(ctx, http.MethodGet, address+"/v1/status", nil)
+		if err != nil {
+			fmt.Printf("%s: %v\n", address, err)
+			continue
+		}
+		answers++
+		fmt.Printf("%s: %s", address, raw)
+	}
+	if answers == 0 {
+		return exitUnavailable
+	}
+	return subcommands.ExitSuccess
+}
+
+type hashKeyCommand struct{}
+
+func (*hashKeyCommand) Name() string     { return "hash-key" }
+func (*hashKeyCommand) Synopsis() string { return "print the stored form of a key" }
+func (*hashKeyCommand) Usage() string {
+	return "hash-key < FILE: print the SHA-256 hash of the key on standard input, for settings and documents\n"
+}
+func (*hashKeyCommand) SetFlags(*flag.FlagSet) {}
+
+func (*hashKeyCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	raw, err := io.ReadAll(io.LimitReader(os.Stdin, 64<<10))
+	key := bytes.TrimSpace(raw)
+	if err == nil && len(key) == 0 {
+		err = eris.New("the key is empty")
+	}
+	if err != nil {
+		return report(err)
+	}
+	fmt.Println(document.HashKey(string(key)))
+	return subcommands.ExitSuccess
+}
