--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -70,7 +70,7 @@
 }
 
 type deployment struct {
-	t        *testing.T
+	t        testing.TB
 	folder   string
 	subnet   int
 	shape    shape
@@ -83,7 +83,7 @@
 
 // startDeployment starts all processes, proposes the first configuration and
 // waits until every entry instance is ready.
-func startDeployment(t *testing.T, s shape) *deployment {
+func startDeployment(t testing.TB, s shape) *deployment {
 	t.Helper()
 	d := &deployment{t: t, folder: t.TempDir(), shape: s, subnet: firstSubnet + int(subnets.Add(1))%subnetCount}
 	d.layOut()
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -44,7 +44,7 @@
 
 // process is one running command.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	args    []string
 	cmd     *exec.Cmd
@@ -55,7 +55,7 @@
 
 // startProcess runs a command of ours; its output goes to a file that is shown
 // when the test fails.
-func startProcess(t *testing.T, folder, name, binary string, args ...string) *process {
+func startProcess(t testing.TB, folder, name, binary string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, args: append([]string{binary}, args...), log: filepath.Join(folder, name+".log")}
 	p.start()
@@ -127,7 +127,7 @@
 }
 
 // eventually polls until check succeeds; it fails the test after the limit.
-func eventually(t *testing.T, limit time.Duration, what string, check func() error) {
+func eventually(t testing.TB, limit time.Duration, what string, check func() error) {
 	t.Helper()
 	const pause = 20 * time.Millisecond
 	var err error
--- a/internal/e2e/relay_test.go
+++ b/internal/e2e/relay_test.go
@@ -34,7 +34,7 @@
 	_ = c.outer.Close()
 }
 
-func startRelay(t *testing.T, address, target string) *relay {
+func startRelay(t testing.TB, address, target string) *relay {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
