--- a/pkg/configwatch/service.go
+++ b/pkg/configwatch/service.go
@@ -23,8 +23,7 @@
 
 const (
 	// silenceLimit drops a watch without news. Control instances send a
-	// heartbeat every second while they know a leader, and an open connection
-	// may be silent for good.
+	// heartbeat every second, and an open connection may be silent for good.
 	silenceLimit = 3 * time.Second
 	// askLimit bounds the question for the newest version after a start.
 	askLimit = 3 * time.Second
@@ -46,6 +45,8 @@
 	ready    atomic.Bool
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
+	// following is set while a watch gets news; it belongs to run.
+	following bool
 
 	// silence and ask are silenceLimit and askLimit, shorter in tests.
 	silence, ask time.Duration
@@ -152,7 +153,10 @@
 		if ctx.Err() != nil || limit.Err() != nil {
 			return
 		}
-		s.log.Info("configuration watch ended", "control", c.ID, "error", err)
+		if s.following {
+			s.following = false
+			s.log.Info("configuration watch ended", "control", c.ID, "error", err)
+		}
 	}
 	pause(ctx, retryPause)
 }
@@ -226,6 +230,7 @@
 		// An instance that is behind this one does not count as news.
 		if event.Version >= s.Current().Version {
 			silence.Reset(s.silence)
+			s.noteFollowing(address)
 		}
 		u, err := r.take(s.Current(), event)
 		if err != nil {
@@ -240,6 +245,14 @@
 	}
 }
 
+// noteFollowing logs that a watch has news after a time without.
+func (s *Service) noteFollowing(address string) {
+	if !s.following {
+		s.following = true
+		s.log.Info("configuration is followed", "address", address, "version", s.Current().Version)
+	}
+}
+
 // put stores an update and then puts it in force, so that a restart cannot go
 // back. If it cannot be stored, nothing stays stored.
 func (s *Service) put(u *update, store bool) {
--- a/pkg/control/loopback_test.go
+++ b/pkg/control/loopback_test.go
@@ -36,6 +36,7 @@
 	peers    []settings.Peer
 	settings []settings.Control
 	stores   []*memoryStore
+	disks    []consensus.DiskID
 	services []*Service
 	kernels  []*kernel.Kernel
 	cancels  []context.CancelFunc
@@ -48,6 +49,7 @@
 	for i := range size {
 		l.peers = append(l.peers, settings.Peer{ID: fmt.Sprint("c", i+1), DataCentre: fmt.Sprint("dc", i%3+1), Address: freeAddress(t)})
 		l.stores = append(l.stores, &memoryStore{})
+		l.disks = append(l.disks, consensus.DiskID("disk-"+fmt.Sprint(i)))
 	}
 	for i, p := range l.peers {
 		s := settings.DefaultControl()
@@ -72,7 +74,7 @@
 	metrics, err := telemetry.New()
 	qt.Assert(l.t, err, qt.IsNil)
 	open := func(string) (Store, consensus.Stored, consensus.DiskID, error) {
-		return l.stores[i], l.stores[i].read(), consensus.DiskID("disk-" + l.peers[i].ID), nil
+		return l.stores[i], l.stores[i].read(), l.disks[i], nil
 	}
 	l.services[i] = New(l.settings[i], rpc.NewDialer(nil, counters), rpc.NewServer(nil, counters, log), metrics, open)
 	l.kernels[i], l.cancels[i] = kernel.New(log), cancel
@@ -233,6 +235,40 @@
 	qt.Assert(t, nobody.Ready(), qt.IsFalse)
 }
 
+// Guards against an instance that cannot come back on a new disk: the state is
+// larger than one drpc packet and travels in pieces. Meanwhile a watcher must
+// not take version 0 from the empty disk.
+func TestLostDiskIsRepaired(t *testing.T) {
+	l := newLoopback(t, 3)
+	const changes, items = 110, 400 // 110 entries exceed compact_after.
+	for i := range changes {
+		var ops []document.Op
+		for j := range items {
+			ops = append(ops, organisationOp(fmt.Sprintf("org-%d-%d", i, j), 1+j%9))
+		}
+		c := document.Change{ID: fmt.Sprint(i), Operator: "rozenn", Base: uint64(i), Ops: ops}
+		qt.Assert(t, l.change(0, c), qt.Equals, uint64(i+1))
+	}
+	want := l.services[0].Node().Document()
+	l.stop(2)
+	l.stores[2], l.disks[2] = &memoryStore{}, "disk-new"
+	l.start(2)
+	w := l.watch("e1", "dc3", "", l.peers[2:], nil)
+	until(t, "the empty instance is up to date", func() bool {
+		if w.Ready() {
+			qt.Assert(t, w.Current().Version, qt.Equals, uint64(changes))
+		}
+		return l.services[2].Node().Document().Version == changes
+	})
+	until(t, "the new disk is a member", func() bool { return l.services[0].Node().Status().Members["c3"] == "disk-new" })
+	until(t, "the watcher is up to date", func() bool { return w.Ready() && w.Current().Version == changes })
+	a, _ := json.Marshal(want)
+	b, _ := json.Marshal(w.Current())
+	qt.Assert(t, string(a) == string(b), qt.IsTrue)
+	size := len(l.stores[0].read().Snapshot.Data)
+	qt.Assert(t, size > 4*pieceBytes, qt.IsTrue, qt.Commentf("%d bytes", size))
+}
+
 // silentServer accepts connections and never answers.
 func silentServer(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -35,6 +35,9 @@
 	// auditKept is the number of audit entries, and with them results by change
 	// identifier, that the state keeps. Older audit entries go to a file.
 	auditKept = 10_000
+	// auditBytes bounds the ops in these entries: 10,000 changes of the largest
+	// size would take 10 GB.
+	auditBytes = 32 << 20
 	// watchWindow is the number of versions that a watcher may lag behind and
 	// still get differences; beyond it a snapshot is smaller for documents of
 	// usual size.
@@ -117,6 +120,8 @@
 	// audit holds the entries with consecutive sequence numbers up to lastSeq.
 	audit   []AuditEntry
 	lastSeq uint64
+	// size is the size of the ops in audit, in bytes.
+	size int
 	// decided maps a change identifier to the sequence number of its result.
 	decided map[string]uint64
 	lease   Lease
@@ -194,10 +199,14 @@
 	return Result{ChangeID: c.ID, Outcome: Accepted, Version: next.Version}, next
 }
 
+// maxFaults bounds the faults in a result, which the state keeps.
+const maxFaults = 100
+
 func (s *State) rejected(c *document.Change, faults ...document.Fault) Result {
 	return Result{
 		ChangeID: c.ID, Outcome: Invalid, Version: s.document.Version,
-		Message: fmt.Sprintf("%d faults, the first is %s", len(faults), faults[0]), Faults: faults,
+		Message: fmt.Sprintf("%d faults, the first is %s", len(faults), faults[0]),
+		Faults:  faults[:min(len(faults), maxFaults)],
 	}
 }
 
@@ -280,16 +289,25 @@
 	s.audit = append(s.audit, AuditEntry{
 		Seq: s.lastSeq, Time: at.UTC(), Operator: c.Operator, Base: c.Base, Result: result, Digest: digest, Ops: ops,
 	})
-	for len(s.audit) > auditKept {
+	s.size += sizeOf(ops)
+	for len(s.audit) > auditKept || s.size > auditBytes && len(s.audit) > 1 {
 		s.evict()
 	}
 }
 
+func sizeOf(ops []document.Op) (size int) {
+	for _, op := range ops {
+		size += len(op.Section) + len(op.Name) + len(op.Value)
+	}
+	return size
+}
+
 // evict moves the oldest audit entry out of the window and forgets its result.
 func (s *State) evict() {
 	oldest := s.audit[0]
 	s.audit[0] = AuditEntry{}
 	s.audit = s.audit[1:]
+	s.size -= sizeOf(oldest.Ops)
 	if s.decided[oldest.Result.ChangeID] == oldest.Seq {
 		delete(s.decided, oldest.Result.ChangeID)
 	}
@@ -412,6 +430,7 @@
 		undecided[seq] = true
 	}
 	for _, e := range s.audit {
+		s.size += sizeOf(e.Ops)
 		if !undecided[e.Seq] {
 			s.decided[e.Result.ChangeID] = e.Seq
 		}
--- a/pkg/control/state_test.go
+++ b/pkg/control/state_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -237,3 +238,32 @@
 	apply(Accepted, with("a"))
 	apply(Accepted, with("c", two))
 }
+
+// Guards against an audit trail of large changes that fills the memory.
+func TestAuditBytes(t *testing.T) {
+	s := NewState()
+	large, _ := json.Marshal(document.Organisation{Weight: 1, Ranks: []string{document.Urgent}, Services: make([]string, 300_000)})
+	ranks := slices.Repeat([]string{document.Urgent}, 100)
+	for i := range 45 {
+		value, _ := json.Marshal(document.Organisation{Weight: 1 + i%9, Ranks: ranks})
+		var ops []document.Op
+		for j := range 900 {
+			ops = append(ops, document.Op{Section: document.SectionOrganisations, Name: fmt.Sprint("org-", j), Value: value})
+		}
+		result := applyTo(s, document.Change{ID: fmt.Sprint(i), Operator: "rozenn", Base: s.document.Version, Ops: ops})
+		qt.Assert(t, result.Outcome, qt.Equals, Accepted)
+	}
+	result := applyTo(s, document.Change{ID: "large", Operator: "rozenn", Base: 45, Ops: []document.Op{
+		{Section: document.SectionOrganisations, Name: "large", Value: large}}})
+	qt.Assert(t, result.Outcome, qt.Equals, Invalid)
+	qt.Assert(t, result.Faults, qt.HasLen, maxFaults)
+	total := 0
+	for _, e := range s.audit {
+		total += sizeOf(e.Ops)
+	}
+	qt.Assert(t, total, qt.Equals, s.size)
+	qt.Assert(t, total <= auditBytes, qt.IsTrue)
+	qt.Assert(t, len(s.evicted) > 0, qt.IsTrue)
+	qt.Assert(t, len(s.audit)+len(s.evicted), qt.Equals, 46)
+	qt.Assert(t, s.decided, qt.HasLen, len(s.audit))
+}
--- a/pkg/control/transport.go
+++ b/pkg/control/transport.go
@@ -23,6 +23,10 @@
 	// peerQueue bounds the messages that wait for one peer. Messages beyond it
 	// are dropped; consensus sends them again.
 	peerQueue = 256
+	// transferRest is the least time between two large messages to one peer:
+	// consensus repeats a snapshot until it is acknowledged, which takes the
+	// peer longer than the repetition interval when the state is large.
+	transferRest = time.Second
 	// pieceBytes is the largest part of a message in one call; drpc refuses
 	// packets above 4 MiB.
 	pieceBytes = 1 << 20
@@ -47,6 +51,8 @@
 	address  string
 	queue    chan consensus.Message
 	transfer uint64
+	// rest is the end of the time without large messages.
+	rest time.Time
 }
 
 func newTransport(dialer *rpc.Dialer, log *slog.Logger, self string, members []settings.Peer) *transport {
@@ -85,23 +91,35 @@
 		case <-ctx.Done():
 			return
 		case m := <-p.queue:
-			for _, request := range p.batch(self, m) {
-				if err := t.step(ctx, p.address, request); err != nil {
-					break
-				}
-			}
+			t.deliver(ctx, p, p.batch(self, m))
 		}
 	}
 }
 
+// deliver makes the calls of a batch until one fails; the rest of it is lost.
+func (t *transport) deliver(ctx context.Context, p *peer, requests []*wire.StepRequest) {
+	start := time.Now()
+	large := false
+	for _, request := range requests {
+		large = large || request.Piece != nil
+		if t.step(ctx, p.address, request) != nil {
+			break
+		}
+	}
+	if large {
+		p.rest = time.Now().Add(max(transferRest, 2*time.Since(start)))
+	}
+}
+
 // batch returns the calls for a message and the small ones queued behind it.
 func (p *peer) batch(self string, m consensus.Message) []*wire.StepRequest {
 	var requests []*wire.StepRequest
 	current, size := &wire.StepRequest{}, 0
+	transfers := p.transfer
 	for {
-		data, err := consensus.Encode(m)
+		data, err := p.encode(m, p.transfer != transfers)
 		switch {
-		case err != nil: // Cannot be carried; to consensus it is a lost message.
+		case data == nil || err != nil: // To consensus it is a lost message.
 		case len(data) > pieceBytes:
 			p.transfer++
 			requests = append(requests, split(self, p.transfer, data)...)
@@ -124,6 +142,14 @@
 	}
 }
 
+// encode returns no data for a snapshot that must wait.
+func (p *peer) encode(m consensus.Message, busy bool) ([]byte, error) {
+	if m.Snapshot != nil && len(m.Snapshot.Data) > pieceBytes && (busy || time.Now().Before(p.rest)) {
+		return nil, nil
+	}
+	return consensus.Encode(m)
+}
+
 func split(self string, transfer uint64, data []byte) []*wire.StepRequest {
 	var requests []*wire.StepRequest
 	for i := 0; i*pieceBytes < len(data); i++ {
--- a/pkg/control/watch.go
+++ b/pkg/control/watch.go
@@ -13,13 +13,19 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
-// heartbeatInterval is the interval at which a watcher without news gets the
-// version in force. Watchers take three missed heartbeats for silence.
-const heartbeatInterval = time.Second
+const (
+	// heartbeatInterval is the interval at which a watcher without news gets the
+	// version in force. Watchers take three missed heartbeats for silence.
+	heartbeatInterval = time.Second
+	// leaderlessBeats is the number of heartbeats without a leader after which
+	// watches are ended. An election is usually over before.
+	leaderlessBeats = 2
+)
+
+var errLeaderless = eris.New("this instance knows no leader")
 
-// watch sends accepted changes after a version until ctx ends. It sends no
-// heartbeat while this instance knows no leader, so that the watcher turns to
-// an instance that does.
+// watch sends accepted changes after a version until ctx ends. It fails when
+// this instance knows no leader, so that the watcher turns to one that does.
 func (n *Node) watch(ctx context.Context, from uint64, out configwatch.Sender) error {
 	if !n.reliable() {
 		return eris.New("this instance is not up to date")
@@ -28,12 +34,15 @@
 	defer n.watchers.Add(-1)
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	at := from
-	for {
+	at, missed := from, leaderlessBeats-1
+	for beat := true; ; {
 		n.mu.RLock()
 		changed := n.changed
 		n.mu.RUnlock()
 		reached, err := n.sendNews(at, out)
+		if err == nil && beat {
+			missed, err = n.sendBeat(reached, missed, out)
+		}
 		if err != nil {
 			return err
 		}
@@ -44,17 +53,28 @@
 		case <-n.stopped:
 			return nil
 		case <-changed:
+			beat = false
 		case <-ticker.C:
-			if n.inTouch() {
-				err = out.Send(&wire.WatchEvent{Version: n.Document().Version, Heartbeat: true})
-			}
-		}
-		if err != nil {
-			return eris.Wrap(err, "send a heartbeat")
+			beat = true
 		}
 	}
 }
 
+// sendBeat sends a heartbeat if a leader is known, and returns the number of
+// heartbeats missed in a row. The heartbeat names no version that was not sent:
+// a newer one may be in force by now. A watcher that is ahead gets the version
+// of this instance.
+func (n *Node) sendBeat(reached uint64, missed int, out configwatch.Sender) (int, error) {
+	if n.inTouch() {
+		err := out.Send(&wire.WatchEvent{Version: min(reached, n.Document().Version), Heartbeat: true})
+		return 0, eris.Wrap(err, "send a heartbeat")
+	}
+	if missed++; missed >= leaderlessBeats {
+		return missed, errLeaderless
+	}
+	return missed, nil
+}
+
 // sendNews sends what the watcher misses and returns the version it has then.
 func (n *Node) sendNews(at uint64, out configwatch.Sender) (uint64, error) {
 	n.mu.RLock()
@@ -115,7 +135,8 @@
 			return nil, eris.Errorf("%q is no member", p.From)
 		}
 		if data, whole := s.assembler.add(p); whole {
-			s.take(ctx, data)
+			// Decoding takes longer than the deadline of the call allows.
+			go s.take(context.WithoutCancel(ctx), data)
 		}
 	}
 	for _, data := range request.Messages {
