--- a/pkg/once/api.go
+++ b/pkg/once/api.go
@@ -60,5 +60,5 @@
 	Organisation string
 	Digest       Digest
 	// Executor is unique to this claim.
-	Executor string
+	Executor uint64
 }
