Whole path as separate processes, with failure tests

Cause: the parts had not met. Ruled out: waiting for the scheduler; the thin broker (random announced backend server) stands in until it lands. Change: gp-control, stand-in service, try-out flags; engines may announce another address than they listen on, so that a relay can stand before them.

--- /dev/null
+++ b/cmd/gp-control/main.go
@@ -0,0 +1,28 @@
+// Command gp-control runs a control instance.
+//
+// The exit status is 0 after a planned stop, 1 when the instance could not
+// start or could not write its log any more, and 2 on wrong usage or settings.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&validateCommand{}, "")
+	subcommands.Register(&defaultsCommand{}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(code))
+}
--- a/cmd/gp-standin/engine.go
+++ b/cmd/gp-standin/engine.go
@@ -38,6 +38,7 @@
 func (c *engineCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.options.ID, "id", "", "identifier of the engine")
 	f.StringVar(&c.options.Address, "address", "127.0.0.1:0", "IP address and port to serve on")
+	f.StringVar(&c.options.Advertise, "advertise", "", "announced IP address and port (default: address)")
 	f.StringVar(&c.options.DataCentre, "data-centre", "", "data centre of the engine")
 	f.StringVar(&c.models, "model", "", "models, separated by commas")
 	f.IntVar(&c.options.Slots, "slots", 8, "generations that run at once")
--- a/cmd/gp-standin/main.go
+++ b/cmd/gp-standin/main.go
@@ -15,6 +15,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&engineCommand{}, "")
+	subcommands.Register(&serviceCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	code := subcommands.Execute(ctx)
--- a/internal/e2e/backends_test.go
+++ b/internal/e2e/backends_test.go
@@ -46,8 +46,8 @@
 	b.address = fmt.Sprintf("%s:%d", d.ip(dc, serviceHost+n), servicePort)
 	b.executions = fmt.Sprintf("%s/executions-%s", d.folder, b.id)
 	b.process = startProcess(d.t, d.folder, b.id, "gp-standin", "service",
-		"-id", b.id, "-address", b.address, "-data-centre", dataCentre, "-service", "shop",
-		"-slots", "16", "-delay-ms", "50", "-executions", b.executions, "-announce-to", d.announceTo(dataCentre))
+		"-id", b.id, "-address", b.address, "-data-centre", dataCentre, "-pool", "shop",
+		"-slots", "16", "-delay", "50ms", "-executions", b.executions, "-announce-to", d.announceTo(dataCentre))
 	return b
 }
 
--- /dev/null
+++ b/pkg/console/console_test.go
@@ -0,0 +1,201 @@
+package console
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/cookiejar"
+	"net/http/httptest"
+	"net/url"
+	"regexp"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/control"
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+)
+
+// fakeControl accepts changes by compare-and-swap; lost makes the next result unknown.
+type fakeControl struct {
+	current *document.Document
+	results map[string]control.Result
+	lost    bool
+}
+
+func (f *fakeControl) Read(context.Context) (*document.Document, error) { return f.current, nil }
+
+func (f *fakeControl) Propose(_ context.Context, c *document.Change) control.Result {
+	result, decided := f.results[c.ID]
+	if !decided {
+		result = control.Result{ChangeID: c.ID, Outcome: control.Conflict, Version: f.current.Version}
+		if c.Base == f.current.Version {
+			next, err := f.current.Apply(c.Ops)
+			if err != nil || len(next.Validate()) > 0 {
+				return control.Result{ChangeID: c.ID, Outcome: control.Invalid, Message: fmt.Sprint(err, next.Validate())}
+			}
+			f.current = next
+			result = control.Result{ChangeID: c.ID, Outcome: control.Accepted, Version: next.Version}
+		}
+		f.results[c.ID] = result
+	}
+	if f.lost {
+		f.lost = false
+		return control.Result{ChangeID: c.ID, Outcome: control.Unknown}
+	}
+	return result
+}
+
+// browser is one signed-in operator.
+type browser struct {
+	t      *testing.T
+	server *httptest.Server
+	client http.Client
+}
+
+func newBrowser(t *testing.T, s *httptest.Server, key string) *browser {
+	jar, err := cookiejar.New(nil)
+	qt.Assert(t, err, qt.IsNil)
+	b := &browser{t: t, server: s, client: http.Client{Jar: jar}}
+	b.send("/sign-in", url.Values{"key": {key}})
+	return b
+}
+
+func (b *browser) read(response *http.Response, err error) (int, string) {
+	b.t.Helper()
+	qt.Assert(b.t, err, qt.IsNil)
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	qt.Assert(b.t, err, qt.IsNil)
+	return response.StatusCode, string(raw)
+}
+
+func (b *browser) get(path string) (int, string) {
+	b.t.Helper()
+	return b.read(b.client.Get(b.server.URL + prefix + path))
+}
+
+func (b *browser) send(path string, form url.Values) (int, string) {
+	b.t.Helper()
+	return b.read(b.client.PostForm(b.server.URL+prefix+path, form))
+}
+
+var tokenPattern = regexp.MustCompile(`name="token" value="([^"]+)"`)
+
+// post sends a form with the token of the session.
+func (b *browser) post(path string, form url.Values) (int, string) {
+	b.t.Helper()
+	_, body := b.get("/")
+	match := tokenPattern.FindStringSubmatch(body)
+	qt.Assert(b.t, match, qt.HasLen, 2, qt.Commentf("%s", body))
+	form.Set("token", match[1])
+	return b.send(path, form)
+}
+
+func testConsole(t *testing.T) (*httptest.Server, *fakeControl) {
+	f := &fakeControl{current: document.Empty(), results: map[string]control.Result{}}
+	names := map[string]string{"key-1": "rozenn", "key-2": "erwan"}
+	c := New(f, func(key string) (string, bool) {
+		name, ok := names[key]
+		return name, ok
+	})
+	s := httptest.NewServer(c.Handler())
+	t.Cleanup(s.Close)
+	return s, f
+}
+
+func organisation(name, weight string) url.Values {
+	return url.Values{"item": {name}, "weight": {weight}, "ranks": {"urgent\npatient"}}
+}
+
+// Guards against pages and forms without a session, forms of other sites, and
+// input that is stored unchecked or shown unescaped.
+func TestConsoleRefusals(t *testing.T) {
+	s, f := testConsole(t)
+	stranger := newBrowser(t, s, "key-3")
+	_, body := stranger.get("/items/organisations")
+	qt.Assert(t, body, qt.Contains, "<h1>Sign in</h1>")
+	b := newBrowser(t, s, "key-1")
+	status, _ := b.send("/items/organisations", organisation("boutique", "1"))
+	qt.Assert(t, status, qt.Equals, http.StatusForbidden)
+	status, body = b.post("/items/organisations", organisation("<b>", "0"))
+	qt.Assert(t, status, qt.Equals, http.StatusUnprocessableEntity)
+	qt.Assert(t, strings.Contains(body, "<b>"), qt.IsFalse)
+	qt.Assert(t, body, qt.Contains, "weight: is 0, must be from 1 to 1000")
+	status, body = b.post("/items/organisations", organisation("boutique", "many"))
+	qt.Assert(t, status, qt.Equals, http.StatusUnprocessableEntity)
+	qt.Assert(t, body, qt.Contains, "must be a whole number")
+	status, _ = b.post("/items/shops", organisation("boutique", "1"))
+	qt.Assert(t, status, qt.Equals, http.StatusNotFound)
+	_, body = b.post("/draft/send", url.Values{})
+	qt.Assert(t, body, qt.Contains, "There is nothing to send.")
+	qt.Assert(t, f.results, qt.HasLen, 0)
+}
+
+// Guards against a loser of a race that overwrites the winner or cannot see
+// what the winner changed.
+func TestConsoleRace(t *testing.T) {
+	s, f := testConsole(t)
+	winner, loser := newBrowser(t, s, "key-1"), newBrowser(t, s, "key-2")
+	loser.post("/items/organisations", organisation("boutique", "2"))
+	loser.post("/items/organisations", organisation("mine", "4"))
+	winner.post("/items/organisations", organisation("boutique", "3"))
+	_, body := winner.post("/draft/send", url.Values{})
+	qt.Assert(t, body, qt.Contains, "in force as version 1")
+	_, body = loser.post("/draft/send", url.Values{})
+	qt.Assert(t, body, qt.Contains, "Another change came first")
+	qt.Assert(t, body, qt.Contains, "organisations/boutique (also in the draft)")
+	qt.Assert(t, f.current.Organisations["boutique"].Weight, qt.Equals, 3)
+	loser.post("/draft/drop", url.Values{"section": {"organisations"}, "item": {"boutique"}})
+	loser.post("/draft/rebase", url.Values{})
+	_, body = loser.post("/draft/send", url.Values{})
+	qt.Assert(t, body, qt.Contains, "in force as version 2")
+	qt.Assert(t, f.current.Organisations["boutique"].Weight, qt.Equals, 3)
+	qt.Assert(t, f.current.Organisations["mine"].Weight, qt.Equals, 4)
+}
+
+// Guards against a lost answer that turns into a second change, and against
+// forms of the four sections that lose fields.
+func TestConsoleSections(t *testing.T) {
+	s, f := testConsole(t)
+	b := newBrowser(t, s, "key-1")
+	forms := map[string]url.Values{
+		"services": {"item": {"desk"}, "kind": {"plain"}, "timeout_ms": {"900"}, "routes.0.method": {"post"},
+			"routes.0.path_prefix": {"/orders"}, "routes.0.rank": {"patient"}, "routes.4.path_prefix": {"/"}, "routes.4.idempotent": {"1"}},
+		"ranks": {"item": {"urgent"}, "first_token_target_ms": {"350"}, "max_wait_ms": {"2000"},
+			"queue_per_organisation": {"50"}, "floor_percent": {"10"}},
+	}
+	for name, form := range forms {
+		status, body := b.post("/items/"+name, form)
+		qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+	}
+	status, body := b.post("/items/placements", url.Values{"item": {"all"}, "services": {"desk"},
+		"networks": {"10.0.0.0/8"}, "checks_fencing": {"1"}, "replicas": {"3"}})
+	qt.Assert(t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+	f.lost = true
+	_, body = b.post("/draft/send", url.Values{})
+	qt.Assert(t, body, qt.Contains, "The result is not known yet")
+	_, body = b.post("/draft/send", url.Values{})
+	qt.Assert(t, body, qt.Contains, "in force as version 1")
+	qt.Assert(t, f.results, qt.HasLen, 1)
+	want := document.Service{Kind: document.Plain, TimeoutMS: 900, Routes: []document.Route{
+		{Method: "POST", PathPrefix: "/orders", Rank: "patient"}, {PathPrefix: "/", Idempotent: true}}}
+	qt.Assert(t, f.current.Services["desk"], qt.DeepEquals, want)
+	qt.Assert(t, f.current.Ranks["urgent"].FloorPercent, qt.Equals, 10)
+	qt.Assert(t, f.current.Placements["all"], qt.DeepEquals, document.Placement{
+		Services: []string{"desk"}, Networks: []string{"10.0.0.0/8"}, ChecksFencing: true, Replicas: 3})
+	for _, section := range formSections {
+		for _, path := range []string{"/items/" + section.Name, "/items/" + section.Name + "?new=1"} {
+			status, _ := b.get(path)
+			qt.Assert(t, status, qt.Equals, http.StatusOK)
+		}
+	}
+	_, body = b.get("/items/services/desk")
+	qt.Assert(t, body, qt.Contains, `value="/orders"`)
+	b.post("/items/placements", url.Values{"item": {"all"}, "delete": {"1"}})
+	_, body = b.post("/draft/send", url.Values{})
+	qt.Assert(t, body, qt.Contains, "in force as version 2")
+	qt.Assert(t, f.current.Placements, qt.HasLen, 0)
+}
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -33,8 +34,10 @@
 
 // EngineOptions describes a stand-in engine.
 type EngineOptions struct {
-	ID         string
-	Address    string
+	ID      string
+	Address string
+	// Advertise is the announced address; empty means Address.
+	Advertise  string
 	DataCentre string
 	Models     []string
 	Slots      int
@@ -460,7 +463,7 @@
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	stop := Announce(ctx, Announcer{
-		ID: e.options.ID, Address: listener.Addr().String(), DataCentre: e.options.DataCentre,
+		ID: e.options.ID, Address: cmp.Or(e.options.Advertise, listener.Addr().String()), DataCentre: e.options.DataCentre,
 		Pools: e.pools, Load: e.report, To: e.options.AnnounceTo,
 	}, e.log)
 	select {
