e2e: control group under kills, freezes, lost disks, races and cuts

Cause: the agreement must be tried with real processes and disks. Found: control instances did not bind the source address of their calls, so a cut was one-way only, and a cut-off instance forwarded a change to the leader (TestControlMinorityCutOff: 'a cut-off minority accepted a change'). Not a fault of the agreement; gp-control binds its source now, as gp-entry does.

--- a/cmd/gp-control/commands.go
+++ b/cmd/gp-control/commands.go
@@ -60,6 +60,9 @@
 	counters := &rpc.Counters{}
 	dialer := rpc.NewDialer(tlsConfig, counters)
 	defer dialer.Close()
+	if err := dialer.BindSource(s.PeerAddress); err != nil {
+		return err
+	}
 	service := control.New(s, dialer, rpc.NewServer(tlsConfig, counters, log), metrics, openLog)
 	forms := console.New(service, func(key string) (string, bool) { return service.Auth().Operator(key) })
 	service.Mount(console.Prefix, forms.Handler())
--- a/internal/e2e/capacity_test.go
+++ b/internal/e2e/capacity_test.go
@@ -61,7 +61,7 @@
 	return int64(total), lines.Err()
 }
 
-func (d *deployment) entryUsage(e *instance) usage {
+func (d *deployment) entryUsage(e *node) usage {
 	u, err := processUsage(e.process)
 	if err == nil {
 		u.peers, err = peerBytes(d.adminURL(e) + "/metrics")
--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -51,8 +51,8 @@
 	return shape{entries: []int{2, 2, 1}, control: []int{1, 1, 1}, engines: []int{2, 2, 1}, services: []int{1, 0, 0}, slots: 8, tokenInterval: 20}
 }
 
-// instance is one entry or control instance with the relay before it.
-type instance struct {
+// node is one entry or control instance with the relay before it.
+type node struct {
 	*process
 	id, dataCentre string
 	ip             string
@@ -74,8 +74,8 @@
 	folder   string
 	subnet   int
 	shape    shape
-	entries  []*instance
-	control  []*instance
+	entries  []*node
+	control  []*node
 	engines  []*backend
 	services []*backend
 	version  uint64
@@ -102,13 +102,15 @@
 	return d
 }
 
-func (d *deployment) ip(dc, host int) string { return fmt.Sprintf("127.%d.%d.%d", d.subnet, dc+1, host) }
+func (d *deployment) ip(dc, host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", d.subnet, dc+1, host)
+}
 
 func (d *deployment) layOut() {
 	for dc, name := range dataCentres {
 		for i := range d.shape.entries[dc] {
 			ip := d.ip(dc, i+1)
-			d.entries = append(d.entries, &instance{
+			d.entries = append(d.entries, &node{
 				id: fmt.Sprintf("%s-%d", name, i+1), dataCentre: name, ip: ip,
 				relay: startRelay(d.t, fmt.Sprintf("%s:%d", d.ip(dc, relayHost+i+1), peerPort), fmt.Sprintf("%s:%d", ip, peerPort)),
 			})
@@ -116,7 +118,7 @@
 		for i := range d.shape.control[dc] {
 			ip := d.ip(dc, i+1)
 			id := fmt.Sprintf("%s-c%d", name, i+1)
-			d.control = append(d.control, &instance{
+			d.control = append(d.control, &node{
 				id: id, dataCentre: name, ip: ip, dataFolder: filepath.Join(d.folder, "data-"+id),
 				relay: startRelay(d.t, fmt.Sprintf("%s:%d", d.ip(dc, relayHost+i+1), controlPort), fmt.Sprintf("%s:%d", ip, controlPort)),
 			})
@@ -124,7 +126,7 @@
 	}
 }
 
-func (d *deployment) peers(list []*instance, port int) []settings.Peer {
+func (d *deployment) peers(list []*node, port int) []settings.Peer {
 	var peers []settings.Peer
 	for _, i := range list {
 		peers = append(peers, settings.Peer{ID: i.id, DataCentre: i.dataCentre, Address: i.relay.listener.Addr().String()})
@@ -144,7 +146,7 @@
 	return file
 }
 
-func (d *deployment) startControl(c *instance) {
+func (d *deployment) startControl(c *node) {
 	s := settings.DefaultControl()
 	s.Instance = settings.Instance{ID: c.id, Region: "r", DataCentre: c.dataCentre}
 	s.PeerAddress = fmt.Sprintf("%s:%d", c.ip, controlPort)
@@ -155,7 +157,7 @@
 	c.process = startProcess(d.t, d.folder, c.id, "gp-control", "run", "-settings", d.write(c.id+".json", s))
 }
 
-func (d *deployment) startEntry(e *instance) {
+func (d *deployment) startEntry(e *node) {
 	s := settings.DefaultEntry()
 	s.Instance = settings.Instance{ID: e.id, Region: "r", DataCentre: e.dataCentre}
 	s.CallerAddress = fmt.Sprintf("%s:%d", e.ip, callerPort)
@@ -186,14 +188,14 @@
 	return append(first, rest...)
 }
 
-func callerURL(e *instance) string { return fmt.Sprintf("http://%s:%d", e.ip, callerPort) }
+func callerURL(e *node) string { return fmt.Sprintf("http://%s:%d", e.ip, callerPort) }
 
-func (d *deployment) adminURL(e *instance) string { return fmt.Sprintf("http://%s:%d", e.ip, adminPort) }
+func (d *deployment) adminURL(e *node) string { return fmt.Sprintf("http://%s:%d", e.ip, adminPort) }
 
-func operatorURL(c *instance) string { return fmt.Sprintf("http://%s:%d", c.ip, operatorPort) }
+func operatorURL(c *node) string { return fmt.Sprintf("http://%s:%d", c.ip, operatorPort) }
 
 // operatorCall sends one request to a control instance and decodes the answer.
-func operatorCall(c *instance, method, path string, body any, into any) (int, error) {
+func operatorCall(c *node, method, path string, body any, into any) (int, error) {
 	var reader io.Reader
 	if body != nil {
 		raw, err := json.Marshal(body)
@@ -287,14 +289,14 @@
 // cutOff separates a data centre from the others.
 func (d *deployment) cutOff(dataCentre string) {
 	in := d.inDataCentre(dataCentre)
-	for _, i := range append(append([]*instance{}, d.entries...), d.control...) {
+	for _, i := range append(append([]*node{}, d.entries...), d.control...) {
 		inside := i.dataCentre == dataCentre
 		i.relay.cut(func(source netip.Addr) bool { return in(source) != inside })
 	}
 }
 
 func (d *deployment) healAll() {
-	for _, i := range append(append([]*instance{}, d.entries...), d.control...) {
+	for _, i := range append(append([]*node{}, d.entries...), d.control...) {
 		i.relay.heal()
 	}
 }
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -51,6 +51,7 @@
 	log     string
 	exited  chan struct{}
 	exitErr error
+	frozen  bool
 }
 
 // startProcess runs a command of ours; its output goes to a file that is shown
@@ -94,8 +95,25 @@
 	<-p.exited
 }
 
-func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
-func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+func (p *process) freeze() {
+	p.signal(syscall.SIGSTOP)
+	p.frozen = true
+}
+
+func (p *process) thaw() {
+	p.signal(syscall.SIGCONT)
+	p.frozen = false
+}
+
+// running reports whether the process is neither frozen nor gone.
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return !p.frozen
+	}
+}
 
 // terminate asks for a planned stop and returns whether the process exited with
 // status 0 within the limit.
@@ -113,8 +131,7 @@
 	select {
 	case <-p.exited:
 	default:
-		p.signal(syscall.SIGKILL)
-		<-p.exited
+		p.kill()
 	}
 	if p.t.Failed() {
 		raw, _ := os.ReadFile(p.log)
--- a/pkg/instance/entry.go
+++ b/pkg/instance/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
@@ -219,10 +220,41 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
+	r.Get("/v1/status", e.status)
 	r.Handle("/metrics", e.telemetry.Handler())
 	return r
 }
 
+// Status is what an entry instance tells operators about itself.
+type Status struct {
+	Instance string `json:"instance"`
+	Draining bool   `json:"draining"`
+	// Version is the configuration version in force at this instance.
+	Version uint64 `json:"version"`
+	// Members maps the known instances to their states.
+	Members map[string]string `json:"members"`
+	// Totals maps data centres to their numbers of instances.
+	Totals map[string]int `json:"totals"`
+}
+
+func (e *Entry) status(w http.ResponseWriter, _ *http.Request) {
+	members := must[*membership.Service](e.kernel, "membership")
+	s := Status{
+		Instance: e.settings.Instance.ID, Draining: e.draining.Load(), Version: e.config().Current().Version,
+		Members: map[string]string{}, Totals: map[string]int{},
+	}
+	for _, m := range members.Members() {
+		s.Members[m.ID] = m.State.String()
+	}
+	for _, t := range members.Totals() {
+		s.Totals[t.DataCentre] = t.Members
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(s); err != nil {
+		e.log.Debug("the status was not sent", "error", err)
+	}
+}
+
 // ready tells a balancer whether new requests may come: the configuration is
 // known and no planned stop has begun.
 func (e *Entry) ready() bool {
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -16,7 +16,6 @@
 	tables []*Table
 	down   map[string]bool
 	cut    func(a, b string) bool
-	bytes  int
 }
 
 func newGroup(dataCentres, perDataCentre int, seed uint64) *group {
