generation, replica: property tests and the faults that they showed

Answers now carry the newest known epoch. - The store accepted an append of a new term to content of an older term and so marked outdated content as new. Such an append is now "unknown_stream". - Two opens of one key at two instances took the stream from each other for up to 73 s with a delay of 2 ms one way. Takeovers no longer wait for a confirmation, and an open that lost pauses for a random time. - At its exit an instance recorded its running streams as finished. They are now left to the next owner. - Opens of one key at one instance could replace each other's record.

--- a/pkg/generation/running.go
+++ b/pkg/generation/running.go
@@ -551,9 +551,10 @@
 }
 
 // stopped handles the end of the ownership or of the interest in the answer.
-// After a takeover the engine stream is left to the new owner.
+// After a takeover, and when the process exits, the engine stream is left to
+// the next owner.
 func (g *running) stopped() {
-	if g.taken() || !g.started {
+	if g.taken() || !g.started || g.service.ctx.Err() != nil {
 		return
 	}
 	g.cancelEngine()
--- a/pkg/generation/service.go
+++ b/pkg/generation/service.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crypto "crypto/rand"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -41,6 +42,11 @@
 	cancelTries   = 5
 	// detachedLimit is how long a stream without a caller continues.
 	detachedLimit = 60 * time.Second
+	// claimPause and claimPauseMost bound the random pause after another
+	// instance took over a stream of the same idempotency key. Without it, two
+	// instances can take the stream from each other for tens of seconds.
+	claimPause     = 20 * time.Millisecond
+	claimPauseMost = 640 * time.Millisecond
 	// confirmLimit bounds the question to the holder before an owner serves a
 	// caller that reconnects.
 	confirmLimit = 2 * time.Second
@@ -151,7 +157,7 @@
 		return "k" + hex.EncodeToString(sum(low, d.Sum64()))
 	}
 	var random [12]byte
-	_, _ = rand.Read(random[:])
+	_, _ = crypto.Read(random[:])
 	return "s" + hex.EncodeToString(random[:]) + "-" + s.view.Self().ID
 }
 
@@ -179,7 +185,7 @@
 // open it at the same time, one gets the claim and the others find its stream.
 func (s *Service) openKeyed(ctx context.Context, stream string, r Request) (Session, error) {
 	self, other := s.view.Self().ID, ""
-	for ctx.Err() == nil {
+	for pause := claimPause; ctx.Err() == nil; pause = min(2*pause, claimPauseMost) {
 		session, err := s.Resume(ctx, r.Organisation, stream, -1)
 		switch {
 		case err == nil && session.Request() != r:
@@ -188,6 +194,7 @@
 		case err == nil:
 			return session, nil
 		case errors.Is(err, ErrTakenOver):
+			sleep(ctx, rand.N(pause))
 			continue
 		case !errors.Is(err, ErrNotFound):
 			return nil, err
@@ -204,10 +211,20 @@
 		if !errors.Is(err, ErrTakenOver) {
 			return session, err
 		}
+		sleep(ctx, rand.N(pause))
 	}
 	return nil, ctx.Err()
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // open starts a new stream. The record exists before claim is called, so that
 // whoever is refused the claim finds it. Without the claim, or when another
 // instance took the stream over before it ran, ErrTakenOver is returned.
@@ -261,11 +278,13 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err = s.resumeHere(ctx, organisation, stream, after)
-	if errors.Is(err, errNotHere) {
-		return nil, ErrTakenOver
+	if st, ok := s.store.Owned(stream); ok {
+		session, err = s.attach(ctx, st, after)
+		if !errors.Is(err, errNotHere) {
+			return session, err
+		}
 	}
-	return session, err
+	return nil, ErrTakenOver
 }
 
 // errNotHere tells that this instance does not own the stream.
@@ -318,14 +337,19 @@
 	if st.Confirm(confirmCtx) != nil {
 		return nil, errNotHere
 	}
+	return s.attach(ctx, st, after)
+}
+
+// attach returns a session of a stream that this instance owns.
+func (s *Service) attach(ctx context.Context, st *replica.Stream, after int) (Session, error) {
 	s.mu.Lock()
-	g := s.running[stream]
+	g := s.running[st.Name()]
 	s.mu.Unlock()
 	if g != nil && g.st == st {
 		return g.wait(ctx, after+1)
 	}
 	var r Request
-	if record, ok = st.Record(); !ok || !record.Finished || json.Unmarshal(record.Request, &r) != nil {
+	if record, ok := st.Record(); !ok || !record.Finished || json.Unmarshal(record.Request, &r) != nil {
 		return nil, errNotHere
 	}
 	return newSession(nil, st, r, after+1), nil
--- a/pkg/generation/service_test.go
+++ b/pkg/generation/service_test.go
@@ -161,50 +161,43 @@
 	}
 }
 
-// Guards against two generations of one request after two opens with one key
-// at the same time.
+// Guards against two generations of one request after opens with one key at
+// the same time, at instances that choose different holders.
 func TestSameKeyAtTwoInstances(t *testing.T) {
 	c := newCluster(t, clusterOptions{
-		dataCentres: threeCentres, engines: 3, interval: 2 * time.Millisecond, attemptChains: true,
+		dataCentres: []string{"a", "b", "a", "b"}, engines: 3, interval: 5 * time.Millisecond, attemptChains: true,
+		delay: 2 * time.Millisecond,
 	})
-	r := request(100)
-	r.IdempotencyKey = "key"
-	type opened struct {
-		node    *node
-		session Session
-	}
-	sessions := make(chan opened, 6)
-	for i := range 6 {
-		n := c.nodes[i%3]
+	const keys = 10
+	opened := make(chan Session, 4*keys)
+	for i := range 4 * keys {
+		r := request(300)
+		r.IdempotencyKey = string(rune('a' + i%keys))
+		n := c.nodes[i/keys%2]
 		go func() {
 			s, err := n.service.Open(context.Background(), r)
 			c.Check(err, quicktest.IsNil)
-			sessions <- opened{n, s}
+			opened <- s
 		}()
 	}
-	stream := ""
-	for range 6 {
-		o := <-sessions
-		if stream == "" {
-			stream = o.session.Stream()
-		}
-		c.Assert(o.session.Stream(), quicktest.Equals, stream)
+	streams := map[string]bool{}
+	for range 4 * keys {
+		streams[(<-opened).Stream()] = true
+	}
+	c.Assert(streams, quicktest.HasLen, keys)
+	c.waitFor(func() bool { return c.nodes[0].service.Running()+c.nodes[1].service.Running() == keys })
+	r := request(300)
+	r.IdempotencyKey = "a"
+	for _, n := range c.nodes {
+		s, err := n.service.Open(context.Background(), r)
+		c.Assert(err, quicktest.IsNil)
+		c.whole(s, nil, 300)
 	}
-	s, err := c.nodes[1].service.Open(context.Background(), r)
-	c.Assert(err, quicktest.IsNil)
-	c.whole(s, nil, 100)
-	s, err = c.nodes[2].service.Open(context.Background(), r)
-	c.Assert(err, quicktest.IsNil)
-	c.whole(s, nil, 100)
 	r.Prompt = "another"
-	_, err = c.nodes[0].service.Open(context.Background(), r)
+	_, err := c.nodes[0].service.Open(context.Background(), r)
 	c.Assert(err, quicktest.Equals, ErrKeyReused)
 	c.waitFor(func() bool {
-		n := 0
-		for _, b := range c.backends {
-			n += b.Running()
-		}
-		return n == 0
+		return c.backends[0].Running()+c.backends[1].Running()+c.backends[2].Running() == 0
 	})
 }
 
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -54,7 +54,7 @@
 	atLeast := int(min(r.GetAtLeast(), math.MaxInt))
 	record, kind := (*Service)(v).takeOverHere(r.GetStream(), r.GetOrganisation(), r.GetNewOwner(), atLeast)
 	if kind != Usable {
-		return &wire.TakeOverResponse{TooShort: kind == TooShort}, nil
+		return &wire.TakeOverResponse{TooShort: kind == TooShort, Epoch: record.Term.Epoch}, nil
 	}
 	return &wire.TakeOverResponse{Found: true, Record: recordToWire(&record)}, nil
 }
--- /dev/null
+++ b/pkg/replica/service_test.go
@@ -0,0 +1,220 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
+)
+
+// table is a member table that the test changes; view is an instance's look at it.
+type table struct {
+	mu      sync.Mutex
+	members []membership.Member
+}
+
+type view struct {
+	*table
+	self string
+}
+
+func (v view) Self() membership.Member {
+	m, _ := v.Member(v.self)
+	return m
+}
+
+func (v view) Members() []membership.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(v.members), func(m membership.Member) bool {
+		return m.State != membership.Alive && m.State != membership.Suspect
+	})
+}
+
+func (v view) Member(id string) (membership.Member, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	i := slices.IndexFunc(v.members, func(m membership.Member) bool { return m.ID == id })
+	return v.members[i], v.members[i].State != membership.Dead
+}
+
+func (t *table) set(id string, state membership.State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.members {
+		if t.members[i].ID == id {
+			t.members[i].State = state
+		}
+	}
+}
+
+type group struct {
+	*quicktest.C
+	table    *table
+	services map[string]*Service
+}
+
+// newGroup starts one service per data centre, with the given byte limits.
+func newGroup(tb testing.TB, limits []int64, dataCentres ...string) *group {
+	g := &group{C: quicktest.New(tb), table: &table{}, services: map[string]*Service{}}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	for i, dc := range dataCentres {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Assert(err, quicktest.IsNil)
+		g.table.members = append(g.table.members, membership.Member{
+			ID: fmt.Sprint("n", i+1), DataCentre: dc, PeerAddress: l.Addr().String(),
+		})
+		g.Assert(l.Close(), quicktest.IsNil)
+	}
+	for i, m := range slices.Clone(g.table.members) {
+		ctx, cancel := context.WithCancel(context.Background())
+		counters := &rpc.Counters{}
+		s := New(view{table: g.table, self: m.ID}, rpc.NewDialer(nil, counters), limits[i%len(limits)], nil, log)
+		server := rpc.NewServer(nil, counters, log)
+		g.Assert(s.Register(server.Mux()), quicktest.IsNil)
+		g.Assert(server.Listen(ctx, m.PeerAddress), quicktest.IsNil)
+		g.Assert(s.Start(ctx), quicktest.IsNil)
+		g.services[m.ID] = s
+		g.Cleanup(func() { cancel(); _ = s.Stop(ctx) })
+	}
+	return g
+}
+
+// own opens a stream at n1.
+func (g *group) own(stream string) *Stream {
+	st, err := g.services["n1"].Own(Record{
+		Stream: stream, Organisation: "o", Request: []byte("{}"), Term: Term{Epoch: 1, Owner: "n1"},
+	})
+	g.Assert(err, quicktest.IsNil)
+	st.Replicate()
+	return st
+}
+
+func (g *group) push(st *Stream, from, to int) {
+	for p := from; p < to; p++ {
+		g.Assert(st.Append(p, fmt.Sprint("t", p)), quicktest.IsNil)
+	}
+}
+
+// copies returns the number of tokens at each other instance that has a copy.
+func (g *group) copies(stream string) map[string]int {
+	n := map[string]int{}
+	for id, s := range g.services {
+		s.mu.Lock()
+		if r, ok := s.store.Get(stream); ok && id != "n1" {
+			n[id] = len(r.Tokens)
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
+func (g *group) held(st *Stream, n int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	g.Assert(st.WaitHeld(ctx, n), quicktest.IsNil)
+}
+
+const room = int64(1 << 20)
+
+// Guards against a token that can be read before another instance has it, and
+// against a holder in the owner's data centre while another one is reachable.
+func TestTokensAreHeldBeforeRead(t *testing.T) {
+	g := newGroup(t, []int64{room}, "a", "a", "b", "a")
+	st := g.own("s")
+	go g.push(st, 0, 200)
+	watch := st.Watch()
+	for p := range 200 {
+		token, err := st.Read(context.Background(), watch, p)
+		g.Assert(err, quicktest.IsNil)
+		g.Assert(token.Text, quicktest.Equals, fmt.Sprint("t", p))
+		copies := g.copies("s")
+		g.Assert(copies, quicktest.HasLen, 1)
+		g.Assert(copies["n3"] > p, quicktest.IsTrue, quicktest.Commentf("%d tokens of %d", copies["n3"], p))
+	}
+}
+
+// Guards against streams that stop or lose their copy when the holder has no
+// room, forgot the record, or leaves.
+func TestHolderChanges(t *testing.T) {
+	g := newGroup(t, []int64{room, room, 700}, "a", "a", "b")
+	st := g.own("s")
+	g.push(st, 0, 100)
+	g.held(st, 100)
+	g.Assert(g.copies("s")["n2"], quicktest.Equals, 100)
+
+	n2 := g.services["n2"]
+	n2.mu.Lock()
+	n2.store.Drop("s", st.term)
+	n2.mu.Unlock()
+	g.push(st, 100, 101)
+	g.held(st, 101)
+	g.Assert(g.copies("s")["n2"], quicktest.Equals, 101)
+
+	// Without another instance that has room, a leaving holder is kept.
+	g.table.set("n3", membership.Dead)
+	g.table.set("n2", membership.Leaving)
+	time.Sleep(3 * maintainEvery)
+	g.push(st, 101, 102)
+	g.held(st, 102)
+	g.Assert(g.copies("s")["n2"], quicktest.Equals, 102)
+}
+
+// Guards against an owner that goes on after another instance has taken its
+// stream over, with a holder that is neither of them.
+func TestStaleOwnerIsRefused(t *testing.T) {
+	g := newGroup(t, []int64{room}, "a", "b", "c", "d", "e")
+	st := g.own("s")
+	g.push(st, 0, 10)
+	g.held(st, 10)
+	taken, err := g.services["n2"].TakeOver(context.Background(), "s", "o", 10)
+	g.Assert(err, quicktest.IsNil)
+	for id, s := range g.services {
+		s.mu.Lock()
+		reason := s.store.Open(Record{Stream: "s", Organisation: "o", Term: st.term}, time.Now())
+		s.mu.Unlock()
+		g.Assert(reason, quicktest.Equals, StaleEpoch, quicktest.Commentf("at %s", id))
+	}
+	taken.Replicate()
+	<-st.Lost()
+	g.Assert(st.Append(10, "x"), quicktest.Equals, ErrTakenOver)
+	g.Assert(taken.Append(10, "t10"), quicktest.IsNil)
+	g.held(taken, 11)
+	_, err = g.services["n3"].TakeOver(context.Background(), "s", "o", 12)
+	g.Assert(err, quicktest.Equals, ErrStaleCopy)
+	_, err = g.services["n3"].TakeOver(context.Background(), "s", "other", 0)
+	g.Assert(err, quicktest.Equals, ErrNotFound)
+	g.Assert(taken.Err(), quicktest.IsNil)
+}
+
+// Guards against more than one winner of a claim, and a claim that can never
+// be replaced.
+func TestClaim(t *testing.T) {
+	g := newGroup(t, []int64{room}, "a", "b", "c")
+	holders := map[string]bool{}
+	for _, s := range g.services {
+		holder, err := s.Claim(context.Background(), "s", "")
+		g.Assert(err, quicktest.IsNil)
+		holders[holder] = true
+	}
+	g.Assert(holders, quicktest.HasLen, 1)
+	for holder := range holders {
+		for id, s := range g.services {
+			if id != holder {
+				got, err := s.Claim(context.Background(), "s", holder)
+				g.Assert(err, quicktest.IsNil)
+				g.Assert(got, quicktest.Equals, id)
+				return
+			}
+		}
+	}
+}
--- a/pkg/replica/store.go
+++ b/pkg/replica/store.go
@@ -229,12 +229,11 @@
 // admits checks an append against the record.
 func (e *entry) admits(a Append) Reason {
 	switch {
-	case a.Term != e.Term:
-		if e.Term.Before(a.Term) {
-			// The new owner has not sent its record yet.
-			return UnknownStream
-		}
+	case a.Term.Before(e.Term):
 		return StaleEpoch
+	case a.Term != e.Written:
+		// The new owner has not sent its record yet.
+		return UnknownStream
 	case a.Position < 0 || a.Position > len(e.Tokens):
 		return Gap
 	}
@@ -262,14 +261,18 @@
 )
 
 // TakeOver makes newOwner the owner of a stream under a higher epoch and
-// returns the record. Only a usable copy changes.
+// returns the record. Without a usable copy nothing changes, and the record
+// has only the newest known term.
 func (s *Store) TakeOver(stream, organisation, newOwner string, atLeast int, now time.Time) (Record, Copy) {
 	e, ok := s.records[stream]
-	switch {
-	case !ok || e.Organisation != organisation:
+	if !ok {
+		return Record{Term: s.fences[stream].term}, NoCopy
+	}
+	if e.Organisation != organisation {
 		return Record{}, NoCopy
-	case len(e.Tokens) < atLeast:
-		return Record{}, TooShort
+	}
+	if len(e.Tokens) < atLeast {
+		return Record{Term: e.Term}, TooShort
 	}
 	e.Term = Term{Epoch: e.Term.Epoch + 1, Owner: newOwner}
 	e.updated = now
--- /dev/null
+++ b/pkg/replica/store_test.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// Guards against wrong answers to single appends: each row is one fault of a
+// sender that the store must recognise.
+func TestAppendReasons(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1000, 0)
+	term := Term{Epoch: 2, Owner: "b"}
+	for _, row := range []struct {
+		name   string
+		append Append
+		want   Reason
+	}{
+		{"next", Append{Stream: "s", Term: term, Position: 2, Tokens: []string{"z"}}, Accepted},
+		{"again", Append{Stream: "s", Term: term, Position: 0, Tokens: []string{"x", "y"}}, Accepted},
+		{"overlap", Append{Stream: "s", Term: term, Position: 1, Tokens: []string{"y", "z"}}, Accepted},
+		{"gap", Append{Stream: "s", Term: term, Position: 3, Tokens: []string{"z"}}, Gap},
+		{"negative", Append{Stream: "s", Term: term, Position: -1, Tokens: []string{"z"}}, Gap},
+		{"other text", Append{Stream: "s", Term: term, Position: 1, Tokens: []string{"q"}}, Conflict},
+		{"unknown", Append{Stream: "r", Term: term}, UnknownStream},
+		{"old epoch", Append{Stream: "s", Term: Term{Epoch: 1, Owner: "z"}, Position: 2}, StaleEpoch},
+		{"lower owner", Append{Stream: "s", Term: Term{Epoch: 2, Owner: "a"}, Position: 2}, StaleEpoch},
+		{"newer owner", Append{Stream: "s", Term: Term{Epoch: 2, Owner: "c"}, Position: 2}, UnknownStream},
+		{"no room", Append{Stream: "s", Term: term, Position: 2, Tokens: []string{string(make([]byte, 2000))}}, Full},
+	} {
+		s := NewStore("h", 1000)
+		c.Assert(s.Open(Record{Stream: "s", Term: term, Tokens: []string{"x", "y"}}, now), quicktest.Equals, Accepted)
+		c.Check(s.Append(row.append, now), quicktest.Equals, row.want, quicktest.Commentf(row.name))
+	}
+}
+
+// Guards against tokens after the end of a stream and against records that
+// outlive their time.
+func TestFinishedAndExpiry(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1000, 0)
+	term := Term{Epoch: 1, Owner: "a"}
+	s := NewStore("h", 1<<20)
+	for _, stream := range []string{"done", "idle", "own"} {
+		c.Assert(s.Open(Record{Stream: stream, Term: term}, now), quicktest.Equals, Accepted)
+	}
+	end := Append{Stream: "done", Term: term, Finished: true, FinishReason: "length"}
+	c.Assert(s.Append(end, now), quicktest.Equals, Accepted)
+	c.Assert(s.Append(Append{Stream: "done", Term: term, Tokens: []string{"x"}}, now), quicktest.Equals, Conflict)
+	running := func(stream string) bool { return stream == "own" }
+	s.Expire(now.Add(FinishedKept-1), running)
+	c.Assert(s.Len(), quicktest.Equals, 3)
+	s.Expire(now.Add(FinishedKept), running)
+	c.Assert(s.Len(), quicktest.Equals, 2)
+	s.Expire(now.Add(IdleKept), running)
+	c.Assert(s.Len(), quicktest.Equals, 1)
+	s.Drop("own", term)
+	c.Assert(s.Bytes(), quicktest.Equals, int64(0))
+}
+
+// Guards against lost tokens when a batch of an earlier connection arrives
+// after those of the next one.
+func TestCrossedOpen(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1000, 0)
+	s := NewStore("h", 1<<20)
+	r := Record{Stream: "s", Term: Term{Epoch: 1, Owner: "a"}, Tokens: []string{"x"}}
+	c.Assert(s.Open(r, now), quicktest.Equals, Accepted)
+	c.Assert(s.Append(Append{Stream: "s", Term: r.Term, Position: 1, Tokens: []string{"y"}}, now), quicktest.Equals, Accepted)
+	c.Assert(s.Open(r, now), quicktest.Equals, Accepted)
+	kept, _ := s.Get("s")
+	c.Assert(kept.Tokens, quicktest.DeepEquals, []string{"x", "y"})
+	r.Tokens = []string{"q"}
+	c.Assert(s.Open(r, now), quicktest.Equals, Accepted)
+	kept, _ = s.Get("s")
+	c.Assert(kept.Tokens, quicktest.DeepEquals, []string{"q"})
+}
+
+// oracle is what a store must hold of one stream, as plain values.
+type oracle struct {
+	known, done bool
+	// fence is the newest term, written that of the content.
+	fence, written Term
+	tokens         []string
+	finishedAt     int
+}
+
+// Guards against accepted appends of old terms, lost or changed tokens, wrong
+// sizes, and the eviction of running streams or of newer finished ones.
+func TestStoreAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 3000
+		s := NewStore("a", limit)
+		want := map[string]*oracle{}
+		for i := range 5 {
+			want[fmt.Sprint("s", i)] = &oracle{}
+		}
+		now, finished := time.Unix(1000, 0), 0
+		stream := func() (string, *oracle) {
+			name := fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "stream"))
+			return name, want[name]
+		}
+		term := func() Term {
+			return Term{
+				Epoch: uint64(rapid.IntRange(1, 4).Draw(t, "epoch")),
+				Owner: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "owner"),
+			}
+		}
+		tokens := func() []string {
+			return rapid.SliceOfN(rapid.SampledFrom([]string{"x", "y", strings.Repeat("z", 300)}), 0, 6).Draw(t, "tokens")
+		}
+		grown := func(before int64, owner string) {
+			if s.Bytes() > max(before, limit) && owner != "a" {
+				t.Fatalf("a copy made %d bytes of %d, the limit is %d", s.Bytes(), before, limit)
+			}
+		}
+		end := func(o *oracle) { finished++; o.done, o.finishedAt = true, finished }
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				name, o := stream()
+				before, _ := s.Get(name)
+				r := Record{Stream: name, Organisation: "o", Term: term(), Tokens: tokens(), Finished: rapid.Bool().Draw(t, "finished")}
+				defer grown(s.Bytes(), r.Term.Owner)
+				switch s.Open(r, now) {
+				case Accepted:
+					if r.Term.Before(o.fence) {
+						t.Fatalf("opened under %v after %v", r.Term, o.fence)
+					}
+					kept, _ := s.Get(name)
+					if !slices.Equal(kept.Tokens[:len(r.Tokens)], r.Tokens) {
+						t.Fatalf("opened %q and kept %q", r.Tokens, kept.Tokens)
+					}
+					if kept.Finished && kept != before {
+						end(o)
+					}
+					o.written = r.Term
+					o.known, o.done, o.fence, o.tokens = true, kept.Finished, kept.Term, slices.Clone(kept.Tokens)
+				case StaleEpoch:
+					if !r.Term.Before(o.fence) {
+						t.Fatalf("refused %v as older than %v", r.Term, o.fence)
+					}
+				}
+			},
+			"append": func(t *rapid.T) {
+				name, o := stream()
+				a := Append{
+					Stream: name, Term: term(), Position: rapid.IntRange(0, 8).Draw(t, "position"),
+					Tokens: tokens(), Finished: rapid.Bool().Draw(t, "finished"),
+				}
+				defer grown(s.Bytes(), a.Term.Owner)
+				if s.Append(a, now) != Accepted {
+					return
+				}
+				if !o.known || a.Term.Before(o.fence) || a.Term != o.written || a.Position > len(o.tokens) {
+					t.Fatalf("accepted %+v with %+v", a, o)
+				}
+				if last := a.Position + len(a.Tokens); last > len(o.tokens) {
+					if o.done {
+						t.Fatal("accepted tokens after the end")
+					}
+					o.tokens = append(o.tokens, a.Tokens[len(o.tokens)-a.Position:]...)
+				}
+				if a.Finished && !o.done {
+					end(o)
+				}
+			},
+			"take over": func(t *rapid.T) {
+				name, o := stream()
+				atLeast := rapid.IntRange(0, 8).Draw(t, "at least")
+				r, kind := s.TakeOver(name, "o", "c", atLeast, now)
+				if (kind == Usable) != (o.known && len(o.tokens) >= atLeast) {
+					t.Fatalf("copy is %v, and the record is %+v", kind, o)
+				}
+				if kind == Usable {
+					if !o.fence.Before(r.Term) || !slices.Equal(r.Tokens, o.tokens) {
+						t.Fatalf("took over %+v from %+v", r, o)
+					}
+					o.fence = r.Term
+				}
+			},
+			"fence": func(t *rapid.T) {
+				name, o := stream()
+				f := term()
+				s.Fence(name, f, now)
+				if o.fence.Before(f) {
+					o.fence = f
+				}
+			},
+			"": func(t *rapid.T) { checkStore(t, s, want) },
+		})
+	})
+}
+
+func checkStore(t *rapid.T, s *Store, want map[string]*oracle) {
+	var size int64
+	evicted, oldestKept := 0, 1<<30
+	for name, o := range want {
+		r, ok := s.Get(name)
+		switch {
+		case ok:
+			size += r.bytes()
+			if !slices.Equal(r.Tokens, o.tokens) || r.Finished != o.done || r.Term != o.fence {
+				t.Fatalf("%s is %+v, want %+v", name, r, o)
+			}
+			if o.done {
+				oldestKept = min(oldestKept, o.finishedAt)
+			}
+		case o.known && !o.done:
+			t.Fatalf("running stream %s was evicted", name)
+		case o.known:
+			evicted = max(evicted, o.finishedAt)
+			*o = oracle{}
+		}
+	}
+	if evicted > oldestKept {
+		t.Fatal("a finished stream was evicted before an older one")
+	}
+	if size != s.Bytes() {
+		t.Fatalf("%d bytes counted, %d kept", s.Bytes(), size)
+	}
+}
--- a/pkg/replica/takeover.go
+++ b/pkg/replica/takeover.go
@@ -41,11 +41,29 @@
 type found struct {
 	// best is the copy with the newest content, under the highest epoch.
 	best *Record
+	// known is the highest epoch at instances without a usable copy.
+	known uint64
 	// short counts copies that were too short, silent the instances that did
 	// not answer.
 	short, silent int
 }
 
+// add takes the answer of one instance into account.
+func (f *found) add(r *Record, kind Copy) {
+	switch kind {
+	case Usable:
+		f.best = better(f.best, r)
+	case TooShort:
+		f.short++
+	}
+	if kind != Usable {
+		f.known = max(f.known, r.Term.Epoch)
+	}
+	if f.best != nil && f.best.Term.Epoch <= f.known {
+		f.best.Term.Epoch = f.known + 1
+	}
+}
+
 // collect raises the epoch at every reachable usable copy.
 func (s *Service) collect(ctx context.Context, stream, organisation string, atLeast int) found {
 	self := s.view.Self().ID
@@ -56,23 +74,22 @@
 		return c.TakeOver(ctx, request)
 	})
 	var f found
-	switch r, kind := s.takeOverHere(stream, organisation, self, atLeast); kind {
-	case Usable:
-		f.best = &r
-	case TooShort:
-		f.short++
-	}
+	here, kind := s.takeOverHere(stream, organisation, self, atLeast)
+	f.add(&here, kind)
 	for range asked {
 		answer := <-answers
-		switch {
-		case answer == nil:
+		if answer == nil {
 			f.silent++
-		case answer.GetTooShort():
-			f.short++
+			continue
+		}
+		r, kind := Record{Term: Term{Epoch: answer.GetEpoch()}}, NoCopy
+		switch {
 		case answer.GetFound():
-			r := recordFromWire(answer.GetRecord())
-			f.best = better(f.best, &r)
+			r, kind = recordFromWire(answer.GetRecord()), Usable
+		case answer.GetTooShort():
+			kind = TooShort
 		}
+		f.add(&r, kind)
 	}
 	return f
 }
