--- a/pkg/control/loopback_test.go
+++ b/pkg/control/loopback_test.go
@@ -20,6 +20,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wal"
 )
 
 // freeAddress returns a loopback address with a free port.
@@ -40,11 +41,15 @@
 	services []*Service
 	kernels  []*kernel.Kernel
 	cancels  []context.CancelFunc
+	// synced uses the log on disk in place of stores.
+	synced bool
 }
 
-func newLoopback(t testing.TB, size int) *loopback {
+func newLoopback(t testing.TB, size int) *loopback { return newGroupOver(t, size, false) }
+
+func newGroupOver(t testing.TB, size int, synced bool) *loopback {
 	l := &loopback{
-		t: t, services: make([]*Service, size), kernels: make([]*kernel.Kernel, size), cancels: make([]context.CancelFunc, size),
+		t: t, synced: synced, services: make([]*Service, size), kernels: make([]*kernel.Kernel, size), cancels: make([]context.CancelFunc, size),
 	}
 	for i := range size {
 		l.peers = append(l.peers, settings.Peer{ID: fmt.Sprint("c", i+1), DataCentre: fmt.Sprint("dc", i%3+1), Address: freeAddress(t)})
@@ -73,7 +78,10 @@
 	counters := &rpc.Counters{}
 	metrics, err := telemetry.New()
 	qt.Assert(l.t, err, qt.IsNil)
-	open := func(string) (Store, consensus.Stored, consensus.DiskID, error) {
+	open := func(folder string) (Store, consensus.Stored, consensus.DiskID, error) {
+		if l.synced {
+			return wal.Open(folder)
+		}
 		return l.stores[i], l.stores[i].read(), l.disks[i], nil
 	}
 	l.services[i] = New(l.settings[i], rpc.NewDialer(nil, counters), rpc.NewServer(nil, counters, log), metrics, open)
@@ -300,7 +308,7 @@
 // BenchmarkTimeInForce measures the time from a proposal until it is in force at
 // 7 watchers, and the bytes that each of them sends and receives for a change.
 func BenchmarkTimeInForce(b *testing.B) {
-	l := newLoopback(b, 5)
+	l := newGroupOver(b, 5, true)
 	var watchers []*watcher
 	for i := range 7 {
 		w := l.watch(fmt.Sprint("e", i), fmt.Sprint("dc", i%3+1), "", l.peers, nil)
