--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -85,7 +87,7 @@
 // waits until every entry instance is ready.
 func startDeployment(t testing.TB, s shape) *deployment {
 	t.Helper()
-	d := &deployment{t: t, folder: t.TempDir(), shape: s, subnet: firstSubnet + int(subnets.Add(1))%subnetCount}
+	d := &deployment{t: t, folder: t.TempDir(), shape: s, subnet: reserveSubnet(t)}
 	d.layOut()
 	for _, c := range d.control {
 		d.startControl(c)
@@ -102,6 +104,23 @@
 	return d
 }
 
+// reserveSubnet returns a network 127.N.0.0/16 that no other deployment on this
+// machine uses; a listener on it is the reservation.
+func reserveSubnet(t testing.TB) int {
+	t.Helper()
+	for range 10 * subnetCount {
+		subnet := firstSubnet + rand.IntN(subnetCount)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", subnet, peerPort))
+		if err != nil {
+			continue
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		return subnet
+	}
+	t.Fatal("no free loopback network")
+	return 0
+}
+
 func (d *deployment) ip(dc, host int) string {
 	return fmt.Sprintf("127.%d.%d.%d", d.subnet, dc+1, host)
 }
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,10 +37,6 @@
 	os.Exit(code)
 }
 
-// subnets hands out one 127.x network per deployment, so that parallel tests
-// and connections of earlier ones do not meet.
-var subnets atomic.Int32
-
 // process is one running command.
 type process struct {
 	t       testing.TB
