replica: send the engine only when it changes; probes; better holders again

An instance that failed as a holder was tried again with live streams, which stalled them for up to 1 s at each try. Streams stayed with a holder in the owner's data centre after another one could be reached again. A stream that a full holder refused while it was queued there was not queued at the next holder.

Change: the engine travels only when it differs from what the holder knows; failed instances are chosen again only after they answered a probe; once a second, streams whose holder is not in the best data centre move; the queue mark of a stream is cleared when its holder changes.

--- a/pkg/replica/service.go
+++ b/pkg/replica/service.go
@@ -27,10 +27,14 @@
 	// connectTries is the number of connections to one holder that may fail in
 	// a row before its streams move to the next holder.
 	connectTries = 2
-	// avoidFailed is how long a failed holder is not chosen again at first;
-	// the time doubles up to avoidMost.
-	avoidFailed = time.Second
-	avoidMost   = 16 * time.Second
+	// probeEvery is the interval of probes to a failed holder, which is not
+	// chosen again before it answers one.
+	probeEvery = time.Second
+	// avoidFull is how long a holder without room is not chosen for a stream.
+	avoidFull = 10 * time.Second
+	// returnEvery is the interval of checks for streams whose holder is not in
+	// the best data centre any more.
+	returnEvery = time.Second
 	// maintainEvery is the interval of checks for lost and leaving holders.
 	maintainEvery = 100 * time.Millisecond
 	// expireEvery is the interval of checks for expired records.
@@ -60,12 +64,6 @@
 	ErrGone = errors.New("the record of the stream is gone")
 )
 
-// avoided is an instance that failed as a holder.
-type avoided struct {
-	until time.Time
-	times int
-}
-
 // Service keeps the records of this instance and copies those that it owns to
 // other instances.
 type Service struct {
@@ -80,8 +78,8 @@
 	store    *Store
 	owned    map[string]*Stream
 	sessions map[string]*session
-	// avoid maps an instance to the time until which it is not chosen as a holder.
-	avoid map[string]avoided
+	// failed maps an instance that failed as a holder to the time of its next probe.
+	failed map[string]time.Time
 	// unheld holds the streams without a holder.
 	unheld map[*Stream]struct{}
 	// alone tells that every known instance failed and none has answered since.
@@ -101,7 +99,7 @@
 	s := &Service{
 		view: view, dialer: dialer, log: log, store: NewStore(view.Self().ID, limit),
 		owned: map[string]*Stream{}, sessions: map[string]*session{},
-		avoid: map[string]avoided{}, unheld: map[*Stream]struct{}{},
+		failed: map[string]time.Time{}, unheld: map[*Stream]struct{}{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.moves, _ = meter.Int64Counter("gp_replica_holder_moves",
@@ -194,14 +192,20 @@
 func (s *Service) maintain() {
 	ticker := time.NewTicker(maintainEvery)
 	defer ticker.Stop()
-	expired := time.Now()
+	expired, returned := time.Now(), time.Now()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
 		case now := <-ticker.C:
+			members := s.view.Members()
 			s.mu.Lock()
-			s.checkHolders(now)
+			s.probe(members, now)
+			s.checkHolders(members)
+			if now.Sub(returned) >= returnEvery {
+				returned = now
+				s.returnStreams()
+			}
 			if now.Sub(expired) >= expireEvery {
 				expired = now
 				s.expire(now)
@@ -211,6 +215,55 @@
 	}
 }
 
+// probe asks failed instances whether they answer again.
+func (s *Service) probe(members []membership.Member, now time.Time) {
+	known := map[string]bool{}
+	for _, m := range members {
+		known[m.ID] = true
+		next, failed := s.failed[m.ID]
+		if !failed || now.Before(next) {
+			continue
+		}
+		s.failed[m.ID] = now.Add(probeEvery)
+		go func() {
+			_, err := callOne(s.ctx, s, m, func(ctx context.Context, c wire.DRPCReplicaClient) (*wire.TakeOverResponse, error) {
+				return c.TakeOver(ctx, &wire.TakeOverRequest{})
+			})
+			if err == nil {
+				s.mu.Lock()
+				delete(s.failed, m.ID)
+				s.mu.Unlock()
+			}
+		}()
+	}
+	for id := range s.failed {
+		if !known[id] {
+			delete(s.failed, id)
+		}
+	}
+}
+
+// returnStreams moves streams whose holder is further down the order of holders
+// than it has to be, for example in the owner's own data centre.
+func (s *Service) returnStreams() {
+	self := s.view.Self()
+	for _, c := range s.sessions {
+		here := distance(self, c.member)
+		if here == 0 {
+			continue
+		}
+		for st := range c.streams {
+			r, known := s.store.Get(st.name)
+			m, _, ok := s.choose(st)
+			if known && !r.Finished && ok && distance(self, m) < here {
+				delete(c.streams, st)
+				s.moves.Add(s.ctx, 1)
+				s.assign(st)
+			}
+		}
+	}
+}
+
 func (s *Service) expire(now time.Time) {
 	s.store.Expire(now, func(stream string) bool { return s.owned[stream] != nil })
 	for name, st := range s.owned {
@@ -225,13 +278,12 @@
 }
 
 // checkHolders gives every stream whose holder is gone or leaving another one.
-func (s *Service) checkHolders(now time.Time) {
-	members := s.view.Members()
+func (s *Service) checkHolders(members []membership.Member) {
 	usable := map[string]bool{}
 	others := 0
 	for _, m := range members {
 		usable[m.ID] = true
-		if m.ID != s.view.Self().ID && !s.avoids(m.ID, now) {
+		if m.ID != s.view.Self().ID && !s.hasFailed(m.ID) {
 			others++
 		}
 	}
@@ -249,12 +301,15 @@
 	}
 }
 
-func (s *Service) avoids(id string, now time.Time) bool { return now.Before(s.avoid[id].until) }
+func (s *Service) hasFailed(id string) bool {
+	_, failed := s.failed[id]
+	return failed
+}
 
 // assign chooses a holder for a stream. While every known instance has failed,
 // the stream goes on alone.
 func (s *Service) assign(st *Stream) {
-	st.target, st.opened = nil, false
+	st.target, st.opened, st.queued = nil, false, false
 	member, failed, ok := s.choose(st)
 	if !ok {
 		s.unheld[st] = struct{}{}
@@ -282,7 +337,7 @@
 	failed = true
 	for _, m := range Holders(st.name, s.view.Self(), s.view.Members()) {
 		switch {
-		case s.avoids(m.ID, now):
+		case s.hasFailed(m.ID):
 		case st.refusedBy == m.ID && now.Before(st.refusedUntil):
 			failed = false
 		default:
@@ -311,7 +366,6 @@
 
 // answered notes that an instance acknowledged a batch.
 func (s *Service) answered(id string) {
-	delete(s.avoid, id)
 	if s.alone {
 		s.alone = false
 		s.log.Info("another instance can be reached again", "holder", id)
--- a/pkg/replica/service_test.go
+++ b/pkg/replica/service_test.go
@@ -169,13 +169,42 @@
 	g.Assert(g.copies("s")["n2"], quicktest.Equals, 102)
 }
 
+// Guards against streams whose copy stays in the owner's data centre after
+// another one can be reached again.
+func TestHolderReturns(t *testing.T) {
+	g := newGroup(t, []int64{room}, "a", "a", "b")
+	g.table.set("n3", membership.Dead)
+	st := g.own("s")
+	g.push(st, 0, 10)
+	g.held(st, 10)
+	g.Assert(g.copies("s"), quicktest.DeepEquals, map[string]int{"n2": 10})
+	g.table.set("n3", membership.Alive)
+	for p := 10; g.copies("s")["n3"] == 0; p++ {
+		g.Assert(p < 1000, quicktest.IsTrue)
+		g.push(st, p, p+1)
+		g.held(st, p+1)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Guards against an owner that goes on after another instance has taken its
 // stream over, with a holder that is neither of them.
 func TestStaleOwnerIsRefused(t *testing.T) {
 	g := newGroup(t, []int64{room}, "a", "b", "c", "d", "e")
 	st := g.own("s")
-	g.push(st, 0, 10)
+	g.push(st, 0, 5)
+	at := Engine{Address: "192.0.2.1:80", Stream: "s.1.2", Attempt: 2}
+	g.Assert(st.SetEngine(at), quicktest.IsNil)
+	g.push(st, 5, 10)
 	g.held(st, 10)
+	for _, id := range []string{"n2", "n3", "n4", "n5"} {
+		s := g.services[id]
+		s.mu.Lock()
+		if r, ok := s.store.Get("s"); ok {
+			g.Check(r.Engine, quicktest.Equals, at)
+		}
+		s.mu.Unlock()
+	}
 	taken, err := g.services["n2"].TakeOver(context.Background(), "s", "o", 10)
 	g.Assert(err, quicktest.IsNil)
 	for id, s := range g.services {
--- a/pkg/replica/session.go
+++ b/pkg/replica/session.go
@@ -98,17 +98,13 @@
 	}
 	c.cancel()
 	delete(s.sessions, c.member.ID)
-	a := s.avoid[c.member.ID]
-	s.avoid[c.member.ID] = avoided{
-		until: time.Now().Add(min(avoidFailed<<a.times, avoidMost)), times: min(a.times+1, 8),
-	}
+	s.failed[c.member.ID] = time.Now().Add(probeEvery)
 	streams := c.streams
 	c.streams, c.queue, c.flights = nil, nil, nil
 	if len(streams) > 0 {
 		s.log.Info("holder lost, streams move", "holder", c.member.ID, "streams", len(streams))
 	}
 	for st := range streams {
-		st.queued = false
 		s.moves.Add(s.ctx, 1)
 		s.assign(st)
 	}
@@ -190,13 +186,16 @@
 	}
 	f := flight{sequence: c.sequence, at: now, items: make([]item, 0, n)}
 	for _, st := range c.queue[:n] {
+		if st.target != c {
+			continue
+		}
 		st.queued = false
 		r, ok := c.service.store.Get(st.name)
-		if !ok || st.target != c || st.err != nil {
+		if !ok || st.err != nil {
 			continue
 		}
 		batch.Appends = append(batch.Appends, st.delta(r))
-		st.opened, st.sent, st.sentAt = true, len(r.Tokens), now
+		st.opened, st.sent, st.sentAt, st.sentEngine = true, len(r.Tokens), now, r.Engine
 		f.items = append(f.items, item{stream: st, upTo: st.sent, end: r.Finished})
 	}
 	c.queue = c.queue[n:]
@@ -212,11 +211,14 @@
 	if !st.opened {
 		return &wire.ReplicaAppend{Stream: st.name, Epoch: st.term.Epoch, Open: recordToWire(r)}
 	}
-	return &wire.ReplicaAppend{
+	a := &wire.ReplicaAppend{
 		Stream: st.name, Epoch: st.term.Epoch, Position: uint64(st.sent), Tokens: r.Tokens[st.sent:],
-		EngineAddress: r.Engine.Address, EngineStream: r.Engine.Stream, Attempt: r.Engine.Attempt,
 		Finished: r.Finished, FinishReason: r.FinishReason,
 	}
+	if r.Engine != st.sentEngine {
+		a.EngineAddress, a.EngineStream, a.Attempt = r.Engine.Address, r.Engine.Stream, r.Engine.Attempt
+	}
+	return a
 }
 
 // receive takes acknowledgements until the connection fails.
@@ -264,7 +266,7 @@
 		st.lose()
 	case Full:
 		delete(c.streams, st)
-		st.refusedBy, st.refusedUntil = c.member.ID, time.Now().Add(avoidFailed)
+		st.refusedBy, st.refusedUntil = c.member.ID, time.Now().Add(avoidFull)
 		c.service.moves.Add(c.service.ctx, 1)
 		c.service.assign(st)
 	default:
--- a/pkg/replica/store.go
+++ b/pkg/replica/store.go
@@ -100,8 +100,9 @@
 	Stream string
 	Term   Term
 	// Position is that of the first of Tokens.
-	Position     int
-	Tokens       []string
+	Position int
+	Tokens   []string
+	// Engine is empty when it is the same as before.
 	Engine       Engine
 	Finished     bool
 	FinishReason string
@@ -215,7 +216,7 @@
 	e.Tokens = append(e.Tokens, fresh...)
 	e.size += size
 	s.bytes += size
-	if a.Engine.Attempt >= e.Engine.Attempt {
+	if a.Engine != (Engine{}) {
 		e.Engine = a.Engine
 	}
 	e.updated, e.Written = now, a.Term
--- a/pkg/replica/store_test.go
+++ b/pkg/replica/store_test.go
@@ -225,3 +225,23 @@
 		t.Fatalf("%d bytes counted, %d kept", s.Bytes(), size)
 	}
 }
+
+// BenchmarkStoreAppend measures one append of one token.
+func BenchmarkStoreAppend(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := NewStore("h", 1<<40)
+	term := Term{Epoch: 1, Owner: "a"}
+	tokens := []string{" token"}
+	name := ""
+	b.ReportAllocs()
+	for i := range b.N {
+		if i%4000 == 0 {
+			s.Drop(name, term)
+			name = fmt.Sprint("s", i)
+			s.Open(Record{Stream: name, Term: term}, now)
+		}
+		if s.Append(Append{Stream: name, Term: term, Position: i % 4000, Tokens: tokens}, now) != Accepted {
+			b.Fatal("not accepted")
+		}
+	}
+}
--- a/pkg/replica/stream.go
+++ b/pkg/replica/stream.go
@@ -23,9 +23,11 @@
 	// opened tells that the holder was sent the whole record.
 	opened bool
 	queued bool
-	// sent is the number of tokens sent to the holder.
-	sent   int
-	sentAt time.Time
+	// sent is the number of tokens sent to the holder, sentEngine the engine
+	// that it knows of.
+	sent       int
+	sentAt     time.Time
+	sentEngine Engine
 	// refusedBy is the holder that had no room for the record.
 	refusedBy    string
 	refusedUntil time.Time
@@ -110,12 +112,11 @@
 	if st.err != nil {
 		return st.err
 	}
-	r, ok := s.store.Get(st.name)
-	if !ok {
+	if _, ok := s.store.Get(st.name); !ok {
 		st.end(ErrGone)
 		return ErrGone
 	}
-	a := Append{Stream: st.name, Term: st.term, Engine: r.Engine}
+	a := Append{Stream: st.name, Term: st.term}
 	set(&a)
 	switch reason := s.store.Append(a, time.Now()); reason {
 	case Accepted:
