--- a/internal/e2e/generation_test.go
+++ b/internal/e2e/generation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -45,7 +46,7 @@
 
 // checkAnswer fails the test unless the answer is whole, with no token missing,
 // repeated or from another generation.
-func checkAnswer(t *testing.T, r result) {
+func checkAnswer(t testing.TB, r result) {
 	t.Helper()
 	if r.err != nil {
 		t.Errorf("answer failed after %d tokens and %d reconnects: %v", len(r.answer.tokens), r.answer.reconnects, r.err)
@@ -59,8 +60,21 @@
 	}
 }
 
+// checkPrefix checks the delivered part of an answer that was lost.
+func checkPrefix(t testing.TB, r result) {
+	t.Helper()
+	var broken *violation
+	if errors.As(r.err, &broken) {
+		t.Error(broken)
+	}
+	t.Logf("answer lost after %d tokens and %d reconnects: %v", len(r.answer.tokens), r.answer.reconnects, r.err)
+	if err := standin.Verify(r.prompt, generation.Seed(r.answer.stream), r.answer.tokens); err != nil {
+		t.Error(err)
+	}
+}
+
 // collect checks n answers and returns the longest gap between two tokens.
-func collect(t *testing.T, results <-chan result, n int) time.Duration {
+func collect(t testing.TB, results <-chan result, n int) time.Duration {
 	t.Helper()
 	var longest time.Duration
 	for range n {
