--- a/pkg/configwatch/service.go
+++ b/pkg/configwatch/service.go
@@ -25,6 +25,9 @@
 	// silenceLimit drops a watch without news. Control instances send a
 	// heartbeat every second, and an open connection may be silent for good.
 	silenceLimit = 3 * time.Second
+	// firstLimit drops a new watch without a first event: control instances
+	// send a heartbeat at once. A frozen instance still accepts connections.
+	firstLimit = time.Second
 	// askLimit bounds the question for the newest version after a start.
 	askLimit = 3 * time.Second
 	// retryPause is the wait after all control instances failed in turn.
@@ -212,7 +215,7 @@
 ) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(s.silence, func() {
+	silence := time.AfterFunc(min(firstLimit, s.silence), func() {
 		s.dialer.Drop(address)
 		cancel()
 	})
--- a/pkg/control/loopback_test.go
+++ b/pkg/control/loopback_test.go
@@ -306,26 +306,40 @@
 }
 
 // BenchmarkTimeInForce measures the time from a proposal until it is in force at
-// 7 watchers, and the bytes that each of them sends and receives for a change.
+// all watchers, and the bytes that each of them sends and receives for a change.
 func BenchmarkTimeInForce(b *testing.B) {
+	for _, size := range []struct{ watchers, organisations int }{{7, 10}, {500, 10}, {7, 35_000}} {
+		b.Run(fmt.Sprintf("watchers%d/organisations%d", size.watchers, size.organisations), func(b *testing.B) {
+			benchInForce(b, size.watchers, size.organisations)
+		})
+	}
+}
+
+func benchInForce(b *testing.B, size, organisations int) {
 	l := newGroupOver(b, 5, true)
+	version := uint64(0)
+	for from := 0; from < organisations; from += 1000 {
+		var ops []document.Op
+		for i := from; i < min(from+1000, organisations); i++ {
+			ops = append(ops, organisationOp(fmt.Sprintf("org-%d", i), 1))
+		}
+		version = l.change(0, document.Change{ID: fmt.Sprint("load", from), Operator: "rozenn", Base: version, Ops: ops})
+	}
 	var watchers []*watcher
-	for i := range 7 {
-		w := l.watch(fmt.Sprint("e", i), fmt.Sprint("dc", i%3+1), "", l.peers, nil)
-		until(b, "the watcher is ready", w.Ready)
-		watchers = append(watchers, w)
+	for i := range size {
+		watchers = append(watchers, l.watch(fmt.Sprint("e", i), fmt.Sprint("dc", i%3+1), "", l.peers, nil))
 	}
-	version := l.change(0, testChange("first", 0, 1))
-	until(b, "all watch", func() bool {
-		return !slices.ContainsFunc(watchers, func(w *watcher) bool { return w.Current().Version != version })
-	})
-	received := func() (total uint64) {
+	version = l.change(0, testChange("first", version, 1))
+	for _, w := range watchers {
+		until(b, "the watcher is up to date", func() bool { return w.Ready() && w.Current().Version == version })
+	}
+	carried := func() (total uint64) {
 		for _, w := range watchers {
 			total += w.counters.Received.Load() + w.counters.Sent.Load()
 		}
 		return total
 	}
-	before := received()
+	before := carried()
 	var times []time.Duration
 	for b.Loop() {
 		start := time.Now()
@@ -338,7 +352,7 @@
 		times = append(times, time.Since(start))
 	}
 	slices.Sort(times)
-	b.ReportMetric(float64(received()-before)/float64(len(times)*len(watchers)), "bytes/change/watcher")
+	b.ReportMetric(float64(carried()-before)/float64(len(times)*len(watchers)), "bytes/change/watcher")
 	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "ms-p50")
 	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "ms-p99")
 }
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -35,6 +35,7 @@
 	// Limits of the operators' HTTP server.
 	headerTimeout = 5 * time.Second
 	bodyTimeout   = 30 * time.Second
+	answerTimeout = 60 * time.Second
 	idleTimeout   = 60 * time.Second
 )
 
@@ -195,7 +196,8 @@
 		mux.Handle(m.prefix, m.handler)
 	}
 	s.http = &http.Server{
-		Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+		Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		WriteTimeout: answerTimeout, IdleTimeout: idleTimeout,
 	}
 	s.wait.Go(func() {
 		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
