entry, standin: plain calls against stand-in services, slow callers

A retried idempotent call whose last attempt found no backend server was told as "not run" although an earlier attempt may have run.

Ruled out: deciding by the last error alone; the call now remembers whether any attempt may have run. Backend servers without a pool are accepted, since engines without a loaded model announce themselves too.

--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -32,6 +32,9 @@
 	// hold makes Next block before the token at this position.
 	hold int
 	gate chan struct{}
+	// endless makes answers go on for ever; closed is sent to by Close.
+	endless bool
+	closed  chan struct{}
 }
 
 func (f *fakeRunner) Open(_ context.Context, r generation.Request) (generation.Session, error) {
@@ -63,7 +66,13 @@
 
 func (s *fakeSession) Stream() string              { return "s1" }
 func (s *fakeSession) Request() generation.Request { return s.request }
-func (s *fakeSession) Close()                      {}
+
+func (s *fakeSession) Close() {
+	select {
+	case s.runner.closed <- struct{}{}:
+	default:
+	}
+}
 
 func (s *fakeSession) Next(ctx context.Context) (generation.Event, error) {
 	words := strings.Fields(s.request.Prompt)
@@ -77,6 +86,8 @@
 	position := s.next
 	s.next++
 	switch {
+	case s.runner.endless:
+		return generation.Event{Position: position, Text: strings.Repeat("x", 1000)}, nil
 	case position < len(words):
 		return generation.Event{Position: position, Text: words[position] + " "}, nil
 	case position == len(words):
@@ -196,7 +207,7 @@
 func newRig(t testing.TB) *rig {
 	t.Helper()
 	g := &rig{
-		config: &configwatch.Holder{}, runner: &fakeRunner{streams: map[string]generation.Request{}},
+		config: &configwatch.Holder{}, runner: &fakeRunner{streams: map[string]generation.Request{}, closed: make(chan struct{}, 1)},
 		slots: &fakeSlots{}, backends: &fakeBackends{}, once: &fakeOnce{verdict: once.Verdict{Outcome: once.Claimed}},
 	}
 	g.config.Set(testDocument())
--- a/pkg/entry/routes.go
+++ b/pkg/entry/routes.go
@@ -76,8 +76,8 @@
 		return badField("address", "bad_value", "must be an IP address with a port")
 	case a.DataCentre == "" || len(a.DataCentre) > maxBackendIDBytes:
 		return badField("data_centre", "bad_value", "must be set")
-	case len(a.Pools) == 0 || len(a.Pools) > maxPoolsPerBackend || slices.Contains(a.Pools, ""):
-		return badField("pools", "bad_value", "must name 1 to "+strconv.Itoa(maxPoolsPerBackend)+" pools")
+	case len(a.Pools) > maxPoolsPerBackend || slices.Contains(a.Pools, ""):
+		return badField("pools", "bad_value", "must name at most "+strconv.Itoa(maxPoolsPerBackend)+" pools")
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return badField("slots", "bad_value", "must be from 1 to "+strconv.Itoa(maxSlots))
 	}
--- a/pkg/entry/services.go
+++ b/pkg/entry/services.go
@@ -129,18 +129,23 @@
 	budget := s.budgets.of(call.service)
 	budget.called()
 	var tried []string
+	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
 		result, err := s.attempt(ctx, call, &tried, true)
 		if err == nil && !result.refused && result.answer.Status < http.StatusBadGateway {
 			return s.writeAnswer(w, result.answer)
 		}
+		mayHaveRun = mayHaveRun || !result.refused && !provablyNotRun(err)
 		if attempt < maxAttempts && ctx.Err() == nil && !isRefusal(err) && budget.retry() {
 			continue
 		}
-		if err == nil {
+		switch {
+		case !mayHaveRun:
+			return notRun(err)
+		case err == nil && !result.refused:
 			return s.writeAnswer(w, result.answer)
 		}
-		return callError(err)
+		return lostCall(ctx)
 	}
 }
 
@@ -176,7 +181,7 @@
 		s.Once.Release(recordCtx, verdict.Claim)
 		return notRun(err)
 	}
-	return callError(err)
+	return lostCall(ctx)
 }
 
 // runClaimed tries other backend servers only while the call provably did not run.
@@ -261,12 +266,9 @@
 	}
 }
 
-// callError maps the error of a call that may have run.
-func callError(err error) error {
-	if provablyNotRun(err) && !errors.Is(err, context.DeadlineExceeded) {
-		return notRun(err)
-	}
-	if errors.Is(err, context.DeadlineExceeded) {
+// lostCall tells the caller that a call was sent and not answered.
+func lostCall(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &apiError{status: http.StatusGatewayTimeout, outcome: outcomeUnknown, code: "timeout", message: "no answer in time"}
 	}
 	return &apiError{status: http.StatusBadGateway, outcome: outcomeUnknown, code: "connection_lost", message: "the connection to the backend server failed"}
