--- a/pkg/sched/dispatch.go
+++ b/pkg/sched/dispatch.go
@@ -11,6 +11,9 @@
 
 // dispatch grants free slots until none is left or nobody may have one.
 func (p *Pool) dispatch(now time.Time) {
+	if now.Before(p.settled) {
+		return
+	}
 	if p.config.Policy == FIFO {
 		p.dispatchFIFO(now)
 	} else {
--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -24,6 +24,7 @@
 	// too small for a whole slot as its floor.
 	credit     float64
 	lastUrgent time.Time
+	settled    time.Time
 	victims    victimHeap
 	preempting int
 	number     uint64
@@ -207,6 +208,30 @@
 	return p.out
 }
 
+// Withdraw takes a backend server out that may no longer carry this pool.
+func (p *Pool) Withdraw(now time.Time, id string) []Decision {
+	p.out = p.out[:0]
+	if s := p.servers.byID[id]; s != nil && s.announced {
+		p.servers.withdraw(s)
+		p.servers.file(s)
+		p.servers.forget(s)
+		p.servers.boundEjections(now)
+	}
+	p.dispatch(now)
+	return p.out
+}
+
+// KeysOf returns the requests of an entry instance, waiting and granted.
+func (p *Pool) KeysOf(instance string) []Key {
+	var keys []Key
+	for k := range p.entries {
+		if k.Instance == instance {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
 // Tick does what time alone brings about; it is called several times a second.
 func (p *Pool) Tick(now time.Time) []Decision {
 	p.out = p.out[:0]
@@ -283,6 +308,14 @@
 // Empty reports whether the pool holds no request and no announced server.
 func (p *Pool) Empty() bool { return len(p.entries) == 0 && p.servers.present == 0 }
 
+// Paused tells that the process was frozen until now: servers that lapse did
+// announce themselves, and requests wait for them as in a new pool.
+func (p *Pool) Paused(now time.Time) { p.created = now }
+
+// Settle stops grants until a moment: a new broker first learns of the leases
+// that entry instances hold.
+func (p *Pool) Settle(until time.Time) { p.settled = until }
+
 // Has reports whether a request waits or holds a slot.
 func (p *Pool) Has(k Key) bool { return p.entries[k] != nil }
 
