control: histories with lost disks, restart from disk, operators' keys unique

Cause: the histories covered cuts, freezes and restarts, but no lost disk; the restart after 300 changes ran on an in-memory log only; two operators with one key got whichever name the map yielded first. Ruled out: taking a second disk before the first replacement is known to all members: with 3 members that is the loss of a majority of disks.

--- a/pkg/control/api.go
+++ b/pkg/control/api.go
@@ -10,12 +10,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
@@ -70,14 +73,20 @@
 }
 
 // NewAuth returns the operators of the settings, which map names to SHA-256
-// hashes in hex; hashes that do not decode are refused.
+// hashes in hex. Hashes that do not decode are refused, and a key of two
+// operators, because it would not tell whose a change is.
 func NewAuth(operators map[string]string) (*Auth, error) {
 	a := &Auth{}
-	for name, text := range operators {
-		hash, err := hex.DecodeString(text)
+	owners := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(operators)) {
+		hash, err := hex.DecodeString(operators[name])
 		if err != nil || len(hash) != sha256.Size {
-			return nil, fmt.Errorf("operators.%s: must be a SHA-256 hash in hex", name)
+			return nil, eris.Errorf("operators.%s: must be a SHA-256 hash in hex", name)
 		}
+		if other, taken := owners[string(hash)]; taken {
+			return nil, eris.Errorf("operators.%s: is also the key of %q", name, other)
+		}
+		owners[string(hash)] = name
 		a.names, a.hashes = append(a.names, name), append(a.hashes, hash)
 	}
 	return a, nil
--- a/pkg/control/api_test.go
+++ b/pkg/control/api_test.go
@@ -138,3 +138,19 @@
 		qt.Assert(t, status, qt.Equals, 200)
 	}
 }
+
+// Guards against settings in which a key tells no single operator.
+func TestAuthRefusesAmbiguousKeys(t *testing.T) {
+	hash := document.HashKey("key-1")
+	cases := []struct {
+		operators map[string]string
+		want      string
+	}{
+		{map[string]string{"erwan": hash[1:]}, "operators.erwan: must be a SHA-256 hash in hex"},
+		{map[string]string{"erwan": hash, "rozenn": strings.ToUpper(hash)}, `operators.rozenn: is also the key of "erwan"`},
+	}
+	for _, c := range cases {
+		_, err := NewAuth(c.operators)
+		qt.Assert(t, err, qt.ErrorMatches, c.want)
+	}
+}
--- a/pkg/control/group_test.go
+++ b/pkg/control/group_test.go
@@ -94,6 +94,8 @@
 	loss    float64
 	cut     map[consensus.MemberID]bool
 	members map[consensus.MemberID]*member
+	// lostDisks belongs to disturb.
+	lostDisks int
 }
 
 // member is one instance of a group, over all its restarts.
@@ -101,6 +103,7 @@
 	group  *group
 	id     consensus.MemberID
 	store  *memoryStore
+	disk   consensus.DiskID
 	gate   sync.RWMutex
 	node   *Node
 	cancel context.CancelFunc
@@ -116,7 +119,7 @@
 		g.ids = append(g.ids, consensus.MemberID(fmt.Sprint("c", i+1)))
 	}
 	for _, id := range g.ids {
-		g.members[id] = &member{group: g, id: id, store: &memoryStore{}}
+		g.members[id] = &member{group: g, id: id, store: &memoryStore{}, disk: consensus.DiskID("disk-" + string(id))}
 		g.start(id, seed)
 	}
 	t.Cleanup(func() {
@@ -132,7 +135,7 @@
 	m.starts++
 	stored := m.store.read()
 	c := consensus.New(consensus.Config{
-		ID: id, Disk: consensus.DiskID("disk-" + string(id)), Members: g.ids, HeartbeatTicks: 2, ElectionTicks: testElection,
+		ID: id, Disk: m.disk, Members: g.ids, HeartbeatTicks: 2, ElectionTicks: testElection,
 		Rand: rand.New(rand.NewPCG(seed, uint64(m.starts)<<8|uint64(id[1]))),
 	}, stored)
 	node, err := newNode(loopParts{
--- a/pkg/control/history_test.go
+++ b/pkg/control/history_test.go
@@ -86,7 +86,26 @@
 	}
 }
 
-// disturb cuts off, freezes and restarts members until done is closed.
+// loseDisk restarts a member with an empty disk, unless an earlier replacement
+// is not known to every member yet: more than one lost disk is no single fault.
+func (g *group) loseDisk(id consensus.MemberID, seed uint64) {
+	for _, at := range g.ids {
+		table := g.node(at).Status().Members
+		for _, m := range g.members {
+			if table[m.id] != m.disk {
+				return
+			}
+		}
+	}
+	g.stop(id)
+	m := g.members[id]
+	m.store, m.disk = &memoryStore{}, consensus.DiskID(fmt.Sprint("disk-", id, "-", m.starts))
+	g.start(id, seed)
+	g.lostDisks++
+}
+
+// disturb cuts off, freezes and restarts members and takes their disks until
+// done is closed.
 func (g *group) disturb(random *rand.Rand, done <-chan struct{}) {
 	for {
 		select {
@@ -99,7 +118,7 @@
 			id = leader
 		}
 		length := time.Duration(50+random.IntN(150)) * time.Millisecond
-		switch random.IntN(3) {
+		switch random.IntN(4) {
 		case 0:
 			g.setCut(id, true)
 			time.Sleep(length)
@@ -109,6 +128,8 @@
 			m.gate.Lock()
 			time.Sleep(length)
 			m.gate.Unlock()
+		case 2:
+			g.loseDisk(id, random.Uint64())
 		default:
 			g.stop(id)
 			time.Sleep(length / 4)
@@ -164,7 +185,7 @@
 	if accepted == 0 {
 		t.Fatal("no change was accepted")
 	}
-	t.Logf("%d operations, %d changes accepted, term %d", len(history), accepted, maxTerm(g))
+	t.Logf("%d operations, %d changes accepted, term %d, %d disks lost", len(history), accepted, maxTerm(g), g.lostDisks)
 	if result := porcupine.CheckOperationsTimeout(configurationModel, history, 30*time.Second); result != porcupine.Ok {
 		t.Fatalf("the history is not linearizable: %s", result)
 	}
--- a/pkg/control/loopback_test.go
+++ b/pkg/control/loopback_test.go
@@ -206,6 +206,35 @@
 	observers.Wait()
 }
 
+// Guards against a control group or an entry instance that comes back older
+// after 300 changes, with the synced logs and the stored configuration on disk.
+func TestRestartFromDisk(t *testing.T) {
+	l := newGroupOver(t, 3, true)
+	folder := t.TempDir()
+	w := l.watch("e1", "dc1", folder, l.peers, nil)
+	const changes = 300
+	for i := range changes {
+		qt.Assert(t, l.change(i%3, testChange(fmt.Sprint(i), uint64(i), 1+i%9)), qt.Equals, uint64(i+1))
+	}
+	until(t, "the watcher is up to date", func() bool { return w.Current().Version == changes })
+	w.stop()
+	for i := range 3 {
+		l.stop(i)
+	}
+	alone := l.watch("e1", "dc1", folder, l.peers, nil)
+	qt.Assert(t, alone.Ready(), qt.IsTrue)
+	qt.Assert(t, alone.Current().Version, qt.Equals, uint64(changes))
+	for i := range 3 {
+		l.start(i)
+	}
+	d, err := l.services[1].Read(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, d.Version, qt.Equals, uint64(changes))
+	qt.Assert(t, l.change(2, testChange("299", 299, 1+299%9)), qt.Equals, uint64(changes))
+	qt.Assert(t, l.change(2, testChange("300", changes, 9)), qt.Equals, uint64(changes+1))
+	until(t, "the watcher follows again", func() bool { return alone.Current().Version == changes+1 })
+}
+
 // Guards against an instance without a stored version that is ready with an
 // older one than the instances around it have, and against an instance that
 // forgets its version when it restarts alone.
