control: a planned stop answers the proposals of its peers

Cause: a leader that stopped left changes that other instances had forwarded to it without a result ("round 0, change 20: unknown, context canceled"). Change: after the operators' requests are finished, the node refuses new proposals as not proposed and answers the ones under way before consensus stops; the other instances repeat the refused ones at the next leader. A test covers watches at an instance that is cut off from the group. Ruled out: reporting such changes as not proposed: they may be committed.

--- a/pkg/control/group_test.go
+++ b/pkg/control/group_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
 // memoryStore is a disk that survives restarts of its node.
@@ -344,3 +345,44 @@
 	value, _ := json.Marshal(d.Organisations["boutique"].Weight)
 	qt.Assert(t, string(value), qt.Equals, "2")
 }
+
+// events collects what a watcher gets.
+type events struct {
+	mu  sync.Mutex
+	all []*wire.WatchEvent
+}
+
+func (e *events) Send(event *wire.WatchEvent) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.all = append(e.all, event)
+	return nil
+}
+
+// Guards against a watcher that stays for ever at an instance that is cut off
+// from the group but not from the watcher.
+func TestWatchEndsWithoutLeader(t *testing.T) {
+	g := newGroup(t, 3, 13)
+	g.leader()
+	qt.Assert(t, g.change("c1", testChange("1", 0, 1)).Outcome, qt.Equals, Accepted)
+	_, err := g.node("c1").waitVersion(t.Context(), 1)
+	qt.Assert(t, err, qt.IsNil)
+	var got events
+	ended := make(chan error, 1)
+	go func() { ended <- g.node("c1").watch(t.Context(), 0, &got) }()
+	until(t, "the first events", func() bool {
+		got.mu.Lock()
+		defer got.mu.Unlock()
+		return len(got.all) >= 2 && !got.all[0].Heartbeat && got.all[1].Heartbeat && got.all[1].Version == 1
+	})
+	g.setCut("c1", true)
+	select {
+	case err := <-ended:
+		qt.Assert(t, err, qt.ErrorIs, errLeaderless)
+	case <-time.After(30 * time.Second):
+		t.Fatal("the watch goes on without a leader")
+	}
+	var again events
+	qt.Assert(t, g.node("c1").watch(t.Context(), 0, &again), qt.ErrorIs, errLeaderless)
+	qt.Assert(t, again.all, qt.HasLen, 1)
+}
--- a/pkg/control/loopback_test.go
+++ b/pkg/control/loopback_test.go
@@ -235,6 +235,36 @@
 	until(t, "the watcher follows again", func() bool { return alone.Current().Version == changes+1 })
 }
 
+// Guards against a planned stop of the leader that leaves a change of an
+// operator at another instance without a result.
+func TestPlannedStopLosesNoChange(t *testing.T) {
+	l := newLoopback(t, 3)
+	version := l.change(0, testChange("first", 0, 1))
+	for round := range 3 {
+		leader := -1
+		until(t, "there is a leader", func() bool {
+			leader = slices.IndexFunc(l.services, func(s *Service) bool { return s.Node().Status().Role == consensus.Leader })
+			return leader >= 0
+		})
+		follower := l.services[(leader+1)%3]
+		stopped := make(chan struct{})
+		for i := 0; ; i++ {
+			if i == 20 {
+				go func() { l.stop(leader); close(stopped) }()
+			}
+			c := testChange(fmt.Sprint(round, "-", i), version, 1+i%9)
+			result := follower.Propose(context.Background(), &c)
+			qt.Assert(t, result.Outcome, qt.Equals, Accepted, qt.Commentf("round %d, change %d: %+v", round, i, result))
+			version = result.Version
+			if i == 60 {
+				break
+			}
+		}
+		<-stopped
+		l.start(leader)
+	}
+}
+
 // Guards against an instance without a stored version that is ready with an
 // older one than the instances around it have, and against an instance that
 // forgets its version when it restarts alone.
--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -114,8 +114,10 @@
 	// readTerm is the term of the newest pending read.
 	readTerm uint64
 
-	// watchers counts the open watches.
-	watchers atomic.Int64
+	// watchers counts the open watches, proposing the calls of ProposeLocal.
+	watchers, proposing atomic.Int64
+	// draining refuses new proposals before a planned stop.
+	draining atomic.Bool
 
 	mu     sync.RWMutex
 	state  *State
@@ -380,6 +382,18 @@
 	}
 }
 
+// drainStep is the interval at which drain looks, and the time for the answers
+// of the last proposals to leave.
+const drainStep = 20 * time.Millisecond
+
+// drainProposals refuses new proposals and waits until those of peers are
+// answered or ctx ends. The peers repeat refused ones at the next leader.
+func (n *Node) drainProposals(ctx context.Context) {
+	n.draining.Store(true)
+	for pause(ctx, drainStep) && n.proposing.Load() > 0 {
+	}
+}
+
 // submit hands a proposal to the loop and waits for its answer.
 func (n *Node) submit(ctx context.Context, p *proposal) answer {
 	p.done = make(chan answer, 1)
@@ -406,6 +420,11 @@
 	if first, ok := n.Decided(c); ok {
 		return first
 	}
+	n.proposing.Add(1)
+	defer n.proposing.Add(-1)
+	if n.draining.Load() {
+		return Result{ChangeID: c.ID, Outcome: Unavailable}
+	}
 	data, err := json.Marshal(command{Time: n.parts.now().UTC(), Change: c})
 	if err != nil {
 		return Result{ChangeID: c.ID, Outcome: Invalid, Message: err.Error()}
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -240,6 +240,7 @@
 	var err error
 	if s.http != nil {
 		err = s.http.Shutdown(ctx)
+		s.node.drainProposals(ctx)
 	}
 	s.cancel()
 	s.wait.Wait()
