--- a/pkg/control/group_test.go
+++ b/pkg/control/group_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
 // memoryStore is a disk that survives restarts of its node.
@@ -94,6 +95,8 @@
 	loss    float64
 	cut     map[consensus.MemberID]bool
 	members map[consensus.MemberID]*member
+	// lostDisks belongs to disturb.
+	lostDisks int
 }
 
 // member is one instance of a group, over all its restarts.
@@ -101,6 +104,7 @@
 	group  *group
 	id     consensus.MemberID
 	store  *memoryStore
+	disk   consensus.DiskID
 	gate   sync.RWMutex
 	node   *Node
 	cancel context.CancelFunc
@@ -116,7 +120,7 @@
 		g.ids = append(g.ids, consensus.MemberID(fmt.Sprint("c", i+1)))
 	}
 	for _, id := range g.ids {
-		g.members[id] = &member{group: g, id: id, store: &memoryStore{}}
+		g.members[id] = &member{group: g, id: id, store: &memoryStore{}, disk: consensus.DiskID("disk-" + string(id))}
 		g.start(id, seed)
 	}
 	t.Cleanup(func() {
@@ -132,7 +136,7 @@
 	m.starts++
 	stored := m.store.read()
 	c := consensus.New(consensus.Config{
-		ID: id, Disk: consensus.DiskID("disk-" + string(id)), Members: g.ids, HeartbeatTicks: 2, ElectionTicks: testElection,
+		ID: id, Disk: m.disk, Members: g.ids, HeartbeatTicks: 2, ElectionTicks: testElection,
 		Rand: rand.New(rand.NewPCG(seed, uint64(m.starts)<<8|uint64(id[1]))),
 	}, stored)
 	node, err := newNode(loopParts{
@@ -341,3 +345,44 @@
 	value, _ := json.Marshal(d.Organisations["boutique"].Weight)
 	qt.Assert(t, string(value), qt.Equals, "2")
 }
+
+// events collects what a watcher gets.
+type events struct {
+	mu  sync.Mutex
+	all []*wire.WatchEvent
+}
+
+func (e *events) Send(event *wire.WatchEvent) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.all = append(e.all, event)
+	return nil
+}
+
+// Guards against a watcher that stays for ever at an instance that is cut off
+// from the group but not from the watcher.
+func TestWatchEndsWithoutLeader(t *testing.T) {
+	g := newGroup(t, 3, 13)
+	g.leader()
+	qt.Assert(t, g.change("c1", testChange("1", 0, 1)).Outcome, qt.Equals, Accepted)
+	_, err := g.node("c1").waitVersion(t.Context(), 1)
+	qt.Assert(t, err, qt.IsNil)
+	var got events
+	ended := make(chan error, 1)
+	go func() { ended <- g.node("c1").watch(t.Context(), 0, &got) }()
+	until(t, "the first events", func() bool {
+		got.mu.Lock()
+		defer got.mu.Unlock()
+		return len(got.all) >= 2 && !got.all[0].Heartbeat && got.all[1].Heartbeat && got.all[1].Version == 1
+	})
+	g.setCut("c1", true)
+	select {
+	case err := <-ended:
+		qt.Assert(t, err, qt.ErrorIs, errLeaderless)
+	case <-time.After(30 * time.Second):
+		t.Fatal("the watch goes on without a leader")
+	}
+	var again events
+	qt.Assert(t, g.node("c1").watch(t.Context(), 0, &again), qt.ErrorIs, errLeaderless)
+	qt.Assert(t, again.all, qt.HasLen, 1)
+}
--- a/pkg/control/loopback_test.go
+++ b/pkg/control/loopback_test.go
@@ -206,6 +206,65 @@
 	observers.Wait()
 }
 
+// Guards against a control group or an entry instance that comes back older
+// after 300 changes, with the synced logs and the stored configuration on disk.
+func TestRestartFromDisk(t *testing.T) {
+	l := newGroupOver(t, 3, true)
+	folder := t.TempDir()
+	w := l.watch("e1", "dc1", folder, l.peers, nil)
+	const changes = 300
+	for i := range changes {
+		qt.Assert(t, l.change(i%3, testChange(fmt.Sprint(i), uint64(i), 1+i%9)), qt.Equals, uint64(i+1))
+	}
+	until(t, "the watcher is up to date", func() bool { return w.Current().Version == changes })
+	w.stop()
+	for i := range 3 {
+		l.stop(i)
+	}
+	alone := l.watch("e1", "dc1", folder, l.peers, nil)
+	qt.Assert(t, alone.Ready(), qt.IsTrue)
+	qt.Assert(t, alone.Current().Version, qt.Equals, uint64(changes))
+	for i := range 3 {
+		l.start(i)
+	}
+	d, err := l.services[1].Read(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, d.Version, qt.Equals, uint64(changes))
+	qt.Assert(t, l.change(2, testChange("299", 299, 1+299%9)), qt.Equals, uint64(changes))
+	qt.Assert(t, l.change(2, testChange("300", changes, 9)), qt.Equals, uint64(changes+1))
+	until(t, "the watcher follows again", func() bool { return alone.Current().Version == changes+1 })
+}
+
+// Guards against a planned stop of the leader that leaves a change of an
+// operator at another instance without a result.
+func TestPlannedStopLosesNoChange(t *testing.T) {
+	l := newLoopback(t, 3)
+	version := l.change(0, testChange("first", 0, 1))
+	for round := range 3 {
+		leader := -1
+		until(t, "there is a leader", func() bool {
+			leader = slices.IndexFunc(l.services, func(s *Service) bool { return s.Node().Status().Role == consensus.Leader })
+			return leader >= 0
+		})
+		follower := l.services[(leader+1)%3]
+		stopped := make(chan struct{})
+		for i := 0; ; i++ {
+			if i == 20 {
+				go func() { l.stop(leader); close(stopped) }()
+			}
+			c := testChange(fmt.Sprint(round, "-", i), version, 1+i%9)
+			result := follower.Propose(context.Background(), &c)
+			qt.Assert(t, result.Outcome, qt.Equals, Accepted, qt.Commentf("round %d, change %d: %+v", round, i, result))
+			version = result.Version
+			if i == 60 {
+				break
+			}
+		}
+		<-stopped
+		l.start(leader)
+	}
+}
+
 // Guards against an instance without a stored version that is ready with an
 // older one than the instances around it have, and against an instance that
 // forgets its version when it restarts alone.
