--- a/pkg/broker/service.go
+++ b/pkg/broker/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -89,6 +90,8 @@
 	ticked   time.Time
 	stopped  bool
 
+	// near holds the live instances of the data centre as of the last tick.
+	near    []membership.Member
 	brokers map[string]string
 	links   map[string]*link
 	calls   map[uint64]*call
@@ -169,7 +172,7 @@
 	if !s.ticked.IsZero() && now.Sub(s.ticked) > pauseLimit {
 		s.afterPause(now)
 	}
-	s.ticked = now
+	s.ticked, s.near = now, nil
 	s.reconfigure()
 	s.tickHosted(now)
 	s.tickPeers(now)
@@ -215,18 +218,22 @@
 // candidates returns the instances that may be the broker of a pool in a data
 // centre, best first.
 func (s *Service) candidates(pool, dataCentre string) []membership.Member {
-	var alive []membership.Member
-	for _, m := range membership.InDataCentre(dataCentre, s.view.Members()) {
-		if m.State == membership.Alive {
-			alive = append(alive, m)
-		}
-	}
-	return membership.Rank(pool+"@"+dataCentre, alive)
+	return membership.Rank(pool+"@"+dataCentre, alive(dataCentre, s.view.Members()))
 }
 
-// first returns the broker of a pool in the own data centre, "" if there is none.
+func alive(dataCentre string, members []membership.Member) []membership.Member {
+	return slices.DeleteFunc(membership.InDataCentre(dataCentre, members),
+		func(m membership.Member) bool { return m.State != membership.Alive })
+}
+
+// first returns the broker of a pool in the own data centre as of the last
+// tick, "" if there is none.
 func (s *Service) first(pool string) string {
-	if list := s.candidates(pool, s.view.Self().DataCentre); len(list) > 0 {
+	dataCentre := s.view.Self().DataCentre
+	if s.near == nil {
+		s.near = alive(dataCentre, s.view.Members())
+	}
+	if list := membership.Rank(pool+"@"+dataCentre, s.near); len(list) > 0 {
 		return list[0].ID
 	}
 	return ""
--- a/pkg/broker/session.go
+++ b/pkg/broker/session.go
@@ -125,10 +125,14 @@
 		}
 		p.end()
 		delete(s.peers, name)
-		s.stats.Reclaimed++
-		s.log.Info("entry instance lost, its grants are reclaimed", "process", name)
+		held := 0
 		for _, h := range s.pools {
+			held += len(h.pool.KeysOf(name))
 			s.deliver(h.pool.DropInstance(now, name))
 		}
+		if held > 0 {
+			s.stats.Reclaimed++
+			s.log.Info("entry instance lost, its requests are dropped", "process", name, "requests", held)
+		}
 	}
 }
