--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -51,32 +51,33 @@
 
 // TakeOver implements wire.DRPCReplicaServer.
 func (v *server) TakeOver(_ context.Context, r *wire.TakeOverRequest) (*wire.TakeOverResponse, error) {
+	s := (*Service)(v)
 	atLeast := int(min(r.GetAtLeast(), math.MaxInt))
-	record, kind := (*Service)(v).takeOverHere(r.GetStream(), r.GetOrganisation(), r.GetNewOwner(), atLeast)
-	if kind != Usable {
-		return &wire.TakeOverResponse{TooShort: kind == TooShort, Epoch: record.Term.Epoch}, nil
+	if r.GetEpoch() == 0 {
+		epoch, kind := s.findHere(r.GetStream(), r.GetOrganisation(), atLeast)
+		return &wire.TakeOverResponse{Copy: string(kind), Epoch: epoch}, nil
+	}
+	term := Term{Epoch: r.GetEpoch(), Owner: r.GetNewOwner()}
+	record, kind := s.takeOverHere(r.GetStream(), r.GetOrganisation(), term, atLeast)
+	response := &wire.TakeOverResponse{Copy: string(kind), Epoch: record.Term.Epoch}
+	if kind == Usable {
+		response.Record = recordToWire(&record)
 	}
-	return &wire.TakeOverResponse{Found: true, Record: recordToWire(&record)}, nil
+	return response, nil
 }
 
-func (s *Service) takeOverHere(stream, organisation, newOwner string, atLeast int) (Record, Copy) {
+func (s *Service) findHere(stream, organisation string, atLeast int) (uint64, Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	record, kind := s.store.TakeOver(stream, organisation, newOwner, atLeast, time.Now())
-	if kind == Usable {
-		s.checkOwned(stream)
-	}
-	return record, kind
+	return s.store.Find(stream, organisation, atLeast)
 }
 
-// Fence implements wire.DRPCReplicaServer.
-func (v *server) Fence(_ context.Context, r *wire.FenceRequest) (*wire.FenceResponse, error) {
-	s := (*Service)(v)
+func (s *Service) takeOverHere(stream, organisation string, term Term, atLeast int) (Record, Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store.Fence(r.GetStream(), Term{Epoch: r.GetEpoch(), Owner: r.GetOwner()}, time.Now())
-	s.checkOwned(r.GetStream())
-	return &wire.FenceResponse{}, nil
+	record, kind := s.store.TakeOver(stream, organisation, term, atLeast, time.Now())
+	s.checkOwned(stream)
+	return record, kind
 }
 
 // ClaimStream implements wire.DRPCReplicaServer.
--- a/pkg/replica/service.go
+++ b/pkg/replica/service.go
@@ -41,9 +41,6 @@
 	expireEvery = 5 * time.Second
 	// takeOverTimeout bounds one question for a record to one instance.
 	takeOverTimeout = 400 * time.Millisecond
-	// fenceWait is the longest time that a takeover waits until all instances
-	// know of it.
-	fenceWait = 100 * time.Millisecond
 	// takeOverRetry is the pause and takeOverLimit the total time of a search
 	// while instances do not answer.
 	takeOverRetry = 200 * time.Millisecond
--- a/pkg/replica/store.go
+++ b/pkg/replica/store.go
@@ -249,52 +249,61 @@
 }
 
 // Copy tells what a store has of a stream that is to be taken over.
-type Copy uint8
+type Copy string
 
 // Kinds of copies.
 const (
 	// NoCopy also stands for a copy of another organisation.
-	NoCopy Copy = iota
+	NoCopy Copy = "none"
 	// TooShort is a copy with fewer tokens than the caller has.
-	TooShort
+	TooShort Copy = "too_short"
 	// Usable is a copy from which the stream can continue.
-	Usable
+	Usable Copy = "usable"
+	// Newer tells that the store knows a newer term than the one that takes over.
+	Newer Copy = "newer"
 )
 
-// TakeOver makes newOwner the owner of a stream under a higher epoch and
-// returns the record. Without a usable copy nothing changes, and the record
-// has only the newest known term.
-func (s *Store) TakeOver(stream, organisation, newOwner string, atLeast int, now time.Time) (Record, Copy) {
+// Find returns the newest known epoch of a stream and what the store has of it.
+func (s *Store) Find(stream, organisation string, atLeast int) (epoch uint64, kind Copy) {
+	e, ok := s.records[stream]
+	switch {
+	case !ok:
+		return s.fences[stream].term.Epoch, NoCopy
+	case e.Organisation != organisation:
+		return 0, NoCopy
+	case len(e.Tokens) < atLeast:
+		return e.Term.Epoch, TooShort
+	}
+	return e.Term.Epoch, Usable
+}
+
+// TakeOver makes the store refuse terms older than term and returns its copy.
+// Unlike an increment, it has no effect when it arrives late or again.
+func (s *Store) TakeOver(stream, organisation string, term Term, atLeast int, now time.Time) (Record, Copy) {
 	e, ok := s.records[stream]
 	if !ok {
-		return Record{Term: s.fences[stream].term}, NoCopy
+		known := s.fences[stream].term
+		if term.Before(known) {
+			return Record{Term: known}, Newer
+		}
+		s.fences[stream] = mark{term: term, at: now}
+		return Record{Term: term}, NoCopy
 	}
-	if e.Organisation != organisation {
+	switch {
+	case e.Organisation != organisation:
 		return Record{}, NoCopy
+	case term.Before(e.Term):
+		return Record{Term: e.Term}, Newer
 	}
+	e.Term, e.updated = term, now
 	if len(e.Tokens) < atLeast {
-		return Record{Term: e.Term}, TooShort
+		return Record{Term: term}, TooShort
 	}
-	e.Term = Term{Epoch: e.Term.Epoch + 1, Owner: newOwner}
-	e.updated = now
 	r := e.Record
 	r.Tokens = slices.Clip(r.Tokens)
 	return r, Usable
 }
 
-// Fence makes the store refuse older terms of a stream.
-func (s *Store) Fence(stream string, term Term, now time.Time) {
-	if e, ok := s.records[stream]; ok {
-		if e.Term.Before(term) {
-			e.Term = term
-		}
-		return
-	}
-	if s.fences[stream].term.Before(term) {
-		s.fences[stream] = mark{term: term, at: now}
-	}
-}
-
 // Claim returns the instance that was first to open a stream. The claim of
 // insteadOf is replaced.
 func (s *Store) Claim(stream, claimant, insteadOf string, now time.Time) string {
--- a/pkg/replica/store_test.go
+++ b/pkg/replica/store_test.go
@@ -172,24 +172,19 @@
 			},
 			"take over": func(t *rapid.T) {
 				name, o := stream()
-				atLeast := rapid.IntRange(0, 8).Draw(t, "at least")
-				r, kind := s.TakeOver(name, "o", "c", atLeast, now)
-				if (kind == Usable) != (o.known && len(o.tokens) >= atLeast) {
-					t.Fatalf("copy is %v, and the record is %+v", kind, o)
+				atLeast, by := rapid.IntRange(0, 8).Draw(t, "at least"), term()
+				epoch, found := s.Find(name, "o", atLeast)
+				if epoch != o.fence.Epoch || (found == Usable) != (o.known && len(o.tokens) >= atLeast) {
+					t.Fatalf("found %s in epoch %d, and the record is %+v", found, epoch, o)
 				}
-				if kind == Usable {
-					if !o.fence.Before(r.Term) || !slices.Equal(r.Tokens, o.tokens) {
-						t.Fatalf("took over %+v from %+v", r, o)
-					}
-					o.fence = r.Term
+				r, kind := s.TakeOver(name, "o", by, atLeast, now)
+				if by.Before(o.fence) {
+					found = Newer
+				} else {
+					o.fence = by
 				}
-			},
-			"fence": func(t *rapid.T) {
-				name, o := stream()
-				f := term()
-				s.Fence(name, f, now)
-				if o.fence.Before(f) {
-					o.fence = f
+				if kind != found || kind == Usable && !slices.Equal(r.Tokens, o.tokens) {
+					t.Fatalf("copy is %s, %+v, want %s, %+v", kind, r, found, o)
 				}
 			},
 			"": func(t *rapid.T) { checkStore(t, s, want) },
--- a/pkg/replica/takeover.go
+++ b/pkg/replica/takeover.go
@@ -12,19 +12,29 @@
 
 // TakeOver makes this instance the owner of a stream, from the best copy that
 // any reachable instance has. All instances are asked, because an earlier
-// holder can have an outdated copy. A copy with fewer than atLeast tokens does
-// not do: the caller already has more.
+// holder can have an outdated copy, and all are told the new term, so that none
+// becomes the holder of an owner that does not know of it. A copy with fewer
+// than atLeast tokens does not do: the caller already has more.
 func (s *Service) TakeOver(ctx context.Context, stream, organisation string, atLeast int) (*Stream, error) {
 	deadline := time.Now().Add(takeOverLimit)
+	request := wire.TakeOverRequest{
+		Stream: stream, Organisation: organisation, NewOwner: s.view.Self().ID, AtLeast: uint64(max(atLeast, 0)),
+	}
 	for {
-		f := s.collect(ctx, stream, organisation, max(atLeast, 0))
+		f := s.find(ctx, &request)
+		var best *Record
+		if f.usable > 0 {
+			var err error
+			if best, err = s.seize(ctx, &request, f); err != nil {
+				return nil, err
+			}
+		}
 		switch {
-		case f.best != nil:
+		case best != nil:
 			s.takeovers.Add(ctx, 1)
-			s.fence(ctx, stream, f.best.Term)
-			return s.Own(*f.best)
-		case f.silent > 0 && time.Now().Before(deadline):
-		case f.short > 0:
+			return s.Own(*best)
+		case (f.usable > 0 || f.silent > 0) && time.Now().Before(deadline):
+		case f.short > 0 || f.usable > 0:
 			return nil, ErrStaleCopy
 		default:
 			return nil, ErrNotFound
@@ -37,107 +47,110 @@
 	}
 }
 
-// found is the result of the search for the copies of a stream.
+// found counts the copies of a stream by their use.
 type found struct {
-	// best is the copy with the newest content, under the highest epoch.
-	best *Record
-	// known is the highest epoch at instances without a usable copy.
-	known uint64
-	// short counts copies that were too short, silent the instances that did
-	// not answer.
-	short, silent int
+	epoch                 uint64
+	usable, short, silent int
+	// answered names the instances that answered.
+	answered map[string]bool
 }
 
-// add takes the answer of one instance into account.
-func (f *found) add(r *Record, kind Copy) {
+func (f *found) add(id string, epoch uint64, kind Copy) {
+	f.answered[id] = true
+	f.epoch = max(f.epoch, epoch)
 	switch kind {
 	case Usable:
-		f.best = better(f.best, r)
+		f.usable++
 	case TooShort:
 		f.short++
 	}
-	if kind != Usable {
-		f.known = max(f.known, r.Term.Epoch)
-	}
-	if f.best != nil && f.best.Term.Epoch <= f.known {
-		f.best.Term.Epoch = f.known + 1
-	}
 }
 
-// collect raises the epoch at every reachable usable copy.
-func (s *Service) collect(ctx context.Context, stream, organisation string, atLeast int) found {
-	self := s.view.Self().ID
-	request := &wire.TakeOverRequest{
-		Stream: stream, Organisation: organisation, NewOwner: self, AtLeast: uint64(atLeast),
-	}
-	answers, asked := everywhere(ctx, s, func(ctx context.Context, c wire.DRPCReplicaClient) (*wire.TakeOverResponse, error) {
-		return c.TakeOver(ctx, request)
+// find asks all instances for their copies and changes nothing.
+func (s *Service) find(ctx context.Context, r *wire.TakeOverRequest) found {
+	f := found{answered: map[string]bool{}}
+	answers, asked := s.askAll(ctx, &wire.TakeOverRequest{
+		Stream: r.GetStream(), Organisation: r.GetOrganisation(), NewOwner: r.GetNewOwner(), AtLeast: r.GetAtLeast(),
 	})
-	var f found
-	here, kind := s.takeOverHere(stream, organisation, self, atLeast)
-	f.add(&here, kind)
+	epoch, kind := s.findHere(r.GetStream(), r.GetOrganisation(), int(r.GetAtLeast()))
+	f.add(r.GetNewOwner(), epoch, kind)
 	for range asked {
-		answer := <-answers
-		if answer == nil {
+		a := <-answers
+		if a.response == nil {
 			f.silent++
 			continue
 		}
-		r, kind := Record{Term: Term{Epoch: answer.GetEpoch()}}, NoCopy
-		switch {
-		case answer.GetFound():
-			r, kind = recordFromWire(answer.GetRecord()), Usable
-		case answer.GetTooShort():
-			kind = TooShort
-		}
-		f.add(&r, kind)
+		f.add(a.id, a.response.GetEpoch(), Copy(a.response.GetCopy()))
 	}
 	return f
 }
 
-// fence tells all reachable instances of the new term, so that none of them
-// becomes the holder of an owner that does not know of it. Instances that do
-// not answer within the time of a round trip are not waited for.
-func (s *Service) fence(ctx context.Context, stream string, term Term) {
-	request := &wire.FenceRequest{Stream: stream, Epoch: term.Epoch, Owner: term.Owner}
-	answers, asked := everywhere(context.WithoutCancel(ctx), s,
-		func(ctx context.Context, c wire.DRPCReplicaClient) (*wire.FenceResponse, error) {
-			return c.Fence(ctx, request)
-		})
-	limit := time.NewTimer(fenceWait)
-	defer limit.Stop()
-	for range asked {
-		select {
-		case <-answers:
-		case <-limit.C:
-			return
+// seize announces the new term to all instances and returns the best copy. It
+// does not wait for instances that did not answer before.
+func (s *Service) seize(ctx context.Context, r *wire.TakeOverRequest, f found) (*Record, error) {
+	term := Term{Epoch: f.epoch + 1, Owner: r.GetNewOwner()}
+	answers, asked := s.askAll(context.WithoutCancel(ctx), &wire.TakeOverRequest{
+		Stream: r.GetStream(), Organisation: r.GetOrganisation(), NewOwner: r.GetNewOwner(), AtLeast: r.GetAtLeast(),
+		Epoch: term.Epoch,
+	})
+	var best *Record
+	here, kind := s.takeOverHere(r.GetStream(), r.GetOrganisation(), term, int(r.GetAtLeast()))
+	delete(f.answered, r.GetNewOwner())
+	for {
+		switch kind {
+		case Newer:
+			return nil, ErrTakenOver
+		case Usable:
+			best = better(best, &here)
 		}
+		if asked == 0 || len(f.answered) == 0 {
+			return best, nil
+		}
+		a := <-answers
+		asked--
+		delete(f.answered, a.id)
+		here, kind = recordFromWire(a.response.GetRecord()), Copy(a.response.GetCopy())
 	}
 }
 
-// everywhere calls all other instances at once. An answer is nil when an
-// instance did not answer in time.
-func everywhere[R any](
-	ctx context.Context, s *Service, call func(context.Context, wire.DRPCReplicaClient) (*R, error),
-) (answers chan *R, asked int) {
+// answer is the answer of one instance; the response is nil without one.
+type answer struct {
+	id       string
+	response *wire.TakeOverResponse
+}
+
+// askAll asks all other instances at once.
+func (s *Service) askAll(ctx context.Context, r *wire.TakeOverRequest) (answers chan answer, asked int) {
 	members := s.view.Members()
-	self := s.view.Self().ID
-	answers = make(chan *R, len(members))
+	answers = make(chan answer, len(members))
 	for _, m := range members {
-		if m.ID == self {
+		if m.ID == r.GetNewOwner() {
 			continue
 		}
 		asked++
 		go func() {
-			answer, err := callOne(ctx, s, m, call)
+			response, err := callOne(ctx, s, m,
+				func(ctx context.Context, c wire.DRPCReplicaClient) (*wire.TakeOverResponse, error) {
+					return c.TakeOver(ctx, r)
+				})
 			if err != nil {
-				answer = nil
+				response = nil
 			}
-			answers <- answer
+			answers <- answer{id: m.ID, response: response}
 		}()
 	}
 	return answers, asked
 }
 
+// better returns the copy with the newer content.
+func better(a, b *Record) *Record {
+	if a == nil || a.Written.Before(b.Written) || a.Written == b.Written && a.shorter(b) {
+		c := *b
+		return &c
+	}
+	return a
+}
+
 func callOne[R any](
 	ctx context.Context, s *Service, m membership.Member,
 	call func(context.Context, wire.DRPCReplicaClient) (*R, error),
@@ -170,22 +183,6 @@
 	return s.claimHere(stream, self, insteadOf), nil
 }
 
-// better returns the copy with the newer content under the higher epoch.
-func better(a, b *Record) *Record {
-	if a == nil {
-		return b
-	}
-	term := a.Term
-	if term.Before(b.Term) {
-		term = b.Term
-	}
-	if a.Written.Before(b.Written) || a.Written == b.Written && a.shorter(b) {
-		a = b
-	}
-	a.Term = term
-	return a
-}
-
 // shorter reports whether r has less of the stream than o, of the same term.
 func (r *Record) shorter(o *Record) bool {
 	return len(r.Tokens) < len(o.Tokens) || len(r.Tokens) == len(o.Tokens) && !r.Finished && o.Finished
--- a/pkg/replica/world_test.go
+++ b/pkg/replica/world_test.go
@@ -23,6 +23,8 @@
 	// reader is the instance that the caller reads from, and answer what it got.
 	reader int
 	answer []string
+	// late holds the messages to instances that were frozen.
+	late []func()
 	// sent is what any owner could send to any caller so far.
 	sent []string
 }
@@ -211,13 +213,12 @@
 
 // takeOver lets the caller come to another instance.
 func (w *world) takeOver() {
-	i := w.pick("taker")
-	var f found
-	for k := range w.stores {
-		w.ask(i, k, &f)
+	k := w.begin(w.pick("taker"))
+	for at := range w.stores {
+		w.seize(k, at)
 	}
-	if !w.adopt(i, f) {
-		w.t.Fatal("the taker's store refuses its record")
+	if !w.adopt(k) {
+		w.t.Fatal("the takeover is refused")
 	}
 }
 
@@ -227,50 +228,84 @@
 	if i == j {
 		return
 	}
-	var f, g found
-	for k := range w.stores {
+	first, second := w.begin(i), w.begin(j)
+	for at := range w.stores {
 		if rapid.Bool().Draw(w.t, "first") {
-			w.ask(i, k, &f)
-			w.ask(j, k, &g)
+			w.seize(first, at)
+			w.seize(second, at)
 		} else {
-			w.ask(j, k, &g)
-			w.ask(i, k, &f)
+			w.seize(second, at)
+			w.seize(first, at)
 		}
 	}
-	w.adopt(i, f)
-	w.adopt(j, g)
+	w.adopt(first)
+	w.adopt(second)
 	if rapid.Bool().Draw(w.t, "reader") {
 		w.reader = i
 	}
 }
 
-func (w *world) ask(taker, at int, f *found) {
+// taker is an instance that takes the stream over.
+type taker struct {
+	at      int
+	term    Term
+	atLeast int
+	best    *Record
+	refused bool
+}
+
+// begin asks all instances for their copies.
+func (w *world) begin(i int) *taker {
+	f := found{answered: map[string]bool{}}
+	for at, s := range w.stores {
+		if at != w.frozen {
+			epoch, kind := s.Find("s", "o", len(w.answer))
+			f.add(name(at), epoch, kind)
+		}
+	}
+	return &taker{at: i, term: Term{Epoch: f.epoch + 1, Owner: name(i)}, atLeast: len(w.answer)}
+}
+
+// seize announces the new term to an instance. A frozen one gets the message
+// at any later time.
+func (w *world) seize(k *taker, at int) {
 	if at == w.frozen {
+		w.late = append(w.late, func() { w.stores[at].TakeOver("s", "o", k.term, k.atLeast, w.now) })
 		return
 	}
-	r, kind := w.stores[at].TakeOver("s", "o", name(taker), len(w.answer), w.now)
-	f.add(&r, kind)
+	switch r, kind := w.stores[at].TakeOver("s", "o", k.term, k.atLeast, w.now); kind {
+	case Newer:
+		k.refused = true
+	case Usable:
+		k.best = better(k.best, &r)
+	}
+}
+
+func (w *world) deliverLate() {
+	if len(w.late) > 0 {
+		w.late[0]()
+		w.late = w.late[1:]
+	}
 }
 
 // adopt makes an instance the owner from the best copy that it found.
-func (w *world) adopt(i int, f found) bool {
-	if f.best == nil {
-		if len(w.answer) > 0 {
-			w.t.Fatalf("no copy has the %d tokens of the caller", len(w.answer))
+func (w *world) adopt(k *taker) bool {
+	if k.refused {
+		return false
+	}
+	if k.best == nil {
+		if k.atLeast > 0 {
+			w.t.Fatalf("no copy has the %d tokens of the caller", k.atLeast)
 		}
 		// Nothing was sent, so nothing had to be copied yet.
 		return true
 	}
-	for k, s := range w.stores {
-		if k != w.frozen {
-			s.Fence("s", f.best.Term, w.now)
-		}
-	}
-	if w.stores[i].Open(*f.best, w.now) != Accepted {
+	if w.stores[k.at].Open(*k.best, w.now) != Accepted {
 		return false
 	}
-	w.owners[i] = &owner{term: f.best.Term, holder: (i + rapid.IntRange(1, worldSize-1).Draw(w.t, "holder")) % worldSize}
-	w.reader = i
+	holder := (k.at + rapid.IntRange(1, worldSize-1).Draw(w.t, "holder")) % worldSize
+	w.owners[k.at] = &owner{term: k.term, holder: holder}
+	w.reader = k.at
 	return true
 }
 
@@ -316,8 +351,8 @@
 			"read": action((*world).read), "round": round, "next round": round,
 			"move": action((*world).move), "reattach": action((*world).reattach),
 			"freeze": action((*world).freeze), "take over": action((*world).takeOver),
-			"crossed takeovers": action((*world).cross),
-			"":                  action((*world).check),
+			"crossed takeovers": action((*world).cross), "late message": action((*world).deliverLate),
+			"": action((*world).check),
 		})
 	})
 }
