replica: bound batches and records by the message size of drpc

Cause: drpc ends a connection on a message above 4 MiB. One prompt of 4 MiB (the body limit is 8 MiB), or the move of many records to the next holder in one batch, ended the connection that all streams of an owner share, at each holder in turn.

Change: a batch holds at most 1 MiB or one record, a record at most 3 MiB. A larger prompt is refused with generation.ErrTooLarge before anything runs, and an answer that reaches the limit ends with the reason "length". Running streams move to the next holder before finished ones. A session that is closed after the end of its generation no longer keeps it in memory for 60 s.

Conclusion: TestLargeRecords passes; it fails without the limit of a batch and without that of a record (shown by removing each).

--- a/pkg/generation/api.go
+++ b/pkg/generation/api.go
@@ -61,6 +61,9 @@
 	ErrNotFound  = errors.New("no such stream")
 	ErrTakenOver = errors.New("another instance took the stream over")
 	ErrLost      = errors.New("the generation cannot be continued")
+	// ErrTooLarge tells that the prompt does not fit into a stream record; nothing
+	// ran. The limit is replica.MaxRecordBytes.
+	ErrTooLarge = errors.New("the prompt is too large")
 	// ErrKeyReused tells that the idempotency key belongs to another request.
 	ErrKeyReused = errors.New("the idempotency key was used for another request")
 )
--- a/pkg/generation/running.go
+++ b/pkg/generation/running.go
@@ -52,6 +52,7 @@
 
 	mu       sync.Mutex
 	sessions int
+	ended    bool
 	expiry   *time.Timer
 
 	state    State
@@ -140,7 +141,7 @@
 }
 
 func (g *running) expireDetached() {
-	if g.sessions == 0 && g.expiry == nil {
+	if g.sessions == 0 && g.expiry == nil && !g.ended {
 		g.expiry = time.AfterFunc(g.service.detached, func() { g.cancel(nil) })
 	}
 }
@@ -191,6 +192,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.ended = true
 	if g.expiry != nil {
 		g.expiry.Stop()
 	}
@@ -485,8 +487,8 @@
 	switch e.Kind {
 	case engine.Token:
 		step := g.state.Token(e.attempt, e.connection, e.Position)
-		if step == Accept {
-			g.accept(e)
+		if step == Accept && !g.accept(e) {
+			return g.state.Stop(ReasonLength)
 		}
 		return step
 	case engine.Finished:
@@ -495,9 +497,13 @@
 	return g.state.Alive(e.attempt, e.connection)
 }
 
-// accept adds the next token to the record.
-func (g *running) accept(e event) {
-	_ = g.st.Append(e.Position, e.Text)
+// accept adds the next token to the record. It reports false when the record
+// has no room for it.
+func (g *running) accept(e event) bool {
+	if errors.Is(g.st.Append(e.Position, e.Text), replica.ErrTooLarge) {
+		g.cancelEngine()
+		return false
+	}
 	if g.first == 0 && g.lease != nil {
 		g.first = time.Since(g.granted)
 	}
@@ -505,6 +511,7 @@
 		g.service.metrics.resume.Record(g.ctx, time.Since(g.lostAt).Seconds())
 		g.lostAt = time.Time{}
 	}
+	return true
 }
 
 // resume connects again to the engine stream in the background.
--- a/pkg/generation/service.go
+++ b/pkg/generation/service.go
@@ -240,6 +240,9 @@
 	if errors.Is(err, replica.ErrFull) {
 		return nil, &broker.Refusal{Reason: "queue_full", RetryAfter: time.Second}
 	}
+	if errors.Is(err, replica.ErrTooLarge) {
+		return nil, ErrTooLarge
+	}
 	if err != nil {
 		return nil, ErrTakenOver
 	}
--- a/pkg/generation/state.go
+++ b/pkg/generation/state.go
@@ -84,6 +84,9 @@
 // End stops the present attempt; its later events are ignored.
 func (s *State) End() { s.active, s.resuming = false, false }
 
+// Stop finishes the generation with the tokens that are known.
+func (s *State) Stop(reason string) Step { return s.finish(reason) }
+
 // Token handles a token of an attempt.
 func (s *State) Token(attempt, connection uint32, position int) Step {
 	if !s.current(attempt) || position < s.next {
--- a/pkg/replica/service.go
+++ b/pkg/replica/service.go
@@ -47,6 +47,10 @@
 	takeOverLimit = 2 * time.Second
 )
 
+// MaxRecordBytes bounds the record of one stream, counted as by Store.Bytes. A
+// record has to fit into one drpc message of 4 MiB.
+const MaxRecordBytes = 3 << 20
+
 // Errors of streams.
 var (
 	// ErrNotFound tells that no reachable instance has a record of the stream.
@@ -57,6 +61,8 @@
 	ErrTakenOver = errors.New("another instance owns the stream")
 	// ErrFull tells that the byte limit leaves no room for a new stream.
 	ErrFull = errors.New("the store of stream records is full")
+	// ErrTooLarge tells that a record would be larger than MaxRecordBytes.
+	ErrTooLarge = errors.New("the record of the stream is too large")
 	// ErrGone tells that the record expired or was removed.
 	ErrGone = errors.New("the record of the stream is gone")
 )
@@ -144,6 +150,9 @@
 // Own makes this instance the owner of a stream. The record is copied to a
 // holder from the first call of SetEngine or Replicate on.
 func (s *Service) Own(r Record) (*Stream, error) {
+	if r.bytes() > MaxRecordBytes {
+		return nil, ErrTooLarge
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.owned[r.Stream]
--- a/pkg/replica/service_test.go
+++ b/pkg/replica/service_test.go
@@ -169,6 +169,41 @@
 	g.Assert(g.copies("s")["n2"], quicktest.Equals, 102)
 }
 
+// Guards against records that end the connection which all streams share: one
+// that is too large, and many that are sent again to the next holder.
+func TestLargeRecords(t *testing.T) {
+	g := newGroup(t, []int64{64 << 20}, "a", "b", "c")
+	r := Record{Stream: "large", Organisation: "o", Term: Term{Epoch: 1, Owner: "n1"}, Request: make([]byte, 4<<20)}
+	_, err := g.services["n1"].Own(r)
+	g.Assert(err, quicktest.Equals, ErrTooLarge)
+	r.Request = r.Request[:MaxRecordBytes-2000]
+	large, err := g.services["n1"].Own(r)
+	g.Assert(err, quicktest.IsNil)
+	large.Replicate()
+	g.push(large, 0, 10)
+	g.Assert(large.Append(10, string(make([]byte, 2000))), quicktest.Equals, ErrTooLarge)
+	g.held(large, 10)
+
+	var streams []*Stream
+	text := string(make([]byte, 20000))
+	for i := range 600 {
+		st := g.own(fmt.Sprint("s", i))
+		g.Assert(st.Append(0, text), quicktest.IsNil)
+		streams = append(streams, st)
+	}
+	for _, st := range streams {
+		g.held(st, 1)
+	}
+	g.table.set("n3", membership.Dead)
+	time.Sleep(2 * maintainEvery)
+	for _, st := range append(streams, large) {
+		r, _ := st.Record()
+		g.push(st, len(r.Tokens), len(r.Tokens)+1)
+		g.held(st, len(r.Tokens)+1)
+		g.Assert(g.copies(st.Name())["n2"], quicktest.Equals, len(r.Tokens)+1)
+	}
+}
+
 // Guards against streams whose copy stays in the owner's data centre after
 // another one can be reached again.
 func TestHolderReturns(t *testing.T) {
--- a/pkg/replica/session.go
+++ b/pkg/replica/session.go
@@ -8,10 +8,15 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+	"google.golang.org/protobuf/proto"
 )
 
-// maxBatch bounds the streams in one batch.
-const maxBatch = 512
+// maxBatch bounds the streams and maxBatchBytes the size of one batch, except
+// for a batch of one stream. A drpc message above 4 MiB ends the connection.
+const (
+	maxBatch      = 512
+	maxBatchBytes = 1 << 20
+)
 
 // session carries the appends of all streams with one holder. Its fields are
 // guarded by the mutex of the service.
@@ -104,9 +109,14 @@
 	if len(streams) > 0 {
 		s.log.Info("holder lost, streams move", "holder", c.member.ID, "streams", len(streams))
 	}
-	for st := range streams {
-		s.moves.Add(s.ctx, 1)
-		s.assign(st)
+	// Running streams first: callers wait for them.
+	for _, finished := range []bool{false, true} {
+		for st := range streams {
+			if r, ok := s.store.Get(st.name); ok && r.Finished == finished {
+				s.moves.Add(s.ctx, 1)
+				s.assign(st)
+			}
+		}
 	}
 }
 
@@ -185,16 +195,24 @@
 		Sequence: c.sequence, Owner: c.service.store.self, Appends: make([]*wire.ReplicaAppend, 0, n),
 	}
 	f := flight{sequence: c.sequence, at: now, items: make([]item, 0, n)}
-	for _, st := range c.queue[:n] {
+	var size int64
+	for i, st := range c.queue[:n] {
 		if st.target != c {
 			continue
 		}
-		st.queued = false
 		r, ok := c.service.store.Get(st.name)
 		if !ok || st.err != nil {
+			st.queued = false
 			continue
 		}
-		batch.Appends = append(batch.Appends, st.delta(r))
+		a := st.delta(r)
+		size += int64(proto.Size(a))
+		if size > maxBatchBytes && len(f.items) > 0 {
+			n = i
+			break
+		}
+		st.queued = false
+		batch.Appends = append(batch.Appends, a)
 		st.opened, st.sent, st.sentAt, st.sentEngine = true, len(r.Tokens), now, r.Engine
 		f.items = append(f.items, item{stream: st, upTo: st.sent, end: r.Finished})
 	}
--- a/pkg/replica/store.go
+++ b/pkg/replica/store.go
@@ -160,6 +160,9 @@
 	return &e.Record, true
 }
 
+// size returns the size of a known record.
+func (s *Store) size(stream string) int64 { return s.records[stream].size }
+
 // Open stores a whole record. It replaces a record of the same or an older
 // term, unless the stored one of the same term only goes on further: batches
 // of two connections may cross.
--- a/pkg/replica/stream.go
+++ b/pkg/replica/stream.go
@@ -118,6 +118,9 @@
 	}
 	a := Append{Stream: st.name, Term: st.term}
 	set(&a)
+	if s.store.size(st.name)+tokenBytes(a.Tokens) > MaxRecordBytes {
+		return ErrTooLarge
+	}
 	switch reason := s.store.Append(a, time.Now()); reason {
 	case Accepted:
 	case StaleEpoch, UnknownStream:
