entry: plain calls leave from the peer address; gp-load: shorter report

Cause: failure tests tell data centres apart by the source address, which plain calls did not set; empty latencies filled the report.

Ruled out: a separate setting for the source address.

Change: the service client binds the IP of peer_address; latencies without a value are left out.

--- a/cmd/gp-load/report.go
+++ b/cmd/gp-load/report.go
@@ -33,9 +33,13 @@
 	Max   float64 `json:"max_ms"`
 }
 
-func (l *latency) summary() summary {
+// summary returns nil when nothing was measured.
+func (l *latency) summary() *summary {
+	if l.histogram.TotalCount() == 0 {
+		return nil
+	}
 	at := func(q float64) float64 { return float64(l.histogram.ValueAtQuantile(q)) / 1000 }
-	return summary{l.histogram.TotalCount(), at(50), at(95), at(99), float64(l.histogram.Max()) / 1000}
+	return &summary{l.histogram.TotalCount(), at(50), at(95), at(99), float64(l.histogram.Max()) / 1000}
 }
 
 // groupName is the key of the figures of one kind of request.
@@ -113,9 +117,9 @@
 type groupReport struct {
 	groupName
 	Outcomes   map[string]int `json:"outcomes"`
-	Tokens     int64          `json:"tokens"`
-	FirstToken summary        `json:"first_token"`
-	Gaps       summary        `json:"gaps"`
-	Resumes    summary        `json:"resumes"`
-	Durations  summary        `json:"durations"`
+	Tokens     int64          `json:"tokens,omitempty"`
+	FirstToken *summary       `json:"first_token,omitempty"`
+	Gaps       *summary       `json:"gaps,omitempty"`
+	Resumes    *summary       `json:"resumes,omitempty"`
+	Durations  *summary       `json:"durations,omitempty"`
 }
--- a/pkg/entry/client.go
+++ b/pkg/entry/client.go
@@ -54,8 +54,9 @@
 	fresh *http.Transport
 }
 
-func newServiceClient() serviceClient {
-	dialer := &net.Dialer{Timeout: backendDialTimeout}
+// newServiceClient returns a client whose connections leave from source, if not nil.
+func newServiceClient(source net.Addr) serviceClient {
+	dialer := &net.Dialer{Timeout: backendDialTimeout, LocalAddr: source}
 	return serviceClient{
 		pooled: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerBackend,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
 	"github.com/geraniumpitch/geraniumpitch/pkg/generation"
 	"github.com/geraniumpitch/geraniumpitch/pkg/once"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
@@ -88,8 +89,13 @@
 	requests metric.Int64Counter
 }
 
-// New returns the API. It fails when a metric cannot be created.
+// New returns the API. It fails when a metric cannot be created or the peer
+// address of the settings is no address.
 func New(d Dependencies) (*Service, error) {
+	source, err := rpc.SourceOf(d.Settings.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
 	requests, err := d.Meter.Int64Counter("entry_requests",
 		metric.WithDescription("Requests of callers by route, rank and code."))
 	if err != nil {
@@ -97,7 +103,7 @@
 	}
 	return &Service{
 		Dependencies: d, limits: defaultLimits(), requests: requests,
-		budgets: newBudgets(), backend: newServiceClient(),
+		budgets: newBudgets(), backend: newServiceClient(source),
 	}, nil
 }
 
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -213,7 +213,7 @@
 	g.config.Set(testDocument())
 	log := slog.New(slog.DiscardHandler)
 	values := settings.DefaultEntry()
-	values.MaxBodyBytes = 4096
+	values.MaxBodyBytes, values.PeerAddress = 4096, "127.0.0.1:1"
 	service, err := New(Dependencies{
 		Settings: values, Config: g.config, Runner: g.runner, Slots: g.slots, Backends: g.backends,
 		Once: g.once, Log: log, Meter: noop.Meter{},
