entry: resends are never told as not run before their key is looked at

Cause: a trial with restarts showed orders that were told "not_run/unknown_key" on a resend: an instance that had just started had no configuration and took the caller for unknown, although the first sending may have run.

Ruled out: closing the callers' listener until the configuration is known; the balancer would see refused connections in place of a typed answer.

Change: a request with Idempotency-Key or Last-Event-ID that is refused before the key or stream was looked at has the outcome unknown; an instance without configuration answers 503 not_ready. Mutations that fail TestResendIsNeverNotRun: authentication errors kept as they are, no not_ready, errors of bodies kept as they are.

--- a/pkg/entry/auth.go
+++ b/pkg/entry/auth.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
 )
@@ -61,6 +62,12 @@
 		}
 	}
 	t := s.keys.table(s.Config.Current())
+	if t.document.Version == 0 {
+		return caller{}, &apiError{
+			status: http.StatusServiceUnavailable, code: "not_ready", retryAfter: time.Second,
+			message: "the instance has no configuration yet",
+		}
+	}
 	name, ok := t.owners[document.HashKey(key)]
 	if !ok {
 		return caller{}, &apiError{
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -139,6 +139,8 @@
 		c, err := s.authenticate(r)
 		if err == nil {
 			err = h(w, r, c)
+		} else {
+			err = mayHaveRun(r, err)
 		}
 		s.finish(w, r, route, c.organisation, err)
 	}
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
@@ -144,3 +147,33 @@
 	_, _ = g.send(t, "POST", "/v1/backends/leave", `{"id":"e1","incarnation":1}`)
 	qt.Assert(t, g.backends.left, qt.DeepEquals, []string{"e1"})
 }
+
+// TestKeyIndexIsThatOfTheDocument guards the index after any sequence of
+// versions, also when keys move between organisations.
+func TestKeyIndexIsThatOfTheDocument(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var x keyIndex
+		for version := range uint64(6) {
+			d := document.Empty()
+			d.Version = version + 1
+			// As a valid document has them, each key has one owner at most.
+			for key := range 5 {
+				if owner := rapid.IntRange(0, 3).Draw(t, "owner"); owner > 0 {
+					name := fmt.Sprint("o", owner)
+					o := d.Organisations[name]
+					o.KeyHashes = append(o.KeyHashes, fmt.Sprint("key", key))
+					d.Organisations[name] = o
+				}
+			}
+			want := map[string]string{}
+			for name, o := range d.Organisations {
+				for _, hash := range o.KeyHashes {
+					want[hash] = name
+				}
+			}
+			if got := x.table(d).owners; !maps.Equal(got, want) {
+				t.Fatalf("version %d: %v, want %v", d.Version, got, want)
+			}
+		}
+	})
+}
--- a/pkg/entry/errors.go
+++ b/pkg/entry/errors.go
@@ -90,6 +90,23 @@
 	return &apiError{status: http.StatusInternalServerError, outcome: outcomeUnknown, code: "internal", message: err.Error()}
 }
 
+// mayHaveRun returns the error of a request that was refused before its key or
+// stream was looked at. A request that names one may be a resend of one that
+// ran, for example under an earlier configuration, so it is not told as "not run".
+func mayHaveRun(r *http.Request, err error) error {
+	if r.Header.Get("Idempotency-Key") == "" && r.Header.Get("Last-Event-ID") == "" {
+		return err
+	}
+	return ran(err)
+}
+
+// ran returns an error with the outcome unknown.
+func ran(err error) error {
+	e := *asAPIError(err)
+	e.outcome = outcomeUnknown
+	return &e
+}
+
 func refused(r *broker.Refusal) *apiError {
 	status := http.StatusServiceUnavailable
 	if r.Reason == "limit" || r.Reason == "queue_full" {
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -233,8 +233,9 @@
 	request, err := http.NewRequest(method, g.server.URL+path, strings.NewReader(body))
 	qt.Assert(t, err, qt.IsNil)
 	for _, line := range headers {
-		name, value, _ := strings.Cut(line, ": ")
-		request.Header.Set(name, value)
+		if name, value, ok := strings.Cut(line, ": "); ok {
+			request.Header.Set(name, value)
+		}
 	}
 	response, err := http.DefaultTransport.RoundTrip(request)
 	qt.Assert(t, err, qt.IsNil)
--- a/pkg/entry/services.go
+++ b/pkg/entry/services.go
@@ -39,7 +39,7 @@
 func (s *Service) call(w http.ResponseWriter, r *http.Request, c caller) error {
 	key := r.Header.Get("Idempotency-Key")
 	if !take(&s.calls, s.limits.calls) {
-		return beforeClaim(key, &apiError{
+		return mayHaveRun(r, &apiError{
 			status: http.StatusServiceUnavailable, code: "too_many_calls",
 			message: "the instance is full", retryAfter: time.Second,
 		})
@@ -47,7 +47,7 @@
 	defer s.calls.Add(-1)
 	call, idempotent, err := s.prepare(w, r, c, key)
 	if err != nil {
-		return beforeClaim(key, err)
+		return mayHaveRun(r, err)
 	}
 	if idempotent {
 		return s.callIdempotent(w, r, call)
@@ -55,18 +55,6 @@
 	return s.callOnce(w, r, call)
 }
 
-// beforeClaim returns the error of a call whose key was not looked at yet. A
-// call with a key may be a resend of one that ran, for example under an
-// earlier configuration, so it is never told as "not run".
-func beforeClaim(key string, err error) error {
-	if key == "" {
-		return err
-	}
-	e := *asAPIError(err)
-	e.outcome = outcomeUnknown
-	return &e
-}
-
 // prepare checks a call and reads its body.
 func (s *Service) prepare(w http.ResponseWriter, r *http.Request, c caller, key string) (serviceCall, bool, error) {
 	name := chi.URLParam(r, "service")
@@ -129,18 +117,18 @@
 	budget := s.budgets.of(call.service)
 	budget.called()
 	var tried []string
-	mayHaveRun := false
+	sent := false
 	for attempt := 1; ; attempt++ {
 		result, err := s.attempt(ctx, call, &tried, true)
 		if err == nil && !result.refused && result.answer.Status < http.StatusBadGateway {
 			return s.writeAnswer(w, result.answer)
 		}
-		mayHaveRun = mayHaveRun || !result.refused && !provablyNotRun(err)
+		sent = sent || !result.refused && !provablyNotRun(err)
 		if attempt < maxAttempts && ctx.Err() == nil && !isRefusal(err) && budget.retry() {
 			continue
 		}
 		switch {
-		case !mayHaveRun:
+		case !sent:
 			return notRun(err)
 		case err == nil && !result.refused:
 			return s.writeAnswer(w, result.answer)
--- a/pkg/entry/services_test.go
+++ b/pkg/entry/services_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
+	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
 	"github.com/geraniumpitch/geraniumpitch/pkg/once"
 	"github.com/geraniumpitch/geraniumpitch/pkg/standin"
 )
@@ -145,13 +146,32 @@
 	}
 }
 
-// TestKeyedCallIsNeverNotRunBeforeTheClaim guards resends that fail before the
-// key was looked at: the first sending may have run.
-func TestKeyedCallIsNeverNotRunBeforeTheClaim(t *testing.T) {
-	g := newRig(t)
-	for _, header := range []string{"X-Rank: now", "Idempotency-Key: k"} {
-		_, text := g.send(t, "POST", "/v1/services/desk/../orders", "", fillKey, "Idempotency-Key: k", header)
-		qt.Assert(t, text, qt.Contains, `"outcome":"unknown"`)
+// TestResendIsNeverNotRun guards resends that are refused before their key or
+// stream was looked at: the first sending may have run.
+func TestResendIsNeverNotRun(t *testing.T) {
+	tests := []struct{ name, path, header string }{
+		{"bad path", "/v1/services/desk/../orders", fillKey},
+		{"bad rank", "/v1/services/desk/orders", "X-Rank: now"},
+		{"unknown caller", "/v1/services/desk/orders", "Authorization: Bearer nobody"},
+		{"unknown caller of a generation", "/v1/completions", "Authorization: Bearer nobody"},
+		{"no configuration", "/v1/services/desk/orders", ""},
+		{"bad body", "/v1/completions", fillKey},
+	}
+	for _, test := range tests {
+		for _, resend := range []string{"Idempotency-Key: k", "Last-Event-ID: s1.1"} {
+			if strings.HasPrefix(resend, "Last") && strings.Contains(test.path, "services") {
+				continue
+			}
+			t.Run(test.name+resend[:4], func(t *testing.T) {
+				g := newRig(t)
+				if test.header == "" {
+					g.service.Config = &configwatch.Holder{}
+				}
+				response, text := g.send(t, "POST", test.path, "", fillKey, resend, test.header)
+				qt.Assert(t, text, qt.Contains, `"outcome":"unknown"`)
+				qt.Assert(t, response.StatusCode == 503, qt.Equals, test.header == "")
+			})
+		}
 	}
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -25,24 +25,17 @@
 }
 
 func (s *Service) generate(w http.ResponseWriter, r *http.Request, c caller, decode func([]byte) (asked, error)) error {
-	body, err := s.readBody(w, r, s.Settings.MaxBodyBytes)
-	if err != nil {
-		return err
-	}
-	a, err := decode(body)
+	a, err := s.ask(w, r, c, decode)
 	if err != nil {
-		return err
-	}
-	if err := c.complete(r, &a); err != nil {
-		return err
+		return mayHaveRun(r, err)
 	}
 	if !take(&s.streams, s.limits.streams) {
-		return &apiError{status: http.StatusServiceUnavailable, code: "too_many_streams", message: "the instance is full", retryAfter: time.Second}
+		return mayHaveRun(r, fullOfStreams())
 	}
 	defer s.streams.Add(-1)
 	session, err := s.session(r, a)
 	if err != nil {
-		return resumeError(r, err)
+		return err
 	}
 	defer session.Close()
 	if a.stream {
@@ -51,15 +44,21 @@
 	return s.sendWhole(w, r, session)
 }
 
-// resumeError returns the error of a request that may name a stream: what
-// fails then is the resume, and the generation ran.
-func resumeError(r *http.Request, err error) error {
-	if r.Header.Get("Last-Event-ID") == "" {
-		return err
+// ask reads and checks a generation request.
+func (s *Service) ask(w http.ResponseWriter, r *http.Request, c caller, decode func([]byte) (asked, error)) (asked, error) {
+	body, err := s.readBody(w, r, s.Settings.MaxBodyBytes)
+	if err != nil {
+		return asked{}, err
+	}
+	a, err := decode(body)
+	if err != nil {
+		return asked{}, err
 	}
-	e := *asAPIError(err)
-	e.outcome = outcomeUnknown
-	return &e
+	return a, c.complete(r, &a)
+}
+
+func fullOfStreams() *apiError {
+	return &apiError{status: http.StatusServiceUnavailable, code: "too_many_streams", message: "the instance is full", retryAfter: time.Second}
 }
 
 // session opens a generation, or resumes the one named by Last-Event-ID.
@@ -70,7 +69,7 @@
 	}
 	stream, position, err := parseEventID(last)
 	if err != nil {
-		return nil, err
+		return nil, mayHaveRun(r, err)
 	}
 	if !a.stream {
 		// A whole answer always starts at the first token.
@@ -78,15 +77,15 @@
 	}
 	session, err := s.Runner.Resume(r.Context(), a.request.Organisation, stream, position)
 	if err != nil {
-		return nil, err
+		return nil, mayHaveRun(r, err)
 	}
 	opened := session.Request()
 	if opened.Model != a.request.Model || opened.Prompt != a.request.Prompt || opened.Chat != a.request.Chat {
 		session.Close()
-		return nil, &apiError{
+		return nil, mayHaveRun(r, &apiError{
 			status: http.StatusUnprocessableEntity, code: "other_request", field: "Last-Event-ID",
 			message: "the stream belongs to another request",
-		}
+		})
 	}
 	return session, nil
 }
@@ -108,17 +107,12 @@
 		after = position
 	}
 	if !take(&s.streams, s.limits.streams) {
-		return &apiError{
-			status: http.StatusServiceUnavailable, outcome: outcomeUnknown, code: "too_many_streams",
-			message: "the instance is full", retryAfter: time.Second,
-		}
+		return ran(fullOfStreams())
 	}
 	defer s.streams.Add(-1)
 	session, err := s.Runner.Resume(r.Context(), c.organisation, stream, after)
 	if err != nil {
-		e := *asAPIError(err)
-		e.outcome = outcomeUnknown
-		return &e
+		return ran(err)
 	}
 	defer session.Close()
 	return s.sendEvents(w, r, session)
@@ -301,9 +295,7 @@
 			break
 		}
 		if err != nil {
-			api := *asAPIError(err)
-			api.outcome = outcomeUnknown
-			return &api
+			return ran(err)
 		}
 		if event.Finished {
 			last = event
