--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -213,7 +213,7 @@
 	g.config.Set(testDocument())
 	log := slog.New(slog.DiscardHandler)
 	values := settings.DefaultEntry()
-	values.MaxBodyBytes = 4096
+	values.MaxBodyBytes, values.PeerAddress = 4096, "127.0.0.1:1"
 	service, err := New(Dependencies{
 		Settings: values, Config: g.config, Runner: g.runner, Slots: g.slots, Backends: g.backends,
 		Once: g.once, Log: log, Meter: noop.Meter{},
@@ -233,8 +233,9 @@
 	request, err := http.NewRequest(method, g.server.URL+path, strings.NewReader(body))
 	qt.Assert(t, err, qt.IsNil)
 	for _, line := range headers {
-		name, value, _ := strings.Cut(line, ": ")
-		request.Header.Set(name, value)
+		if name, value, ok := strings.Cut(line, ": "); ok {
+			request.Header.Set(name, value)
+		}
 	}
 	response, err := http.DefaultTransport.RoundTrip(request)
 	qt.Assert(t, err, qt.IsNil)
