--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -43,6 +43,7 @@
 	slots                               int
 	// tokenInterval is the time between tokens of the engines, in milliseconds.
 	tokenInterval int
+	tls           settings.TLS
 	// edit changes the settings of entry instances before the start.
 	edit func(*settings.Entry)
 }
@@ -173,6 +174,7 @@
 	s.OperatorAddress = fmt.Sprintf("%s:%d", c.ip, operatorPort)
 	s.Members = d.peers(d.control, controlPort)
 	s.DataFolder = c.dataFolder
+	s.TLS = d.shape.tls
 	s.Operators = map[string]string{"tester": document.HashKey(operatorKey)}
 	c.process = startProcess(d.t, d.folder, c.id, "gp-control", "run", "-settings", d.write(c.id+".json", s))
 }
@@ -188,6 +190,7 @@
 	s.Control = d.peers(d.control, controlPort)
 	s.KeySecret = "a secret of the failure tests"
 	s.BalancerDelayMS = 300
+	s.TLS = d.shape.tls
 	s.FinishLimitS = 60
 	if d.shape.edit != nil {
 		d.shape.edit(&s)
--- /dev/null
+++ b/internal/e2e/tls_test.go
@@ -0,0 +1,94 @@
+package e2e
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+)
+
+// peerFiles writes a certificate authority and a peer certificate of it.
+func peerFiles(t testing.TB, folder string) settings.TLS {
+	t.Helper()
+	authorityKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	authority := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		KeyUsage: x509.KeyUsageCertSign, BasicConstraintsValid: true,
+	}
+	peerKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "peer"}, DNSNames: []string{"geraniumpitch-peer"},
+		NotBefore: authority.NotBefore, NotAfter: authority.NotAfter, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	authorityDER, err := x509.CreateCertificate(rand.Reader, authority, authority, &authorityKey.PublicKey, authorityKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peerDER, err := x509.CreateCertificate(rand.Reader, peer, authority, &peerKey.PublicKey, authorityKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(peerKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := settings.TLS{
+		Certificate: filepath.Join(folder, "peer.crt"), Key: filepath.Join(folder, "peer.key"), Authority: filepath.Join(folder, "authority.crt"),
+	}
+	for file, block := range map[string]*pem.Block{
+		files.Certificate: {Type: "CERTIFICATE", Bytes: peerDER},
+		files.Key:         {Type: "EC PRIVATE KEY", Bytes: keyDER},
+		files.Authority:   {Type: "CERTIFICATE", Bytes: authorityDER},
+	} {
+		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return files
+}
+
+// Guards against processes that talk in the clear, or to strangers, although
+// mutual TLS is set, and against recovery that works without TLS only.
+func TestMutualTLS(t *testing.T) {
+	s := small()
+	s.tls = peerFiles(t, t.TempDir())
+	d := startDeployment(t, s)
+	const n = 10
+	results := d.generateAll(n, "small", document.Patient, "a")
+	time.Sleep(time.Second)
+	d.entries[0].kill()
+	collect(t, results, n)
+	for _, address := range []string{d.entries[1].relay.target, d.control[0].relay.target} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+		_, _ = conn.Write([]byte("a call in the clear, longer than the header of a TLS record"))
+		answer := make([]byte, 16)
+		// A TLS alert (type 21) or the end of the connection; never an answer.
+		if n, err := conn.Read(answer); err == nil && (n == 0 || answer[0] != 21) {
+			t.Errorf("%s answered %q to a caller without TLS", address, answer[:n])
+		}
+		_ = conn.Close()
+	}
+}
