configwatch: ask the known members for the newest configuration; count bytes

Cause: after a start without a stored version, only control instances and the seeds of the settings were asked. In a cut-off data centre another entry instance may hold a newer version than both. Change: when no leader confirms a version within half the limit, up to 64 members of the table are asked too, own data centre first. gp-control publishes the bytes on connections between processes and warns when TLS is off. Ruled out: asking members at once: the member table is empty right after a start, and with a leader the question is not needed. Checks shown to fail: TestWatcherStartsWithNewest without the member table ("the third watcher is ready: not within 30 s"). Conclusion: a restart alone in a cut-off data centre takes the newest version that can be reached there.

--- a/cmd/gp-control/commands.go
+++ b/cmd/gp-control/commands.go
@@ -53,11 +53,17 @@
 	if err != nil {
 		return err
 	}
+	if tlsConfig == nil {
+		log.Warn("mutual TLS between our processes is off: for trials only")
+	}
 	metrics, err := telemetry.New()
 	if err != nil {
 		return err
 	}
 	counters := &rpc.Counters{}
+	if err := telemetry.CountBytes(metrics.Meter("rpc"), counters.Sent.Load, counters.Received.Load); err != nil {
+		return err
+	}
 	dialer := rpc.NewDialer(tlsConfig, counters)
 	defer dialer.Close()
 	if err := dialer.BindSource(s.PeerAddress); err != nil {
--- a/pkg/configwatch/newest.go
+++ b/pkg/configwatch/newest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"storj.io/drpc"
 
@@ -41,22 +42,37 @@
 	return reached(s.Current().Version)
 }
 
-// newest asks all control instances and all known entry instances for their
+// maxMembersAsked bounds the entry instances that are asked beside the seeds.
+const maxMembersAsked = 64
+
+// newest asks all control instances and the known entry instances for their
 // versions. It returns as soon as a leader confirmed one, else the newest answer.
 func (s *Service) newest(ctx context.Context) held {
 	ctx, cancel := context.WithTimeout(ctx, s.ask)
 	defer cancel()
-	answers := make(chan held, 2*len(s.settings.Control)+len(s.settings.Seeds))
+	answers := make(chan held, 2*len(s.settings.Control)+len(s.settings.Seeds)+maxMembersAsked)
+	var asked sync.WaitGroup
 	for _, c := range s.settings.Control {
-		go func() { answers <- s.askControl(ctx, c.Address, true) }()
-		go func() { answers <- s.askControl(ctx, c.Address, false) }()
+		asked.Go(func() { answers <- s.askControl(ctx, c.Address, true) })
+		asked.Go(func() { answers <- s.askControl(ctx, c.Address, false) })
 	}
 	for _, e := range s.settings.Seeds {
-		go func() { answers <- s.askEntry(ctx, e.Address) }()
+		asked.Go(func() { answers <- s.askEntry(ctx, e.Address) })
 	}
+	// The member table fills after the start, so members are asked later.
+	asked.Go(func() {
+		if s.view != nil && pause(ctx, s.ask/2) {
+			for _, address := range s.memberAddresses() {
+				asked.Go(func() { answers <- s.askEntry(ctx, address) })
+			}
+		}
+	})
+	go func() {
+		asked.Wait()
+		close(answers)
+	}()
 	var best held
-	for range cap(answers) {
-		a := <-answers
+	for a := range answers {
 		if a.ok && a.final {
 			return a
 		}
@@ -67,6 +83,23 @@
 	return best
 }
 
+// memberAddresses returns the other known members, own data centre first.
+func (s *Service) memberAddresses() []string {
+	self := s.view.Self()
+	var own, other []string
+	for _, m := range s.view.Members() {
+		switch {
+		case m.ID == self.ID:
+		case m.DataCentre == self.DataCentre:
+			own = append(own, m.PeerAddress)
+		default:
+			other = append(other, m.PeerAddress)
+		}
+	}
+	all := append(own, other...)
+	return all[:min(len(all), maxMembersAsked)]
+}
+
 func (s *Service) askControl(ctx context.Context, address string, linearizable bool) held {
 	response, err := rpc.Call(ctx, s.dialer, address, s.ask,
 		func(ctx context.Context, conn drpc.Conn) (*wire.ReadResponse, error) {
--- a/pkg/configwatch/service.go
+++ b/pkg/configwatch/service.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
+	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
@@ -44,10 +45,12 @@
 	dialer   *rpc.Dialer
 	log      *slog.Logger
 	bus      *kernel.Bus
-	folder   *folder
-	ready    atomic.Bool
-	cancel   context.CancelFunc
-	wait     sync.WaitGroup
+	// view is nil in a process without membership.
+	view   membership.View
+	folder *folder
+	ready  atomic.Bool
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
 	// following is set while a watch gets news; it belongs to run.
 	following bool
 
@@ -70,6 +73,9 @@
 // Provision implements kernel.Provisioner.
 func (s *Service) Provision(k *kernel.Kernel) error {
 	s.log, s.bus = k.Log(), k.Bus()
+	if view, err := kernel.Lookup[membership.View](k, "membership"); err == nil {
+		s.view = view
+	}
 	return nil
 }
 
--- a/pkg/control/loopback_test.go
+++ b/pkg/control/loopback_test.go
@@ -17,6 +17,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
+	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
@@ -123,14 +124,18 @@
 	dialer   *rpc.Dialer
 }
 
-func (l *loopback) watch(id, dataCentre, folder string, control []settings.Peer, seeds []settings.Peer) *watcher {
+func (l *loopback) watch(
+	id, dataCentre, folder string, control []settings.Peer, seeds []settings.Peer, others ...kernel.Service,
+) *watcher {
 	w := &watcher{kernel: kernel.New(slog.New(slog.DiscardHandler))}
 	s := settings.DefaultEntry()
 	s.Instance = settings.Instance{ID: id, DataCentre: dataCentre, Region: "west"}
 	s.Control, s.Seeds, s.DataFolder = control, seeds, folder
 	w.dialer = rpc.NewDialer(nil, &w.counters)
 	w.Service = configwatch.New(s, w.dialer)
-	qt.Assert(l.t, w.kernel.Register(w.Service), qt.IsNil)
+	for _, service := range append(others, w.Service) {
+		qt.Assert(l.t, w.kernel.Register(service), qt.IsNil)
+	}
 	qt.Assert(l.t, w.kernel.Start(context.Background()), qt.IsNil)
 	l.t.Cleanup(w.stop)
 	return w
@@ -265,6 +270,16 @@
 	}
 }
 
+// fakeMembers is a member table whose first member is the instance itself.
+type fakeMembers []membership.Member
+
+func (f fakeMembers) ServiceName() string          { return "membership" }
+func (f fakeMembers) Self() membership.Member      { return f[0] }
+func (f fakeMembers) Members() []membership.Member { return f }
+func (f fakeMembers) Member(string) (membership.Member, bool) {
+	return membership.Member{}, false
+}
+
 // Guards against an instance without a stored version that is ready with an
 // older one than the instances around it have, and against an instance that
 // forgets its version when it restarts alone.
@@ -292,6 +307,10 @@
 	until(t, "the second watcher is ready", second.Ready)
 	qt.Assert(t, second.Current().Version, qt.Equals, uint64(6))
 
+	third := l.watch("e4", "dc1", "", l.peers, nil, fakeMembers{{ID: "e4"}, {ID: "e1", PeerAddress: address}})
+	until(t, "the third watcher is ready", third.Ready)
+	qt.Assert(t, third.Current().Version, qt.Equals, uint64(6))
+
 	first.stop()
 	again := l.watch("e1", "dc1", folder, l.peers, nil)
 	qt.Assert(t, again.Ready(), qt.IsTrue)
