generation: stop waiting for a slot after a takeover; usage per lease

Cause: a generation whose stream was taken over while it waited for a slot went on waiting, and started an attempt once it got one. A lease reported the tokens of the whole answer as its cost, although the estimate covers only the rest.

Change: the request for a slot ends with the ownership; an attempt that was started for a lost stream is cancelled; a lease reports its own tokens.

Conclusion: TestTakenOverWhileWaiting and TestPreempted pass with the race detector; the first hangs without the change (shown by removing it).

--- a/pkg/generation/harness_test.go
+++ b/pkg/generation/harness_test.go
@@ -100,6 +100,13 @@
 	}
 }
 
+// used returns the usage that was reported at the end of the lease.
+func (l *lease) used() *broker.Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usage
+}
+
 func (s *slots) Acquire(_ context.Context, r broker.Request) (broker.Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/generation/running.go
+++ b/pkg/generation/running.go
@@ -55,16 +55,18 @@
 	ended    bool
 	expiry   *time.Timer
 
-	state    State
-	started  bool
-	events   chan event
-	lease    broker.Lease
-	engine   engine.Engine
-	at       replica.Engine
-	stream   engine.Stream
-	exclude  []excluded
-	lostAt   time.Time
+	state   State
+	started bool
+	events  chan event
+	lease   broker.Lease
+	engine  engine.Engine
+	at      replica.Engine
+	stream  engine.Stream
+	exclude []excluded
+	lostAt  time.Time
+	// granted and from are the time and the position at which the lease began.
 	granted  time.Time
+	from     int
 	first    time.Duration
 	lastSeen time.Time
 	timer    *time.Timer
@@ -233,9 +235,9 @@
 			g.finish()
 			return false
 		}
-		lease, err := g.service.slots.Acquire(g.ctx, g.ask())
+		lease, err := g.acquire()
 		if err == nil {
-			g.lease, g.granted, g.first = lease, time.Now(), 0
+			g.lease, g.granted, g.first, g.from = lease, time.Now(), 0, g.state.Next()
 			if err = g.try(); err == nil {
 				return true
 			}
@@ -263,6 +265,20 @@
 	}
 }
 
+// acquire waits for a slot, at most as long as this instance owns the stream.
+func (g *running) acquire() (broker.Lease, error) {
+	ctx, cancel := context.WithCancel(g.ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-g.st.Lost():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return g.service.slots.Acquire(ctx, g.ask())
+}
+
 // final reports whether an error recurs at every engine.
 func final(err error) bool {
 	var e *engine.Error
@@ -346,6 +362,7 @@
 	g.admit()
 	if err := g.st.SetEngine(g.at); err != nil {
 		stream.Close()
+		g.cancelEngine()
 		return err
 	}
 	g.connected(stream)
@@ -552,7 +569,9 @@
 	if g.lease == nil {
 		return
 	}
-	g.lease.Release(broker.Usage{Result: result, Tokens: g.state.Next(), FirstToken: g.first})
+	g.lease.Release(broker.Usage{
+		Result: result, Tokens: g.state.Next() - g.from, FirstToken: g.first,
+	})
 	g.lease = nil
 }
 
--- a/pkg/generation/service_test.go
+++ b/pkg/generation/service_test.go
@@ -250,9 +250,44 @@
 	c.whole(s, tokens, 100)
 	c.Assert(c.slots.leases, quicktest.HasLen, 2)
 	c.Assert(c.slots.leases[0].usage.Result, quicktest.Equals, broker.Cancelled)
+	c.waitFor(func() bool { return c.slots.leases[1].used() != nil })
+	c.Assert(c.slots.leases[0].usage.Tokens+c.slots.leases[1].used().Tokens, quicktest.Equals, 100)
 	c.waitFor(func() bool { return first.Counts().Cancelled == 1 })
 }
 
+// Guards against a generation that still waits for a slot, and then runs, after
+// another instance took its stream over.
+func TestTakenOverWhileWaiting(t *testing.T) {
+	c := newCluster(t, clusterOptions{dataCentres: threeCentres, engines: 1, interval: 5 * time.Millisecond})
+	waiting := make(chan struct{}, 10)
+	n := c.nodes[0].service
+	n.slots = blocking{waiting}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := n.Open(context.Background(), request(100))
+		failed <- err
+	}()
+	<-waiting
+	n.mu.Lock()
+	stream := ""
+	for stream = range n.running {
+	}
+	n.mu.Unlock()
+	s, err := c.nodes[1].service.Resume(context.Background(), "o", stream, -1)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(<-failed, quicktest.Equals, ErrTakenOver)
+	c.whole(s, nil, 100)
+}
+
+// blocking grants nothing.
+type blocking struct{ waiting chan struct{} }
+
+func (b blocking) Acquire(ctx context.Context, _ broker.Request) (broker.Lease, error) {
+	b.waiting <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 // Guards against detached streams that run for ever or end at once.
 func TestDetached(t *testing.T) {
 	c := newCluster(t, clusterOptions{dataCentres: threeCentres, engines: 1, interval: 5 * time.Millisecond})
