--- a/pkg/once/keeper.go
+++ b/pkg/once/keeper.go
@@ -1,5 +1,7 @@
 package once
 
+import "slices"
+
 // Where tells who decides about a key, as far as one instance knows.
 type Where uint8
 
@@ -30,8 +32,13 @@
 	successor string
 }
 
+// maxPending bounds the hand-overs that are not complete, some of which never
+// will be. The oldest is refused from then on, so its keys become unknown.
+const maxPending = 8
+
 // handOver is a hand-over that is not complete.
 type handOver struct {
+	origin   Origin
 	id       uint64
 	record   *Record
 	received uint32
@@ -44,7 +51,7 @@
 	own     Origin
 	limits  Limits
 	places  map[Origin]*place
-	pending map[Origin][]*handOver
+	pending []*handOver
 	copies  *answers
 	closed  bool
 }
@@ -53,7 +60,7 @@
 func NewKeeper(own Origin, limits Limits) *Keeper {
 	return &Keeper{
 		own: own, limits: limits, places: map[Origin]*place{own: {record: NewRecord(limits)}},
-		pending: map[Origin][]*handOver{}, copies: newAnswers(limits.AnswerBytes),
+		copies: newAnswers(limits.AnswerBytes),
 	}
 }
 
@@ -157,7 +164,7 @@
 		}
 	}
 	if part.Last {
-		delete(p.pending, part.Origin)
+		p.pending = slices.DeleteFunc(p.pending, func(h *handOver) bool { return h.origin == part.Origin })
 		p.places[part.Origin] = &place{record: at.record}
 	}
 	return true
@@ -166,15 +173,18 @@
 // handOver returns the hand-over of a part, begun by part 0. Hand-overs of one
 // record by two instances are kept apart: their states differ.
 func (p *Keeper) handOver(part Part) *handOver {
-	for _, h := range p.pending[part.Origin] {
-		if h.id == part.HandOver {
+	for _, h := range p.pending {
+		if h.origin == part.Origin && h.id == part.HandOver {
 			return h
 		}
 	}
 	if part.Number != 0 {
 		return nil
 	}
-	h := &handOver{id: part.HandOver, record: NewRecord(p.limits)}
-	p.pending[part.Origin] = append(p.pending[part.Origin], h)
+	if len(p.pending) == maxPending {
+		p.pending = slices.Delete(p.pending, 0, 1)
+	}
+	h := &handOver{origin: part.Origin, id: part.HandOver, record: NewRecord(p.limits)}
+	p.pending = append(p.pending, h)
 	return h
 }
--- a/pkg/once/keeper_test.go
+++ b/pkg/once/keeper_test.go
@@ -99,3 +99,16 @@
 		qt.Assert(t, v.Outcome == Claimed, qt.Equals, executor == 0)
 	}
 }
+
+// TestUnfinishedHandOversAreBounded guards the memory against homes that die
+// during their hand-over; later hand-overs must still be taken.
+func TestUnfinishedHandOversAreBounded(t *testing.T) {
+	p := NewKeeper(Origin{"b", 50}, DefaultLimits())
+	for id := range uint64(3 * maxPending) {
+		qt.Assert(t, p.Receive(Part{Origin: Origin{"a", id}, HandOver: id}), qt.IsTrue)
+	}
+	qt.Assert(t, len(p.pending), qt.Equals, maxPending)
+	qt.Assert(t, p.Receive(Part{Origin: Origin{"a", 0}, HandOver: 0, Receiver: 50, Number: 1, Last: true}), qt.IsFalse)
+	newest := uint64(3*maxPending - 1)
+	qt.Assert(t, p.Receive(Part{Origin: Origin{"a", newest}, HandOver: newest, Receiver: 50, Number: 1, Last: true}), qt.IsTrue)
+}
