--- a/internal/e2e/capacity_test.go
+++ b/internal/e2e/capacity_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/document"
 )
 
 // usage is what a process has spent so far.
@@ -105,3 +107,66 @@
 		})
 	}
 }
+
+// BenchmarkDocumentSize reports what entry and control instances hold and spend
+// with documents of three sizes, while 2 changes a second come, which is 5 times
+// the stated rate. Run it with -benchtime 1x.
+func BenchmarkDocumentSize(b *testing.B) {
+	for _, organisations := range []int{10, 1000, 35_000} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			s := fiveControl()
+			s.control = []int{1, 1, 1}
+			d := startDeployment(b, s)
+			d.fill(organisations)
+			d.checkInForce(d.version, d.entries)
+			const settle, interval, pause = 5 * time.Second, 20 * time.Second, 500 * time.Millisecond
+			time.Sleep(settle)
+			entryBefore, controlBefore := d.entryUsage(d.entries[0]), d.controlUsage(d.control[0])
+			changes := 0
+			for end := time.Now().Add(interval); time.Now().Before(end); time.Sleep(pause) {
+				d.propose(fmt.Sprint("measured ", changes), []document.Op{organisationOp(0, 2+changes)})
+				changes++
+			}
+			entry, control := d.entryUsage(d.entries[0]), d.controlUsage(d.control[0])
+			perChange := func(after, before time.Duration) float64 {
+				return float64((after - before).Milliseconds()) / float64(changes)
+			}
+			b.ReportMetric(float64(entry.resident)/(1<<20), "entry-MB")
+			b.ReportMetric(float64(control.resident)/(1<<20), "control-MB")
+			b.ReportMetric(perChange(entry.cpu, entryBefore.cpu), "entry-cpu-ms/change")
+			b.ReportMetric(perChange(control.cpu, controlBefore.cpu), "control-cpu-ms/change")
+			b.ReportMetric(float64(control.peers-controlBefore.peers)/interval.Seconds(), "control-peer-bytes/s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func organisationOp(i, weight int) document.Op {
+	return op(document.SectionOrganisations, fmt.Sprintf("org-%d", i), document.Organisation{
+		KeyHashes: []string{document.HashKey(fmt.Sprint("key", i))}, Weight: weight,
+		Ranks: []string{document.Urgent, document.Patient}, TokensPerSecond: 1000, MaxInFlight: 10,
+	})
+}
+
+// fill adds organisations in changes that stay below the size limit of one change.
+func (d *deployment) fill(n int) {
+	const perChange = 500
+	for from := 0; from < n; from += perChange {
+		var ops []document.Op
+		for i := from; i < min(from+perChange, n); i++ {
+			ops = append(ops, organisationOp(i, 1))
+		}
+		d.propose(fmt.Sprint("fill ", from), ops)
+	}
+}
+
+func (d *deployment) controlUsage(c *node) usage {
+	u, err := processUsage(c.process)
+	if err == nil {
+		u.peers, err = peerBytes(operatorURL(c) + "/metrics")
+	}
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return u
+}
