control: the audit trail is served past the entries in memory

Cause: GET /v1/audit with an old sequence number began at the oldest entry in memory and did not show that older ones were left out. Change: older entries come from the synced file, found by bisection; entries that wait to be written there are served from memory.

--- a/pkg/control/api.go
+++ b/pkg/control/api.go
@@ -354,7 +354,11 @@
 	if !ok {
 		return
 	}
-	entries := a.node.Audit(after, int(min(limit, auditPage)))
+	entries, err := a.node.Audit(after, int(min(limit, auditPage)))
+	if err != nil {
+		fail(w, http.StatusInternalServerError, "internal", "", err.Error())
+		return
+	}
 	if entries == nil {
 		entries = []AuditEntry{}
 	}
--- a/pkg/control/audit.go
+++ b/pkg/control/audit.go
@@ -4,8 +4,13 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
+	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
+	"sort"
 
 	"github.com/rotisserie/eris"
 )
@@ -43,6 +48,56 @@
 	}
 }
 
+// read returns up to limit entries with sequence numbers after the given one,
+// oldest first. It finds the first of them by bisection.
+func (a *auditFile) read(after uint64, limit int) ([]AuditEntry, error) {
+	file, err := os.Open(a.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "open the audit file")
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return nil, eris.Wrap(err, "read the audit file")
+	}
+	offset := sort.Search(int(info.Size()), func(offset int) bool {
+		entry, ok := nextEntry(lineReader(file, offset))
+		return !ok || entry.Seq > after
+	})
+	reader := lineReader(file, offset)
+	var entries []AuditEntry
+	for len(entries) < limit {
+		entry, ok := nextEntry(reader)
+		if !ok {
+			break
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
+// lineReader reads from the first line that starts at offset or after it.
+func lineReader(file *os.File, offset int) *bufio.Reader {
+	if offset == 0 {
+		return bufio.NewReader(io.NewSectionReader(file, 0, math.MaxInt64))
+	}
+	reader := bufio.NewReader(io.NewSectionReader(file, int64(offset)-1, math.MaxInt64-int64(offset)))
+	_, _ = reader.ReadBytes('\n') // At the end of the file nextEntry finds nothing.
+	return reader
+}
+
+// nextEntry returns false at the end of the file and at a line that is not
+// whole, which is still being written.
+func nextEntry(reader *bufio.Reader) (AuditEntry, bool) {
+	var entry AuditEntry
+	line, err := reader.ReadBytes('\n')
+	ok := err == nil && json.Unmarshal(line, &entry) == nil
+	return entry, ok
+}
+
 // append adds the entries that are not in the file yet and syncs it.
 func (a *auditFile) append(entries []AuditEntry) error {
 	var buffer bytes.Buffer
--- a/pkg/control/group_test.go
+++ b/pkg/control/group_test.go
@@ -77,7 +77,8 @@
 
 type noAudit struct{}
 
-func (noAudit) append([]AuditEntry) error { return nil }
+func (noAudit) append([]AuditEntry) error              { return nil }
+func (noAudit) read(uint64, int) ([]AuditEntry, error) { return nil, nil }
 
 const (
 	testTick     = 4 * time.Millisecond
--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,6 +91,8 @@
 // without them is saved.
 type auditSink interface {
 	append([]AuditEntry) error
+	// read returns up to limit of the entries after a sequence number.
+	read(after uint64, limit int) ([]AuditEntry, error)
 }
 
 // Node runs consensus and applies the committed commands. One goroutine owns
@@ -360,9 +363,12 @@
 	if n.applied-n.compacted < n.parts.compactAfter {
 		return nil
 	}
-	if err := n.parts.audit.append(n.state.takeEvicted()); err != nil {
+	if err := n.parts.audit.append(n.state.evicted); err != nil {
 		return err
 	}
+	n.mu.Lock()
+	n.state.takeEvicted()
+	n.mu.Unlock()
 	data, err := n.state.encode()
 	if err != nil {
 		return err
@@ -504,11 +510,24 @@
 	return n.state.lease
 }
 
-// Audit returns up to limit applied audit entries after a sequence number.
-func (n *Node) Audit(after uint64, limit int) []AuditEntry {
+// Audit returns up to limit applied audit entries after a sequence number, from
+// the file and the state.
+func (n *Node) Audit(after uint64, limit int) ([]AuditEntry, error) {
 	n.mu.RLock()
-	defer n.mu.RUnlock()
-	return n.state.Audit(after, limit)
+	kept, first := n.state.Audit(after, limit)
+	n.mu.RUnlock()
+	if after+1 >= first {
+		return kept, nil
+	}
+	entries, err := n.parts.audit.read(after, limit)
+	if err != nil {
+		return nil, err
+	}
+	if i := slices.IndexFunc(entries, func(e AuditEntry) bool { return e.Seq >= first }); i >= 0 {
+		entries = entries[:i]
+	}
+	entries = append(entries, kept...)
+	return entries[:min(len(entries), limit)], nil
 }
 
 // failure returns the error that ended the loop.
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -365,17 +366,16 @@
 }
 
 // Audit returns up to limit entries with sequence numbers after the given one,
-// oldest first.
-func (s *State) Audit(after uint64, limit int) []AuditEntry {
-	from := s.firstSeq()
-	if after+1 > from {
-		from = after + 1
-	}
+// oldest first, and the sequence number of the oldest entry that is kept.
+func (s *State) Audit(after uint64, limit int) (entries []AuditEntry, first uint64) {
+	kept := slices.Concat(s.evicted, s.audit)
+	first = s.lastSeq - uint64(len(kept)) + 1
+	from := max(after+1, first)
 	if from > s.lastSeq {
-		return nil
+		return nil, first
 	}
-	entries := s.audit[from-s.firstSeq():]
-	return append([]AuditEntry(nil), entries[:min(len(entries), limit)]...)
+	kept = kept[from-first:]
+	return kept[:min(len(kept), limit)], first
 }
 
 // takeEvicted returns the audit entries that left the window since the last
--- a/pkg/control/state_test.go
+++ b/pkg/control/state_test.go
@@ -190,8 +190,18 @@
 	qt.Assert(t, complete, qt.IsTrue)
 	_, complete = s.Since(total - watchWindow - 1)
 	qt.Assert(t, complete, qt.IsFalse)
-	qt.Assert(t, s.Audit(total-1, 5), qt.HasLen, 1)
-	qt.Assert(t, s.Audit(total, 5), qt.HasLen, 0)
+	n := &Node{state: s, parts: loopParts{audit: file}}
+	for after := range uint64(total + 1) {
+		if after > 100 && after < total-10 {
+			continue
+		}
+		got, err := n.Audit(after, 60)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.HasLen, int(min(60, total-after)), qt.Commentf("after %d", after))
+		for i, e := range got {
+			qt.Assert(t, e.Seq, qt.Equals, after+1+uint64(i))
+		}
+	}
 }
 
 // Guards against two holders of the lease under one number.
