broker: tests of a frozen broker and of its loss under load

Cause: both were only argued. Ruled out: holding the mutex as a stand-in for a freeze (messages were taken in before the tick, so the test could not fail). Shown to fail: without the check for a pause TestFrozenBroker sees 2 reclaimed instances instead of 0.

--- a/pkg/broker/service_test.go
+++ b/pkg/broker/service_test.go
@@ -349,6 +349,26 @@
 	eventually(t, 2*time.Second, "all slots are free", func() bool { return running(next) == 0 })
 }
 
+// Guards against refusals to callers while the broker is lost under load: their
+// requests wait for local decisions and the next broker.
+func TestBrokerLostUnderLoad(t *testing.T) {
+	c := newCluster(t, "a", "a", "a")
+	c.announce("a", 4, "b0", "b1")
+	broker, others := c.roles("a")
+	slots := counters("b0", "b1")
+	stop := load(others, 12, slots, 4)
+	time.Sleep(500 * time.Millisecond)
+	c.crash(broker.id)
+	time.AfterFunc(1200*time.Millisecond, func() { c.setState(broker.id, membership.Dead) })
+	next := others[0].candidates("m", "a")[1].ID
+	eventually(t, 10*time.Second, "the next broker grants", func() bool {
+		return c.nodes[next].Stats().Pools["m"].Granted[0] > 20
+	})
+	grants, over, failed := stop()
+	t.Logf("%d grants, %d above the slots, %d local decisions", grants, over, others[0].Stats().Local+others[1].Stats().Local)
+	qt.Assert(t, failed, qt.Equals, int64(0))
+}
+
 // Guards against waiting on a connection that is silent for good, and against
 // leases that are lost or doubled when a session is opened again.
 func TestSilentSession(t *testing.T) {
@@ -386,6 +406,21 @@
 	eventually(t, 5*time.Second, "all slots are free", func() bool { return running(broker) == 0 })
 }
 
+// Guards against a broker that was frozen and takes its own silence for the loss
+// of all entry instances.
+func TestFrozenBroker(t *testing.T) {
+	c := newCluster(t, "a", "a", "a")
+	c.announce("a", 2, "b0")
+	broker, others := c.roles("a")
+	first, second := others[0].acquire(t, time.Second), others[1].acquire(t, time.Second)
+	broker.tick(time.Now().Add(lostAfter + time.Second)) // the first tick after a pause, before any message
+	qt.Assert(t, broker.Stats().Reclaimed, qt.Equals, uint64(0))
+	qt.Assert(t, running(broker), qt.Equals, 2)
+	first.Release(Usage{Result: OK})
+	second.Release(Usage{Result: OK})
+	eventually(t, 3*time.Second, "all slots are free", func() bool { return running(broker) == 0 })
+}
+
 // Guards against requests that are lost when the broker stops as planned.
 func TestPlannedStop(t *testing.T) {
 	c := newCluster(t, "a", "a", "a")
