broker: test of a long queue beside free slots elsewhere

Cause: the path from a long expected wait to another data centre had no test. Shown to fail: without asking elsewhere, "no slot granted: too_late".

--- a/pkg/broker/service_test.go
+++ b/pkg/broker/service_test.go
@@ -467,6 +467,29 @@
 	(<-got).Release(Usage{Result: OK})
 }
 
+// Guards against a long queue in one data centre beside free slots in another.
+func TestLongWaitAsksElsewhere(t *testing.T) {
+	c := newCluster(t, "a", "b", "b")
+	c.announce("a", 1, "a0")
+	c.announce("b", 40, "b0")
+	a := c.nodes["a-0"]
+	var wait sync.WaitGroup
+	for i := range 30 {
+		if i == 1 {
+			time.Sleep(500 * time.Millisecond) // the time that a slot is held is known now
+		}
+		wait.Go(func() {
+			e := a.acquire(t, 20*time.Second)
+			time.Sleep(300 * time.Millisecond)
+			e.Release(Usage{Result: OK, Tokens: 10})
+		})
+	}
+	wait.Wait()
+	t.Logf("%d of 30 were granted by the other data centre", a.Stats().Remote)
+	qt.Assert(t, a.Stats().Remote > 0 && a.Stats().Remote < 30, qt.IsTrue)
+	qt.Assert(t, a.Stats().Leases, qt.Equals, 0)
+}
+
 // Guards against a limit that each data centre applies for itself.
 func TestLimitOverDataCentres(t *testing.T) {
 	c := newCluster(t, "a", "a", "a", "b", "b", "b")
