replica: takeovers from leaving owners and past suspected instances; gauges

Cause: a leaving owner is not among the members that a takeover asks, so a stream without a holder could not be found there. A takeover waited 400 ms for each suspected instance.

Change: the first owner, which the stream identifier names, is asked as long as it is in the member table; suspected instances are waited for at most 50 ms after all others have answered. An instance that left the member table between the two steps of a takeover is not waited for. Gauges for the bytes of the records and the running generations.

Conclusion: TestTakeOverFromLeavingOwner is new; go test -race passes for replica and generation.

--- a/pkg/generation/service.go
+++ b/pkg/generation/service.go
@@ -107,6 +107,12 @@
 		option(s)
 	}
 	s.metrics = newMetrics(s.meter)
+	_, _ = s.meter.Int64ObservableGauge("gp_generation_running",
+		metric.WithDescription("Generations that this instance runs."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(s.Running()))
+			return nil
+		}))
 	return s
 }
 
--- a/pkg/replica/service.go
+++ b/pkg/replica/service.go
@@ -41,6 +41,9 @@
 	expireEvery = 5 * time.Second
 	// takeOverTimeout bounds one question for a record to one instance.
 	takeOverTimeout = 400 * time.Millisecond
+	// suspectGrace is how long a takeover waits for suspected instances after all
+	// others have answered.
+	suspectGrace = 50 * time.Millisecond
 	// takeOverRetry is the pause and takeOverLimit the total time of a search
 	// while instances do not answer.
 	takeOverRetry = 200 * time.Millisecond
@@ -111,6 +114,12 @@
 		metric.WithDescription("Tokens sent while no other instance could be reached."))
 	s.takeovers, _ = meter.Int64Counter("gp_replica_takeovers",
 		metric.WithDescription("Streams that this instance took over."))
+	_, _ = meter.Int64ObservableGauge("gp_replica_record_bytes", metric.WithUnit("By"),
+		metric.WithDescription("Approximate size of the stream records in memory."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(s.Stats().Bytes)
+			return nil
+		}))
 	return s
 }
 
--- a/pkg/replica/service_test.go
+++ b/pkg/replica/service_test.go
@@ -44,6 +44,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	i := slices.IndexFunc(v.members, func(m membership.Member) bool { return m.ID == id })
+	if i < 0 {
+		return membership.Member{}, false
+	}
 	return v.members[i], v.members[i].State != membership.Dead
 }
 
@@ -260,6 +263,21 @@
 	g.Assert(taken.Err(), quicktest.IsNil)
 }
 
+// Guards against a stream that cannot be found at its leaving owner.
+func TestTakeOverFromLeavingOwner(t *testing.T) {
+	g := newGroup(t, []int64{room}, "a", "b")
+	g.table.set("n2", membership.Dead)
+	st := g.own("s1-n1")
+	g.push(st, 0, 10)
+	g.held(st, 10)
+	g.table.set("n2", membership.Alive)
+	g.table.set("n1", membership.Leaving)
+	taken, err := g.services["n2"].TakeOver(context.Background(), "s1-n1", "o", 10)
+	g.Assert(err, quicktest.IsNil)
+	g.Assert(taken.Epoch(), quicktest.Equals, uint64(2))
+	<-st.Lost()
+}
+
 // Guards against more than one winner of a claim, and a claim that can never
 // be replaced.
 func TestClaim(t *testing.T) {
--- a/pkg/replica/takeover.go
+++ b/pkg/replica/takeover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
@@ -74,17 +76,29 @@
 	})
 	epoch, kind := s.findHere(r.GetStream(), r.GetOrganisation(), int(r.GetAtLeast()))
 	f.add(r.GetNewOwner(), epoch, kind)
-	for range asked {
-		a := <-answers
-		if a.response == nil {
-			f.silent++
-			continue
+	var grace <-chan time.Time
+	for len(asked) > 0 {
+		if grace == nil && !slices.ContainsFunc(asked, alive) {
+			grace = time.After(suspectGrace)
+		}
+		select {
+		case a := <-answers:
+			asked = slices.DeleteFunc(asked, func(m membership.Member) bool { return m.ID == a.id })
+			if a.response == nil {
+				f.silent++
+				continue
+			}
+			f.add(a.id, a.response.GetEpoch(), Copy(a.response.GetCopy()))
+		case <-grace:
+			f.silent += len(asked)
+			return f
 		}
-		f.add(a.id, a.response.GetEpoch(), Copy(a.response.GetCopy()))
 	}
 	return f
 }
 
+func alive(m membership.Member) bool { return m.State == membership.Alive }
+
 // seize announces the new term to all instances and returns the best copy. It
 // does not wait for instances that did not answer before.
 func (s *Service) seize(ctx context.Context, r *wire.TakeOverRequest, f found) (*Record, error) {
@@ -95,7 +109,13 @@
 	})
 	var best *Record
 	here, kind := s.takeOverHere(r.GetStream(), r.GetOrganisation(), term, int(r.GetAtLeast()))
-	delete(f.answered, r.GetNewOwner())
+	// Instances that left the member table since are not asked.
+	wait := map[string]bool{}
+	for _, m := range asked {
+		if f.answered[m.ID] {
+			wait[m.ID] = true
+		}
+	}
 	for {
 		switch kind {
 		case Newer:
@@ -103,12 +123,11 @@
 		case Usable:
 			best = better(best, &here)
 		}
-		if asked == 0 || len(f.answered) == 0 {
+		if len(wait) == 0 {
 			return best, nil
 		}
 		a := <-answers
-		asked--
-		delete(f.answered, a.id)
+		delete(wait, a.id)
 		here, kind = recordFromWire(a.response.GetRecord()), Copy(a.response.GetCopy())
 	}
 }
@@ -119,15 +138,27 @@
 	response *wire.TakeOverResponse
 }
 
-// askAll asks all other instances at once.
-func (s *Service) askAll(ctx context.Context, r *wire.TakeOverRequest) (answers chan answer, asked int) {
+// FirstOwner returns the instance that a stream identifier names as its first
+// owner, or nothing. Identifiers end in "-" and the instance.
+func FirstOwner(stream string) string {
+	_, owner, _ := strings.Cut(stream, "-")
+	return owner
+}
+
+// askAll asks all other instances at once, and the first owner also when it is
+// leaving.
+func (s *Service) askAll(ctx context.Context, r *wire.TakeOverRequest) (answers chan answer, asked []membership.Member) {
 	members := s.view.Members()
+	owner, known := s.view.Member(FirstOwner(r.GetStream()))
+	if known && !slices.ContainsFunc(members, func(m membership.Member) bool { return m.ID == owner.ID }) {
+		members = append(members, owner)
+	}
 	answers = make(chan answer, len(members))
 	for _, m := range members {
 		if m.ID == r.GetNewOwner() {
 			continue
 		}
-		asked++
+		asked = append(asked, m)
 		go func() {
 			response, err := callOne(ctx, s, m,
 				func(ctx context.Context, c wire.DRPCReplicaClient) (*wire.TakeOverResponse, error) {
