entry: outcomes of too large prompts and of keys of other requests

Cause: a prompt too large for a stream record was answered as an internal error with the outcome unknown, and a reused key as "not run" although the other request may differ in its rank or token limit only.

Ruled out: comparing prompts alone, which would need the first request here.

Change: 413 prompt_too_large, and the outcome unknown for key_reused; tables of the runner's errors and of resumes by others.

Mutations that fail the tests: unknown errors as not_run (TestErrorsOfTheRunner), resume with another body or for any organisation (TestResumeOfOthers).

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
@@ -13,6 +15,8 @@
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
+	"github.com/geraniumpitch/geraniumpitch/pkg/generation"
 )
 
 const fillKey = "Authorization: Bearer fill-key"
@@ -177,3 +181,51 @@
 		}
 	})
 }
+
+// TestErrorsOfTheRunner guards the outcome that callers are told: only what
+// provably happened before the generation ran is "not run".
+func TestErrorsOfTheRunner(t *testing.T) {
+	tests := []struct {
+		err           error
+		status        int
+		outcome, code string
+	}{
+		{&broker.Refusal{Reason: "limit"}, 429, outcomeNotRun, "limit"},
+		{&broker.Refusal{Reason: "queue_full"}, 429, outcomeNotRun, "queue_full"},
+		{&broker.Refusal{Reason: "no_backend"}, 503, outcomeNotRun, "no_backend"},
+		{&engine.Error{Reason: engine.BadRequest}, 400, outcomeNotRun, "refused_by_engine"},
+		{&engine.Error{Reason: engine.Broken}, 500, outcomeUnknown, "internal"},
+		{generation.ErrTooLarge, 413, outcomeNotRun, "prompt_too_large"},
+		{generation.ErrKeyReused, 422, outcomeUnknown, "key_reused"},
+		{generation.ErrNotFound, 404, outcomeUnknown, "no_such_stream"},
+		{generation.ErrTakenOver, 409, outcomeUnknown, "taken_over"},
+		{generation.ErrLost, 502, outcomeUnknown, "lost"},
+		{context.DeadlineExceeded, 504, outcomeUnknown, "timeout"},
+		{errors.New("other"), 500, outcomeUnknown, "internal"},
+	}
+	for _, test := range tests {
+		t.Run(test.code, func(t *testing.T) {
+			g := newRig(t)
+			g.runner.err = fmt.Errorf("open: %w", test.err)
+			response, text := g.send(t, "POST", "/v1/completions", `{"model":"summary","prompt":"a"}`, fillKey)
+			qt.Assert(t, response.StatusCode, qt.Equals, test.status)
+			qt.Assert(t, text, qt.Contains, `"outcome":"`+test.outcome+`","code":"`+test.code+`"`)
+		})
+	}
+}
+
+// TestResumeOfOthers guards the answers of one organisation against another,
+// and a resume by POST against the body of another request.
+func TestResumeOfOthers(t *testing.T) {
+	g := newRig(t)
+	body := `{"model":"summary","prompt":"a b","stream":true}`
+	_, _ = g.send(t, "POST", "/v1/completions", body, fillKey)
+	drafts := "Authorization: Bearer drafts-key"
+	response, _ := g.send(t, "GET", "/v1/streams/s1", "", drafts, "Last-Event-ID: s1.0")
+	qt.Assert(t, response.StatusCode, qt.Equals, 404)
+	response, _ = g.send(t, "POST", "/v1/completions", body, drafts, "Last-Event-ID: s1.0")
+	qt.Assert(t, response.StatusCode, qt.Equals, 404)
+	response, text := g.send(t, "POST", "/v1/completions", strings.Replace(body, "a b", "a c", 1), fillKey, "Last-Event-ID: s1.0")
+	qt.Assert(t, response.StatusCode, qt.Equals, 422)
+	qt.Assert(t, text, qt.Contains, `"code":"other_request"`)
+}
--- a/pkg/entry/errors.go
+++ b/pkg/entry/errors.go
@@ -73,9 +73,15 @@
 		return &apiError{status: http.StatusBadRequest, code: "refused_by_engine", message: "the engine refused the request"}
 	case errors.Is(err, generation.ErrKeyReused):
 		return &apiError{
-			status: http.StatusUnprocessableEntity, code: "key_reused", field: "Idempotency-Key",
+			// The other request may differ in its rank or limit only.
+			status: http.StatusUnprocessableEntity, outcome: outcomeUnknown, code: "key_reused", field: "Idempotency-Key",
 			message: "the key was used for another request",
 		}
+	case errors.Is(err, generation.ErrTooLarge):
+		return &apiError{
+			status: http.StatusRequestEntityTooLarge, code: "prompt_too_large", field: "prompt",
+			message: "the prompt is too large",
+		}
 	case errors.Is(err, generation.ErrNotFound):
 		return &apiError{status: http.StatusNotFound, outcome: outcomeUnknown, code: "no_such_stream", message: "there is no such stream"}
 	case errors.Is(err, generation.ErrTakenOver):
