e2e: the TLS check calls as a stranger

Cause: the check could not fail: a server without TLS does not answer bytes that are no call. Change: real calls without TLS to an entry and a control instance. Shown to fail with TLS off: 'an entry instance answered a call in the clear'.

--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -8,14 +9,17 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"storj.io/drpc"
+
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
 // peerFiles writes a certificate authority and a peer certificate of it.
@@ -77,18 +81,20 @@
 	time.Sleep(time.Second)
 	d.entries[0].kill()
 	collect(t, results, n)
-	for _, address := range []string{d.entries[1].relay.target, d.control[0].relay.target} {
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
-		_, _ = conn.Write([]byte("a call in the clear, longer than the header of a TLS record"))
-		answer := make([]byte, 16)
-		// A TLS alert (type 21) or the end of the connection; never an answer.
-		if n, err := conn.Read(answer); err == nil && (n == 0 || answer[0] != 21) {
-			t.Errorf("%s answered %q to a caller without TLS", address, answer[:n])
-		}
-		_ = conn.Close()
+	stranger := rpc.NewDialer(nil, &rpc.Counters{})
+	defer stranger.Close()
+	_, err := rpc.Call(t.Context(), stranger, d.entries[1].relay.target, time.Second,
+		func(ctx context.Context, conn drpc.Conn) (*wire.ProbeResponse, error) {
+			return wire.NewDRPCMembershipClient(conn).Probe(ctx, &wire.ProbeRequest{})
+		})
+	if err == nil {
+		t.Error("an entry instance answered a call in the clear")
+	}
+	_, err = rpc.Call(t.Context(), stranger, d.control[0].relay.target, time.Second,
+		func(ctx context.Context, conn drpc.Conn) (*wire.ReadResponse, error) {
+			return wire.NewDRPCControlClient(conn).Read(ctx, &wire.ReadRequest{})
+		})
+	if err == nil {
+		t.Error("a control instance answered a call in the clear")
 	}
 }
