--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -127,10 +127,13 @@
 	status consensus.Status
 	// changed is closed and replaced when a newer version is in force.
 	changed chan struct{}
-	// encoded caches the document for watchers that are far behind.
+	err     error
+
+	// encoded caches the document for watchers that are far behind. It has a
+	// lock of its own: encoding a large document must not hold up the loop.
+	encodeMu       sync.Mutex
 	encoded        []byte
 	encodedVersion uint64
-	err            error
 }
 
 // newNode returns a node whose state is that of the stored snapshot.
--- a/pkg/control/watch.go
+++ b/pkg/control/watch.go
@@ -106,9 +106,9 @@
 
 // encodedDocument returns the encoded document in force; it is encoded once a version.
 func (n *Node) encodedDocument() ([]byte, uint64, error) {
+	n.encodeMu.Lock()
+	defer n.encodeMu.Unlock()
 	d := n.Document()
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	if n.encoded == nil || n.encodedVersion < d.Version {
 		data, err := json.Marshal(d)
 		if err != nil {
