e2e: one shape for the tests of streams under a fault

Cause: seven tests repeated the same frame. The faults, counts and checks are the same; the first engine dies 0.1 s later than before.

--- a/internal/e2e/generation_test.go
+++ b/internal/e2e/generation_test.go
@@ -86,91 +86,80 @@
 	return longest
 }
 
-// Guards against any break of the whole path without faults.
-func TestWholePath(t *testing.T) {
+// underFault streams 20 answers, causes a fault in the middle of them and
+// checks them all.
+func underFault(t *testing.T, fault func(d *deployment)) {
+	t.Helper()
 	d := startDeployment(t, small())
 	const n = 20
-	collect(t, d.generateAll(n, "small", document.Patient, "a"), n)
+	results := d.generateAll(n, "small", document.Patient, "a")
+	time.Sleep(time.Second)
+	fault(d)
+	collect(t, results, n)
 }
 
+// Guards against any break of the whole path without faults.
+func TestWholePath(t *testing.T) { underFault(t, func(*deployment) {}) }
+
 // Guards against tokens lost, repeated or mixed when engines die early, in the
 // middle and late in an output.
 func TestEngineKilled(t *testing.T) {
-	d := startDeployment(t, small())
-	const n = 20
-	results := d.generateAll(n, "small", document.Patient, "a")
-	for _, victim := range []int{0, 2, 3} {
-		time.Sleep(900 * time.Millisecond)
-		d.engines[victim].kill()
-	}
-	collect(t, results, n)
+	underFault(t, func(d *deployment) {
+		for _, victim := range []int{0, 2, 3} {
+			d.engines[victim].kill()
+			time.Sleep(900 * time.Millisecond)
+		}
+	})
 }
 
 // Guards against late tokens of an engine that was frozen while its work went
 // on elsewhere.
 func TestEngineFrozenAndBack(t *testing.T) {
-	d := startDeployment(t, small())
-	const n = 20
-	results := d.generateAll(n, "small", document.Patient, "a")
-	time.Sleep(time.Second)
-	d.engines[0].freeze()
-	time.Sleep(2500 * time.Millisecond)
-	d.engines[0].thaw()
-	collect(t, results, n)
+	underFault(t, func(d *deployment) {
+		d.engines[0].freeze()
+		time.Sleep(2500 * time.Millisecond)
+		d.engines[0].thaw()
+	})
 }
 
 // Guards against lost output when the entry instance that serves callers dies.
 func TestEntryKilled(t *testing.T) {
-	d := startDeployment(t, small())
-	const n = 20
-	results := d.generateAll(n, "small", document.Patient, "a")
-	time.Sleep(time.Second)
-	d.entries[0].kill()
-	collect(t, results, n)
+	underFault(t, func(d *deployment) { d.entries[0].kill() })
 }
 
 // Guards against output that only the two lost processes held.
 func TestEntryAndEngineKilled(t *testing.T) {
-	d := startDeployment(t, small())
-	const n = 20
-	results := d.generateAll(n, "small", document.Patient, "a")
-	time.Sleep(time.Second)
-	d.entries[0].kill()
-	d.engines[0].kill()
-	collect(t, results, n)
+	underFault(t, func(d *deployment) {
+		d.entries[0].kill()
+		d.engines[0].kill()
+	})
 }
 
 // Guards against a frozen owner that wakes up and sends tokens beside the
 // instance that took its streams over.
 func TestEntryFrozenAndBack(t *testing.T) {
-	d := startDeployment(t, small())
-	const n = 20
-	results := d.generateAll(n, "small", document.Patient, "a")
-	time.Sleep(time.Second)
-	d.entries[0].freeze()
-	time.Sleep(4 * time.Second)
-	d.entries[0].thaw()
-	collect(t, results, n)
+	underFault(t, func(d *deployment) {
+		d.entries[0].freeze()
+		time.Sleep(4 * time.Second)
+		d.entries[0].thaw()
+	})
 }
 
 // Guards against waiting for ever on connections that went silent while new
 // ones work.
 func TestConnectionsSilent(t *testing.T) {
-	d := startDeployment(t, small())
-	const n = 20
-	results := d.generateAll(n, "small", document.Patient, "a")
-	time.Sleep(time.Second)
-	silenced := 0
-	for _, e := range d.engines {
-		silenced += e.relay.silence()
-	}
-	for _, e := range d.entries {
-		silenced += e.relay.silence()
-	}
-	if silenced == 0 {
-		t.Fatal("no connection was silenced")
-	}
-	collect(t, results, n)
+	underFault(t, func(d *deployment) {
+		silenced := 0
+		for _, e := range d.engines {
+			silenced += e.relay.silence()
+		}
+		for _, e := range d.entries {
+			silenced += e.relay.silence()
+		}
+		if silenced == 0 {
+			t.Fatal("no connection was silenced")
+		}
+	})
 }
 
 // Guards against a data centre that cannot serve while it is cut off, and
