sched: tests of the token limit and of the bound on ejections

Cause: both had no test of their own; parked organisations saw a changed limit only with their next request. Change: a tick reads the configuration of parked organisations again. Measured: 100 tokens a second asked 15-fold for 20 s give 2000 to 2230 tokens; all other requests are refused for the limit.

--- a/pkg/sched/pool.go
+++ b/pkg/sched/pool.go
@@ -239,7 +239,7 @@
 	for rank, q := range p.queues {
 		p.expire(now, q, p.config.Ranks[rank].MaxWait)
 		for f := range q.parked {
-			f.org.refresh(now, p.config.Shares)
+			p.organisation(now, f.org.name)
 			if !f.org.full() {
 				q.unpark(f)
 			}
--- a/pkg/sched/pool_test.go
+++ b/pkg/sched/pool_test.go
@@ -381,6 +381,46 @@
 	qt.Assert(t, second.Server, qt.Not(qt.Equals), "b0")
 	p.Release(now, first.Key, Usage{FirstToken: 100 * time.Millisecond})
 	qt.Assert(t, slices.Contains(p.Servers(), "b0"), qt.IsTrue)
+	qt.Assert(t, p.Stats().Ejected, qt.Equals, 1)
+	for _, id := range p.Servers()[1:] {
+		p.Leave(now, id, 0, 0) // the ejected server and one other are left
+	}
+	p.Leave(now, p.Servers()[0], 0, 0)
+	qt.Assert(t, p.Servers(), qt.HasLen, 1)
+}
+
+// Guards the token limit: an organisation gets its rate and a bounded burst, is
+// told when to come back, and a changed limit is in force for its next request.
+func TestTokenLimit(t *testing.T) {
+	now, limit := time.Unix(1000, 0), 100
+	c := Config{Ranks: defaultRanks, Organisation: func(string) OrganisationConfig { return OrganisationConfig{TokensPerSecond: limit} }}
+	p := NewPool(now, c, rand.New(rand.NewSource(1)))
+	number := uint64(0)
+	run := func() (tokens int, refusals map[Reason]int) {
+		refusals = map[Reason]int{}
+		for range 20 * 50 { // 20 s at 50 requests a second
+			number++
+			now = now.Add(20 * time.Millisecond)
+			if number%50 == 1 {
+				p.Announce(now, Announcement{ID: "b", Slots: 4, Sequence: number})
+			}
+			d := p.Acquire(now, Request{Key: Key{"e", number}, Organisation: "o", Tokens: 30})[0]
+			if d.Kind == Refused {
+				refusals[d.Reason]++
+				continue
+			}
+			p.Release(now, d.Key, Usage{Tokens: 10}) // the estimate was too high
+			tokens += 10
+		}
+		return tokens, refusals
+	}
+	tokens, refusals := run()
+	qt.Assert(t, tokens >= 20*limit && tokens <= 20*limit+2*limit+30, qt.IsTrue, qt.Commentf("%d tokens", tokens))
+	qt.Assert(t, refusals, qt.DeepEquals, map[Reason]int{Limit: 1000 - tokens/10})
+	limit = 0
+	p.Configure(c)
+	tokens, _ = run()
+	qt.Assert(t, tokens, qt.Equals, 20*50*10)
 }
 
 // Guards against a wait that is not told: a request that will wait for more than
