replica: do not choose an instance that a takeover found silent as the holder

Cause: after the owner froze, the new owner could choose the frozen instance as its holder and wait 1 s for its acknowledgements.

Change: an instance that does not answer a takeover is not chosen before it answers a probe.

--- a/pkg/replica/service.go
+++ b/pkg/replica/service.go
@@ -316,6 +316,14 @@
 	}
 }
 
+// fail keeps an instance that did not answer from being chosen as a holder
+// until it answers a probe.
+func (s *Service) fail(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed[id] = time.Now().Add(probeEvery)
+}
+
 func (s *Service) hasFailed(id string) bool {
 	_, failed := s.failed[id]
 	return failed
--- a/pkg/replica/takeover.go
+++ b/pkg/replica/takeover.go
@@ -86,6 +86,7 @@
 			asked = slices.DeleteFunc(asked, func(m membership.Member) bool { return m.ID == a.id })
 			if a.response == nil {
 				f.silent++
+				s.fail(a.id)
 				continue
 			}
 			f.add(a.id, a.response.GetEpoch(), Copy(a.response.GetCopy()))
