generation: test with random combinations of faults

Cause: the tests of single failures do not show faults that need two of them.

Change: TestChaos reads 30 answers while one instance and one engine at a time are frozen, links go silent, and callers reconnect at any instance.

Conclusion: the test fails when the prefix is not passed on to the next engine ("token at position .. follows from the tokens before it" check of standin.Verify). It does not notice when tokens of old attempts are accepted, because the runner also closes their connections; TestSteps and TestStateAgainstOracle do.

--- /dev/null
+++ b/pkg/generation/chaos_test.go
@@ -0,0 +1,102 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/geraniumpitch/geraniumpitch/pkg/standin"
+)
+
+// follow reads one answer to its end and reconnects to any instance after an
+// error or 1.5 s of silence, as callers do.
+func (c *cluster) follow(tokens int) ([]string, string, error) {
+	deadline := time.Now().Add(60 * time.Second)
+	var answer []string
+	stream := ""
+	for time.Now().Before(deadline) {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		n := c.nodes[rand.IntN(len(c.nodes))].service
+		var s Session
+		var err error
+		if stream == "" {
+			s, err = n.Open(ctx, request(tokens))
+		} else {
+			s, err = n.Resume(ctx, "o", stream, len(answer)-1)
+		}
+		cancel()
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		stream = s.Stream()
+		for err == nil {
+			var e Event
+			ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+			e, err = s.Next(ctx)
+			cancel()
+			if err == nil && !e.Finished {
+				if e.Position != len(answer) {
+					return answer, stream, errors.New("a position is missing or repeated")
+				}
+				answer = append(answer, e.Text)
+			}
+		}
+		s.Close()
+		if errors.Is(err, io.EOF) {
+			return answer, stream, nil
+		}
+	}
+	return answer, stream, errors.New("the answer does not end")
+}
+
+// Guards against faults that only combinations of failures show: one instance
+// and one engine at a time are frozen or cut off from silent connections, while
+// callers reconnect anywhere.
+func TestChaos(t *testing.T) {
+	c := newCluster(t, clusterOptions{
+		dataCentres: []string{"a", "a", "b", "b", "c"}, engines: 4, interval: 10 * time.Millisecond, attemptChains: true,
+		delay: time.Millisecond,
+	})
+	const callers, tokens = 30, 400
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			answer, stream, err := c.follow(tokens)
+			c.Check(err, quicktest.IsNil)
+			c.Check(len(answer), quicktest.Equals, tokens)
+			c.Check(standin.Verify("prompt", Seed(stream), answer), quicktest.IsNil)
+		})
+	}
+	done := make(chan struct{})
+	go func() { wait.Wait(); close(done) }()
+	for faults := 0; ; faults++ {
+		n, e := c.nodes[rand.IntN(len(c.nodes))], c.backends[rand.IntN(len(c.backends))]
+		frozen := rand.IntN(2) == 0
+		if frozen {
+			c.freeze(n, true)
+		}
+		if rand.IntN(2) == 0 {
+			e.Freeze()
+		}
+		c.links.each(func(from, _ string, l *link) {
+			if from != n.id && rand.IntN(10) == 0 {
+				l.silence()
+			}
+		})
+		time.Sleep(rand.N(1500 * time.Millisecond))
+		c.freeze(n, false)
+		e.Unfreeze()
+		select {
+		case <-done:
+			t.Logf("%d answers whole after %d faults", callers, faults+1)
+			return
+		case <-time.After(rand.N(time.Second)):
+		}
+	}
+}
