once: the hand-over has its own time limit

Cause: the planned stop passes one time limit to running streams and to the services after them. When streams used it up, the hand-over got an ended context and the record was lost. A test also read and wrote a flag without synchronisation (race detector).

Ruled out: handing over before streams finish; calls of other instances would follow a successor for up to 15 minutes without need.

Change: 10 s for the hand-over, whatever is left of the limit. With the old context TestPlannedStop fails.

--- a/pkg/once/handover.go
+++ b/pkg/once/handover.go
@@ -20,13 +20,18 @@
 	stateBytes = 64
 	// handOverTimeout bounds one message of a hand-over.
 	handOverTimeout = 2 * time.Second
+	// handOverLimit bounds the whole hand-over; 2^19 keys take about 35 MB.
+	handOverLimit = 10 * time.Second
 	// handOverTries repeats a message before the successor is given up.
 	handOverTries = 3
 )
 
 // Stop hands the records of this instance over. From then on this instance
-// decides about no key, also when the hand-over fails.
+// decides about no key, also when the hand-over fails. It has its own time
+// limit: ctx may have ended while streams were still running.
 func (s *Service) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverLimit)
+	defer cancel()
 	s.stop.Do(func() {
 		defer close(s.settled)
 		s.mu.Lock()
--- a/pkg/once/service_test.go
+++ b/pkg/once/service_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,12 +58,12 @@
 // lossy loses the answers to claims while lose is set.
 type lossy struct {
 	server
-	lose bool
+	lose atomic.Bool
 }
 
 func (l *lossy) Claim(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimResponse, error) {
 	response, err := l.server.Claim(ctx, r)
-	if l.lose {
+	if l.lose.Load() {
 		<-ctx.Done()
 	}
 	return response, err
@@ -154,7 +155,10 @@
 	for _, stopped := range []*instance{a, b} {
 		stopped.member.State = membership.Leaving
 		tab.set(stopped.member)
-		qt.Assert(t, stopped.Stop(t.Context()), qt.IsNil)
+		// The time for running streams may be used up before the hand-over.
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		qt.Assert(t, stopped.Stop(ended), qt.IsNil)
 		v := c.Service.Claim(t.Context(), "boutique", keys[0], Digest{1})
 		qt.Assert(t, v.Outcome, qt.Equals, Answered)
 		qt.Assert(t, bytes.Equal(v.Answer.Body, large.Body), qt.IsTrue)
@@ -192,13 +196,13 @@
 func TestLostClaimAnswer(t *testing.T) {
 	_, a, b, c := cluster(t)
 	keys := a.Mint("boutique", 2)
-	a.server.lose = true
+	a.server.lose.Store(true)
 	v := b.Service.Claim(t.Context(), "boutique", keys[0], Digest{1})
 	qt.Assert(t, v, qt.DeepEquals, Verdict{Outcome: NotRun, Reason: ReasonClaimLost})
-	a.server.lose = false
+	a.server.lose.Store(false)
 	qt.Assert(t, c.Service.Claim(t.Context(), "boutique", keys[0], Digest{1}).Outcome, qt.Equals, Claimed)
 	qt.Assert(t, c.Service.Claim(t.Context(), "boutique", keys[1], Digest{1}).Outcome, qt.Equals, Claimed)
-	a.server.lose = true
+	a.server.lose.Store(true)
 	v = b.Service.Claim(t.Context(), "boutique", keys[1], Digest{1})
 	qt.Assert(t, v, qt.DeepEquals, Verdict{Outcome: Unknown, Reason: ReasonHomeUnreachable})
 }
