consensus: messages about votes carry the commit index; deterministic order

Of three members, b had just been repaired and knew so, then c lost its disk. a held the replacement of b and a longer log but did not know that it was committed: it did not count the vote of b and, with the longer log, did not vote for b. This is the loss of a second instance right after a repair. Change: votes, pre-votes and their replies carry the commit index and the term of its entry. Ruled out: counting a replacement that is only in the log; TestRandomRepairs shows that this loses committed entries. Figures: TestSecondLossAfterRepair fails without learnCommit ("the healed cluster does not settle: target 0, committed 2") and passes with it; go test ./pkg/consensus 17 s, green.

--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -13,7 +13,7 @@
 		kind = Vote
 		n.term, n.vote = term, n.cfg.ID
 	}
-	for m := range n.members {
+	for _, m := range n.ids {
 		if m != n.cfg.ID {
 			n.send(Message{To: m, Kind: kind, Term: term, Index: n.lastIndex(), LogTerm: n.termAt(n.lastIndex())})
 		}
@@ -74,7 +74,7 @@
 	n.role, n.leader, n.votes = Leader, n.cfg.ID, nil
 	n.elapsed, n.beatElapsed = 0, 0
 	n.peers = map[MemberID]*peer{}
-	for m := range n.members {
+	for _, m := range n.ids {
 		if m != n.cfg.ID {
 			n.peers[m] = &peer{next: n.lastIndex() + 1}
 		}
--- a/pkg/consensus/node.go
+++ b/pkg/consensus/node.go
@@ -40,6 +40,8 @@
 	replacements []replacement
 	// members is the committed table; ahead includes uncommitted entries.
 	members, ahead map[MemberID]DiskID
+	// ids lists the members in order, so that equal input gives equal output.
+	ids []MemberID
 
 	role    Role
 	leader  MemberID
@@ -163,6 +165,7 @@
 
 // stepInGroup handles terms; every message comes from a member of the group.
 func (n *Node) stepInGroup(m Message) {
+	n.learnCommit(m)
 	if m.Term > n.term {
 		switch {
 		case m.Kind == PreVote, m.Kind == PreVoteReply && m.Granted:
@@ -194,6 +197,20 @@
 	}
 }
 
+// learnCommit takes the commit index of a message about votes. A member that
+// holds a replacement without knowing that it is committed could otherwise
+// neither count the vote of the new disk nor vote for it if its log is longer,
+// and no leader would be there to tell it.
+func (n *Node) learnCommit(m Message) {
+	if n.role != Leader && m.Commit > n.commit && m.CommitTerm > 0 && n.matches(m.Commit, m.CommitTerm) {
+		n.commitTo(m.Commit)
+		if n.role == Candidate {
+			// The votes so far were counted by another table.
+			n.becomeFollower(n.term, "")
+		}
+	}
+}
+
 // refuseOldTerm tells a sender of an older term the current one. Without the
 // answer to a leader, a member that raised its term alone would never follow again.
 func (n *Node) refuseOldTerm(m Message) {
@@ -343,6 +360,10 @@
 	if m.Term == 0 {
 		m.Term = n.term
 	}
+	switch m.Kind {
+	case PreVote, PreVoteReply, Vote, VoteReply:
+		m.Commit, m.CommitTerm = n.commit, n.termAt(n.commit)
+	}
 	n.messages = append(n.messages, m)
 }
 
--- a/pkg/consensus/node_test.go
+++ b/pkg/consensus/node_test.go
@@ -122,6 +122,28 @@
 	}
 }
 
+// Guards against a group without a leader after the loss of a second disk right
+// after a repair (a run with seed 903 stalled): the member that remains holds the
+// replacement, has a longer log and does not know that it is committed.
+func TestSecondLossAfterRepair(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	first := map[MemberID]DiskID{"a": "a1", "b": "b2", "c": "c3"}
+	entries := []Entry{
+		{Term: 1, Index: 1, Kind: Noop}, {Term: 1, Index: 2, Kind: ReplaceDisk, Data: []byte(`{"member":"b","disk":"b4"}`)},
+		{Term: 1, Index: 3},
+	}
+	for id, commit := range map[MemberID]uint64{"a": 1, "b": 2} {
+		c.crash(c.members[id])
+		c.members[id].disk.stored = Stored{
+			Snapshot: Snapshot{Members: first, Group: tableHash(first)}, Hard: HardState{Term: 1, Commit: commit},
+			Entries: entries[:4-commit],
+		}
+	}
+	c.members["b"].disk.id = "b4"
+	c.lose(c.members["c"])
+	c.settle()
+}
+
 // BenchmarkProposal reports the cost of one proposal and the messages for it.
 func BenchmarkProposal(b *testing.B) {
 	for _, size := range []int{3, 5} {
--- a/pkg/consensus/replicate.go
+++ b/pkg/consensus/replicate.go
@@ -71,8 +71,10 @@
 }
 
 func (n *Node) broadcastHeartbeat() {
-	for m, p := range n.peers {
-		n.sendHeartbeat(m, p)
+	for _, m := range n.ids {
+		if p := n.peers[m]; p != nil {
+			n.sendHeartbeat(m, p)
+		}
 	}
 }
 
@@ -109,7 +111,11 @@
 		n.broadcastHeartbeat()
 		n.confirmReads()
 	}
-	for m, p := range n.peers {
+	for _, m := range n.ids {
+		p := n.peers[m]
+		if p == nil {
+			continue
+		}
 		for n.canAppend(p) {
 			n.sendAppend(m, p)
 		}
--- a/pkg/consensus/table.go
+++ b/pkg/consensus/table.go
@@ -40,6 +40,7 @@
 func (n *Node) refreshTable() {
 	n.members = n.tableAt(n.commit)
 	n.ahead = n.tableAt(n.lastIndex())
+	n.ids = slices.Sorted(maps.Keys(n.members))
 }
 
 // counts tells whether votes and acknowledgements of a disk count. While a
--- a/pkg/consensus/types.go
+++ b/pkg/consensus/types.go
@@ -129,15 +129,17 @@
 	Kind MessageKind `json:"kind"`
 	Term uint64      `json:"term"`
 	// LogTerm and Index name the entry before Entries, or the last entry of a candidate.
-	LogTerm  uint64              `json:"log_term,omitempty"`
-	Index    uint64              `json:"index,omitempty"`
-	Commit   uint64              `json:"commit,omitempty"`
-	Entries  []Entry             `json:"entries,omitempty"`
-	Snapshot *Snapshot           `json:"snapshot,omitempty"`
-	Granted  bool                `json:"granted,omitempty"`
-	Hint     uint64              `json:"hint,omitempty"`
-	Round    uint64              `json:"round,omitempty"`
-	Members  map[MemberID]DiskID `json:"members,omitempty"`
+	LogTerm uint64 `json:"log_term,omitempty"`
+	Index   uint64 `json:"index,omitempty"`
+	Commit  uint64 `json:"commit,omitempty"`
+	// CommitTerm is the term of the entry at Commit in messages about votes.
+	CommitTerm uint64              `json:"commit_term,omitempty"`
+	Entries    []Entry             `json:"entries,omitempty"`
+	Snapshot   *Snapshot           `json:"snapshot,omitempty"`
+	Granted    bool                `json:"granted,omitempty"`
+	Hint       uint64              `json:"hint,omitempty"`
+	Round      uint64              `json:"round,omitempty"`
+	Members    map[MemberID]DiskID `json:"members,omitempty"`
 	// Group is the group of the sender, 0 if it is empty.
 	Group uint64 `json:"group,omitempty"`
 }
