--- /dev/null
+++ b/pkg/broker/metrics_test.go
@@ -0,0 +1,29 @@
+package broker
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
+)
+
+// Guards against counters that are registered and never read.
+func TestObserve(t *testing.T) {
+	c := newCluster(t, "a")
+	c.announce("a", 2, "b0")
+	n := c.nodes["a-0"]
+	metrics, err := telemetry.New()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, n.Observe(metrics.Meter("broker")), qt.IsNil)
+	e := n.acquire(t, time.Second)
+	w := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	e.Release(Usage{Result: OK})
+	for _, name := range []string{"broker_decisions_local_total", "broker_requests_moved_total", `pool="m",rank="urgent"`} {
+		qt.Assert(t, strings.Contains(w.Body.String(), name), qt.IsTrue, qt.Commentf("%s in %s", name, w.Body.String()))
+	}
+}
--- a/pkg/broker/service_test.go
+++ b/pkg/broker/service_test.go
@@ -476,6 +476,41 @@
 	(<-got).Release(Usage{Result: OK})
 }
 
+// Guards against a preemption that does not reach the holder of the lease, and
+// against one of more patient work than the waiting urgent work needs.
+func TestPreemption(t *testing.T) {
+	c := newCluster(t, "a", "a")
+	c.announce("a", 3, "b0")
+	_, others := c.roles("a")
+	var patient []Lease
+	others[0].acquire(t, 5*time.Second).Release(Usage{Result: OK}) // the broker grants now
+	for range 2 {
+		e, err := others[0].Acquire(context.Background(), Request{Pool: "m", Organisation: "o", Rank: document.Patient})
+		qt.Assert(t, err, qt.IsNil)
+		patient = append(patient, e)
+	}
+	held := others[0].acquire(t, 5*time.Second)
+	got := make(chan Lease)
+	go func() { got <- others[0].acquire(t, 5*time.Second) }()
+	var rest Lease
+	select {
+	case <-patient[0].Preempted():
+		patient[0].Release(Usage{Result: Cancelled, Tokens: 3})
+		rest = patient[1]
+	case <-patient[1].Preempted():
+		patient[1].Release(Usage{Result: Cancelled, Tokens: 3})
+		rest = patient[0]
+	}
+	(<-got).Release(Usage{Result: OK})
+	select {
+	case <-rest.Preempted():
+		t.Fatal("both patient leases were preempted for one urgent request")
+	default:
+	}
+	rest.Release(Usage{Result: OK})
+	held.Release(Usage{Result: OK})
+}
+
 // Guards against a long queue in one data centre beside free slots in another.
 func TestLongWaitAsksElsewhere(t *testing.T) {
 	c := newCluster(t, "a", "b", "b")
