once: records go back to a restarted home; gp-load sends orders again

In a data centre with two instances the holder of the other's record had nowhere to hand it when it stopped itself, because the home was left out, and a restarted home was not yet known as alive.

Ruled out: a successor in another data centre; lookups ask the home's own one.

Change: the restarted home may take the record back, and a stopping instance waits up to 3 s for a holder. gp-load sends an order with an unknown outcome again when the answer has Retry-After.

Conclusion: one case remains: a holder that is leaving is not asked.

--- a/cmd/gp-load/calls.go
+++ b/cmd/gp-load/calls.go
@@ -16,6 +16,8 @@
 const (
 	// callLimit is how long a caller waits for the answer to one sending.
 	callLimit = 15 * time.Second
+	// resendPause is the time before a call without a known outcome is sent again.
+	resendPause = 200 * time.Millisecond
 	// sendings is how often a call is sent after lost connections.
 	sendings = 5
 )
@@ -48,6 +50,10 @@
 		var r *refusal
 		if errors.As(err, &r) {
 			told, detail = r.Fields.Outcome, r.Error()
+			// With one key the call runs once, however often it is sent.
+			if told == toldUnknown && r.again && sleepUntil(ctx, time.Now().Add(resendPause)) {
+				continue
+			}
 			break
 		}
 	}
@@ -64,7 +70,8 @@
 			detail = toldAnswered
 			break
 		}
-		if detail = kindOf(err); detail != "no connection" {
+		var r *refusal
+		if detail = kindOf(err); errors.As(err, &r) && !r.again {
 			break
 		}
 	}
--- a/cmd/gp-load/generate.go
+++ b/cmd/gp-load/generate.go
@@ -29,7 +29,8 @@
 
 // refusal is the error answer of an entry instance.
 type refusal struct {
-	status int
+	// again tells that the same request may be sent again later.
+	again  bool
 	Fields struct {
 		Outcome string `json:"outcome"`
 		Code    string `json:"code"`
@@ -40,7 +41,7 @@
 func (r *refusal) Error() string { return r.Fields.Outcome + "/" + r.Fields.Code }
 
 func readRefusal(response *http.Response) error {
-	r := &refusal{status: response.StatusCode}
+	r := &refusal{again: response.Header.Get("Retry-After") != ""}
 	if err := json.NewDecoder(response.Body).Decode(r); err != nil {
 		return err
 	}
--- a/cmd/gp-load/load_test.go
+++ b/cmd/gp-load/load_test.go
@@ -133,3 +133,29 @@
 		}
 	}
 }
+
+// TestOrderIsSentAgain guards the outcome of an order that is refused by an
+// instance that has just started: the caller must ask the next instance.
+func TestOrderIsSentAgain(t *testing.T) {
+	starting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprint(w, `{"error":{"outcome":"unknown","code":"not_ready"}}`)
+	}))
+	defer starting.Close()
+	var keys []string
+	ready := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/keys" {
+			fmt.Fprint(w, `{"keys":["k"]}`)
+			return
+		}
+		keys = append(keys, r.Header.Get("Idempotency-Key"))
+		fmt.Fprint(w, `{"key":"k"}`)
+	}))
+	defer ready.Close()
+	s := newSender(options{entries: []string{starting.Listener.Addr().String(), ready.Listener.Addr().String()}, service: "shop", orderPath: "orders"})
+	w := work{kind: kindOrder, caller: caller{"fill", "key"}, rank: "urgent", prompt: "x", due: time.Now()}
+	s.order(t.Context(), w)
+	qt.Assert(t, s.recorder.told, qt.DeepEquals, map[string]string{"k": toldAnswered})
+	qt.Assert(t, keys, qt.DeepEquals, []string{"k"})
+}
--- a/pkg/once/handover.go
+++ b/pkg/once/handover.go
@@ -22,6 +22,10 @@
 	handOverTimeout = 2 * time.Second
 	// handOverLimit bounds the whole hand-over; 2^19 keys take about 35 MB.
 	handOverLimit = 10 * time.Second
+	// holderWait is how long a stopping instance waits for an instance that can
+	// take its record: one that has just restarted is known within a second.
+	holderWait = 3 * time.Second
+	holderPoll = 100 * time.Millisecond
 	// handOverTries repeats a message before the successor is given up.
 	handOverTries = 3
 )
@@ -50,23 +54,25 @@
 	return nil
 }
 
-// handOver sends a record to the first second that takes it and returns its
+// handOver sends a record to the first holder that takes it and returns its
 // identifier. The records of a stopping instance do not change any more.
 func (s *Service) handOver(ctx context.Context, origin Origin, record *Record) string {
 	parts := split(origin, record)
-	for _, m := range s.seconds(origin.Home) {
-		if m.ID == s.own.Home {
-			continue
-		}
-		taken, pinned := s.send(ctx, m, parts)
-		if taken {
-			s.log.Info("the key record was handed over", "home", origin.Home, "successor", m.ID, "parts", len(parts))
+	for begun := time.Now(); ; {
+		for _, m := range s.holders(origin.Home) {
+			taken, pinned := s.send(ctx, m, parts)
+			if taken {
+				s.log.Info("the key record was handed over", "home", origin.Home, "successor", m.ID, "parts", len(parts))
+			}
+			if taken || pinned {
+				return m.ID
+			}
 		}
-		if taken || pinned {
-			return m.ID
+		if time.Since(begun) > holderWait || ctx.Err() != nil {
+			return ""
 		}
+		time.Sleep(holderPoll)
 	}
-	return ""
 }
 
 // send sends all parts to one instance. It is pinned when the last part may
--- a/pkg/once/service.go
+++ b/pkg/once/service.go
@@ -141,13 +141,28 @@
 	return list
 }
 
+// holders returns the other instances to which a record or an answer of home
+// may go: its seconds and, in a data centre with two instances, the home itself
+// after a restart. Lookups ask the home first.
+func (s *Service) holders(home string) []membership.Member {
+	var list []membership.Member
+	for _, m := range s.seconds(home) {
+		if m.ID != s.own.Home {
+			list = append(list, m)
+		}
+	}
+	for _, m := range s.view.Members() {
+		if m.ID == home && m.ID != s.own.Home {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // copyAnswer keeps an answer at one more instance. When none can be reached,
 // the answer is lost together with its record.
 func (s *Service) copyAnswer(ctx context.Context, f finish) {
-	for _, m := range s.seconds(f.key.Home) {
-		if m.ID == s.own.Home {
-			continue
-		}
+	for _, m := range s.holders(f.key.Home) {
 		request := &wire.CopyRequest{
 			Key: f.text, Organisation: f.organisation, RequestDigest: f.digest[:], Answer: toWire(f.answer),
 		}
--- a/pkg/once/service_test.go
+++ b/pkg/once/service_test.go
@@ -171,6 +171,32 @@
 	qt.Assert(t, c.Service.Claim(t.Context(), "boutique", keys[5], Digest{1}).Reason, qt.Equals, ReasonStarted)
 }
 
+// TestRollingRestartOfTwo guards the keys of a data centre with two instances:
+// the successor must hand a record back to its restarted home, also when the
+// member table tells of the restart only during the stop.
+func TestRollingRestartOfTwo(t *testing.T) {
+	tab := &table{members: map[string]membership.Member{}}
+	a, b := tab.start(t, "a", "tanta"), tab.start(t, "b", "tanta")
+	keys := a.Mint("boutique", 2)
+	qt.Assert(t, b.Service.Claim(t.Context(), "boutique", keys[0], Digest{1}).Outcome, qt.Equals, Claimed)
+	leave := func(i *instance) {
+		i.member.State = membership.Leaving
+		tab.set(i.member)
+	}
+	leave(a)
+	qt.Assert(t, a.Stop(t.Context()), qt.IsNil)
+	a.kill()
+	restarted := tab.start(t, "a", "tanta")
+	alive := restarted.member
+	leave(restarted)
+	leave(b)
+	time.AfterFunc(300*time.Millisecond, func() { tab.set(alive) })
+	qt.Assert(t, b.Stop(t.Context()), qt.IsNil)
+	b.kill()
+	qt.Assert(t, restarted.Service.Claim(t.Context(), "boutique", keys[0], Digest{1}).Reason, qt.Equals, ReasonStarted)
+	qt.Assert(t, restarted.Service.Claim(t.Context(), "boutique", keys[1], Digest{1}).Outcome, qt.Equals, Claimed)
+}
+
 // TestClaimWaitsForHandOver guards against "unknown" for a call that comes
 // during a planned stop.
 func TestClaimWaitsForHandOver(t *testing.T) {
