orders: the control instance with the lease gives orders to engines

Cause: the planner of pkg/orders had no caller, so that the wanted number of backend servers of a placement rule was never reached.

Change: the kernel service "orders" of a control instance requests the lease at the leader, renews it once a second and plans only while it holds. It finds entry instances through the new setting "entries" and the members that these know, and asks all of them for the announcements they hold (Broker.Backends); the newest incarnation and sequence counts. Announcements without a pool are held by the first two instances by rank of the empty name. Settings loads_per_second and load_burst are checked. The stand-in engine starts without a model and logs the orders that it obeyed.

Ruled out: asking only the first instance by rank. A pool's announcements are held by its broker and the next one, so that no single instance knows all.

With "range ranked(a.Pools)" changed to "range a.Pools" in broker.Announce it fails: placement_test.go:100: the wanted number of engines carries the model: not within 30s: 1 engines, wanted 2

Not proved by this test yet: that a thawed instance gives no order under its old lease.

--- a/cmd/gp-control/commands.go
+++ b/cmd/gp-control/commands.go
@@ -14,7 +14,9 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
 	"github.com/geraniumpitch/geraniumpitch/pkg/console"
 	"github.com/geraniumpitch/geraniumpitch/pkg/control"
+	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
+	"github.com/geraniumpitch/geraniumpitch/pkg/orders"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
@@ -76,6 +78,19 @@
 	if err := k.Register(service); err != nil {
 		return err
 	}
+	if len(s.Entries) > 0 {
+		source, err := rpc.SourceOf(s.PeerAddress)
+		if err != nil {
+			return err
+		}
+		giver, err := orders.NewService(s, func() orders.Control { return service.Node() }, dialer, engine.NewClient(source), metrics.Meter("orders"), log)
+		if err != nil {
+			return err
+		}
+		if err := k.Register(giver); err != nil {
+			return err
+		}
+	}
 	if err := k.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -40,7 +40,9 @@
 // shape says how many processes of each role a deployment has per data centre.
 type shape struct {
 	entries, control, engines, services []int
-	slots                               int
+	// idle is the number of engines that start without a model.
+	idle  []int
+	slots int
 	// tokenInterval is the time between tokens of the engines, in milliseconds.
 	tokenInterval int
 	tls           settings.TLS
@@ -175,6 +177,7 @@
 	s.Members = d.peers(d.control, controlPort)
 	s.DataFolder = c.dataFolder
 	s.TLS = d.shape.tls
+	s.Entries = d.peers(d.entries, peerPort)
 	s.Operators = map[string]string{"tester": document.HashKey(operatorKey)}
 	c.process = startProcess(d.t, d.folder, c.id, "gp-control", "run", "-settings", d.write(c.id+".json", s))
 }
--- a/pkg/broker/announce.go
+++ b/pkg/broker/announce.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		targets := map[string]bool{}
-		for _, pool := range a.Pools {
+		for _, pool := range ranked(a.Pools) {
 			candidates := s.candidates(pool, dataCentre)
 			for _, m := range candidates[:min(holders, len(candidates))] {
 				targets[m.ID], addresses[m.ID] = true, m.PeerAddress
@@ -141,6 +141,7 @@
 			s.takeLeave(now, a)
 			continue
 		}
+		s.hold(now, a)
 		for _, pool := range a.Pools {
 			s.takeAnnouncement(now, pool, a)
 		}
@@ -152,6 +153,9 @@
 		s.left[a.Id] = departure{incarnation: a.Incarnation, at: now}
 	}
 	delete(s.known, a.Id)
+	if held, ok := s.announced[a.Id]; ok && held.announcement.Incarnation <= a.Incarnation {
+		delete(s.announced, a.Id)
+	}
 	for _, h := range s.pools {
 		s.deliver(h.pool.Leave(now, a.Id, a.Incarnation, a.Sequence))
 	}
--- a/pkg/broker/fallback.go
+++ b/pkg/broker/fallback.go
@@ -50,6 +50,7 @@
 }
 
 func (s *Service) forgetServers(now time.Time) {
+	s.forgetAnnounced(now)
 	for id, k := range s.known {
 		if now.Sub(k.heard) > knownLife {
 			delete(s.known, id)
--- a/pkg/broker/service.go
+++ b/pkg/broker/service.go
@@ -99,6 +99,9 @@
 	leases  map[uint64]*lease
 	number  uint64
 	known   map[string]*knownServer
+	// announced holds the newest announcement of each backend server that was
+	// sent to this instance, those without a pool included.
+	announced map[string]arrival
 	// holding counts this instance's leases by backend server.
 	holding map[string]int
 	stats   Stats
@@ -117,7 +120,7 @@
 		rng:   rand.New(rand.NewSource(time.Now().UnixNano())),
 		pools: map[string]*hosted{}, peers: map[string]*peer{}, left: map[string]departure{}, sites: map[sched.Site]siteReport{},
 		brokers: map[string]string{}, links: map[string]*link{}, calls: map[uint64]*call{},
-		leases: map[uint64]*lease{}, known: map[string]*knownServer{}, holding: map[string]int{},
+		leases: map[uint64]*lease{}, known: map[string]*knownServer{}, announced: map[string]arrival{}, holding: map[string]int{},
 	}
 	if policy == "fifo" {
 		s.policy = sched.FIFO
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -92,6 +92,12 @@
 	ElectionMS int `json:"election_ms"`
 	// CompactAfter is the number of log entries after which a snapshot is written.
 	CompactAfter int `json:"compact_after"`
+	// Entries lists entry instances of each data centre through which backend
+	// servers are found; empty means that no orders are given.
+	Entries []Peer `json:"entries"`
+	// LoadsPerSecond and LoadBurst limit loads of models from the weight store.
+	LoadsPerSecond float64 `json:"loads_per_second"`
+	LoadBurst      int     `json:"load_burst"`
 }
 
 // DefaultEntry returns the defaults of an entry instance.
@@ -104,7 +110,7 @@
 
 // DefaultControl returns the defaults of a control instance.
 func DefaultControl() Control {
-	return Control{HeartbeatMS: 100, ElectionMS: 600, CompactAfter: 1000}
+	return Control{HeartbeatMS: 100, ElectionMS: 600, CompactAfter: 1000, LoadsPerSecond: 1, LoadBurst: 4}
 }
 
 // FaultsError lists all faults of a settings file.
@@ -286,6 +292,11 @@
 	f.atLeast("heartbeat_ms", int64(c.HeartbeatMS), 10)
 	f.atLeast("election_ms", int64(c.ElectionMS), 3*int64(c.HeartbeatMS))
 	f.atLeast("compact_after", int64(c.CompactAfter), 10)
+	f.peers("entries", c.Entries)
+	if !(c.LoadsPerSecond > 0) {
+		f.addf("loads_per_second: is %g, must be above 0", c.LoadsPerSecond)
+	}
+	f.atLeast("load_burst", int64(c.LoadBurst), 1)
 	f.tls(c.TLS)
 	return f.faults
 }
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -420,6 +420,7 @@
 		http.Error(w, "action: unknown", http.StatusBadRequest)
 		return
 	}
+	e.log.Info("order obeyed", "fence", o.Fence, "action", o.Action, "target", o.Target)
 	w.WriteHeader(http.StatusNoContent)
 }
 
