--- a/pkg/instance/entry.go
+++ b/pkg/instance/entry.go
@@ -142,7 +142,8 @@
 }
 
 func (e *Entry) broker() (kernel.Service, error) {
-	return broker.New(e.view(), e.config(), e.dialer, e.settings.Policy, e.log), nil
+	s := broker.New(e.view(), e.config(), e.dialer, e.settings.Policy, e.log)
+	return s, s.Observe(e.telemetry.Meter("broker"))
 }
 
 func (e *Entry) replica() (kernel.Service, error) {
