once: leaving instances are asked for the records that they hold

Cause: an instance that has announced that it is leaving serves for seconds before it hands over. Lookups asked alive instances only, so the records that it had taken over earlier were not found meanwhile, nor was a record that moved between two requests of one lookup.

Ruled out: handing over at the announcement; calls would then be passed on by the old home until its streams have finished.

Change: lookups also ask leaving instances of the data centre that were seen alive before, and search a second time after 200 ms when nothing was found. Without the first change TestLeavingSuccessorDecides fails.

--- a/pkg/once/client.go
+++ b/pkg/once/client.go
@@ -23,6 +23,9 @@
 	// tries is 2 because the first connection may have gone silent while a new
 	// one works. A repeated request of one executor gets the same outcome.
 	tries = 2
+	// secondRound is the time between two searches for a record; a hand-over of a
+	// small record takes less.
+	secondRound = 200 * time.Millisecond
 	// maxMoves bounds the successors followed.
 	maxMoves = 8
 	// relays is the number of instances of another data centre asked to pass on.
@@ -112,10 +115,25 @@
 	}
 }
 
-// route finds the instance that decides about a key and asks it: the home, the
+// route asks the instance that decides about a key. A record may move between
+// two requests of one round, so a second round follows when none was found.
+func (s *Service) route(ctx context.Context, k Key, try ask, mayRelay bool) error {
+	err := s.round(ctx, k, try, mayRelay)
+	if !errors.Is(err, errNotFound) {
+		return err
+	}
+	select {
+	case <-time.After(secondRound):
+	case <-ctx.Done():
+		return err
+	}
+	return s.round(ctx, k, try, mayRelay)
+}
+
+// round finds the instance that decides about a key and asks it: the home, the
 // successor that it names, or the seconds of the home. Another data centre is
 // asked to pass the request on, because its members are not known in detail.
-func (s *Service) route(ctx context.Context, k Key, try ask, mayRelay bool) error {
+func (s *Service) round(ctx context.Context, k Key, try ask, mayRelay bool) error {
 	self := s.view.Self()
 	var targets []membership.Member
 	home, known := s.view.Member(k.Home)
@@ -128,6 +146,7 @@
 	local := k.DataCentre == self.DataCentre
 	if local {
 		targets = append(targets, s.seconds(k.Home)...)
+		targets = append(targets, s.leaving(k.Home)...)
 	}
 	var lost error
 	for _, m := range targets {
--- a/pkg/once/service.go
+++ b/pkg/once/service.go
@@ -38,6 +38,8 @@
 
 	mu     sync.Mutex
 	keeper *Keeper
+	// known are the instances of the own data centre that were seen alive.
+	known map[string]bool
 	// settled is closed when the hand-over of a planned stop has ended.
 	settled chan struct{}
 	stop    sync.Once
@@ -49,7 +51,7 @@
 	own := Origin{Home: view.Self().ID, Incarnation: random64()}
 	return &Service{
 		view: view, dialer: dialer, codec: NewCodec(secret), log: log, own: own, begun: time.Now(),
-		keeper: NewKeeper(own, DefaultLimits()), settled: make(chan struct{}),
+		keeper: NewKeeper(own, DefaultLimits()), known: map[string]bool{}, settled: make(chan struct{}),
 	}
 }
 
@@ -141,6 +143,26 @@
 	return list
 }
 
+// leaving returns the instances of this data centre that were seen alive and
+// are leaving: they decide about the records that they hold until they stop.
+func (s *Service) leaving(home string) []membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range membership.InDataCentre(s.view.Self().DataCentre, s.view.Members()) {
+		s.known[m.ID] = true
+	}
+	var list []membership.Member
+	for id := range s.known {
+		m, found := s.view.Member(id)
+		if !found {
+			delete(s.known, id)
+		} else if m.State == membership.Leaving && id != home {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // holders returns the other instances to which a record or an answer of home
 // may go: its seconds and, in a data centre with two instances, the home itself
 // after a restart. Lookups ask the home first.
--- a/pkg/once/service_test.go
+++ b/pkg/once/service_test.go
@@ -197,6 +197,25 @@
 	qt.Assert(t, restarted.Service.Claim(t.Context(), "boutique", keys[1], Digest{1}).Outcome, qt.Equals, Claimed)
 }
 
+// TestLeavingSuccessorDecides guards keys whose record is at an instance that
+// has announced that it is leaving and still serves.
+func TestLeavingSuccessorDecides(t *testing.T) {
+	tab, a, b, c := cluster(t)
+	key := a.Mint("boutique", 1)[0]
+	qt.Assert(t, c.Service.Claim(t.Context(), "boutique", c.Mint("boutique", 1)[0], Digest{1}).Outcome, qt.Equals, Claimed)
+	leave := func(i *instance) {
+		i.member.State = membership.Leaving
+		tab.set(i.member)
+	}
+	leave(a)
+	leave(c)
+	qt.Assert(t, a.Stop(t.Context()), qt.IsNil)
+	a.kill()
+	qt.Assert(t, c.Service.Claim(t.Context(), "boutique", b.Mint("boutique", 1)[0], Digest{1}).Outcome, qt.Equals, Claimed)
+	leave(b)
+	qt.Assert(t, c.Service.Claim(t.Context(), "boutique", key, Digest{1}).Outcome, qt.Equals, Claimed)
+}
+
 // TestClaimWaitsForHandOver guards against "unknown" for a call that comes
 // during a planned stop.
 func TestClaimWaitsForHandOver(t *testing.T) {
