e2e: a thawed control instance gives no orders under its old lease

Cause: the test of placement passed although a former leader kept its lease, because the thawed instance had nothing left to order.

Ruled out: killing one more engine right before the thaw. The new holder replaces it in the same second, so that the thawed instance rarely orders first.

Change: the wanted number is raised by more than the burst of loads after the thaw, onto idle engines that saw no lease yet, and the logs of the engines and of the thawed instance must show no order of the old lease after the thaw.

With "sent.Add(leaseDuration)" in Service.hold changed to "sent.Add(time.Hour)" and the comparison with current.Number removed it fails: placement_test.go:144: engine-a3 obeyed an order of lease 1 after lease 2 acted (the same for engine-a4 to engine-a8) placement_test.go:160: b-c1 gave an order under lease 1 after lease 2 acted

--- a/internal/e2e/placement_test.go
+++ b/internal/e2e/placement_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,8 +19,8 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
 )
 
-// obeyed is an order that a stand-in engine carried out, as its log tells.
-type obeyed struct {
+// loggedOrder is an order as the log of a process tells of it.
+type loggedOrder struct {
 	Message string    `json:"msg"`
 	Time    time.Time `json:"time"`
 	Fence   uint64    `json:"fence"`
@@ -27,15 +28,22 @@
 	Target  string    `json:"target"`
 }
 
-func (b *backend) obeyed() []obeyed {
-	raw, err := os.ReadFile(b.log)
+// obeyed returns the orders that a stand-in engine carried out.
+func (b *backend) obeyed() []loggedOrder { return logged(b.process, "order obeyed") }
+
+// given returns the orders of a control instance, the refused ones included.
+func given(c *node) []loggedOrder { return logged(c.process, "order sent", "order failed") }
+
+// logged returns the log lines of a process with one of the messages.
+func logged(p *process, messages ...string) []loggedOrder {
+	raw, err := os.ReadFile(p.log)
 	if err != nil {
-		b.t.Fatal(err)
+		p.t.Fatal(err)
 	}
-	var list []obeyed
+	var list []loggedOrder
 	for lines := bufio.NewScanner(bytes.NewReader(raw)); lines.Scan(); {
-		var o obeyed
-		if json.Unmarshal(lines.Bytes(), &o) == nil && o.Message == "order obeyed" {
+		var o loggedOrder
+		if json.Unmarshal(lines.Bytes(), &o) == nil && slices.Contains(messages, o.Message) {
 			list = append(list, o)
 		}
 	}
@@ -65,6 +73,13 @@
 	return list
 }
 
+func (d *deployment) wantReplicas(change string, wanted int) {
+	d.t.Helper()
+	d.propose(change, []document.Op{op(document.SectionPlacements, "all", document.Placement{
+		Services: []string{"summary", "shop"}, Replicas: wanted, ChecksFencing: true,
+	})})
+}
+
 func (d *deployment) waitForReplicas(dataCentre string, wanted int) {
 	d.t.Helper()
 	// After the loss of a holder: an election, the lease and the search for lost
@@ -92,11 +107,9 @@
 // orders of an earlier lease that engines obey after a later one acted.
 func TestPlacementIsReachedByOrders(t *testing.T) {
 	s := small()
-	s.engines, s.idle = []int{1, 1, 1}, []int{5, 0, 0}
+	s.engines, s.idle = []int{1, 1, 1}, []int{10, 0, 0}
 	d := startDeployment(t, s)
-	d.propose("replicas", []document.Op{op(document.SectionPlacements, "all", document.Placement{
-		Services: []string{"summary", "shop"}, Replicas: 2, ChecksFencing: true,
-	})})
+	d.wantReplicas("replicas", 2)
 	d.waitForReplicas("a", 2)
 
 	d.carrying("a")[0].kill()
@@ -115,12 +128,13 @@
 	d.waitForReplicas("a", 2)
 	second := d.lease()
 	qt.Assert(t, second.Number > first.Number, qt.IsTrue)
-	// An idle engine saw no lease yet, so only the end of the old lease keeps the
-	// thawed instance from loading it in place of the next lost engine.
+	// Idle engines saw no lease yet, so only the end of the old lease keeps the
+	// thawed instance from loading them. More loads than the burst are due, so
+	// that they take several of its rounds.
 	thawed := time.Now()
-	d.carrying("a")[0].kill()
 	old.thaw()
-	d.waitForReplicas("a", 2)
+	d.wantReplicas("more replicas", 8)
+	d.waitForReplicas("a", 8)
 
 	last := uint64(0)
 	for _, b := range d.carrying("a") {
@@ -140,7 +154,12 @@
 		}
 	}
 	qt.Check(t, last >= second.Number, qt.IsTrue, qt.Commentf("the newest lease that acted is %d", last))
-	qt.Check(t, d.carrying("a"), qt.HasLen, 2)
+	qt.Check(t, d.carrying("a"), qt.HasLen, 8)
+	for _, o := range given(old) {
+		if o.Time.After(thawed) && o.Fence <= first.Number {
+			t.Errorf("%s gave an order under lease %d after lease %d acted", old.id, o.Fence, second.Number)
+		}
+	}
 	for _, b := range d.services {
 		raw, err := os.ReadFile(b.executions)
 		qt.Check(t, err == nil && len(raw) > 0, qt.IsFalse, qt.Commentf("a plain service got an order: %s", raw))
