orders: tests of late orders and of the settings

Cause: neither the comparison of the deadline with the clock before the call nor the checks of entries, loads_per_second and load_burst had a test.

Ruled out: covering the deadline by a frozen process. The freeze would have to hit the moment between plan and call.

Change: an order whose deadline has passed must not reach the engine and is taken back from the planner; each of the three settings must report its fault.

Figures: go test ./pkg/orders ./pkg/settings passes. With the comparison in Service.send removed and the call bounded by orderTimeout alone it fails: service_test.go:38: got: int32(1) want: int32(0)

--- /dev/null
+++ b/pkg/orders/service_test.go
@@ -0,0 +1,41 @@
+package orders
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
+	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+)
+
+// Guards against an order that is sent after its deadline because the process
+// was frozen since the order was planned.
+func TestLateOrderIsNotSent(t *testing.T) {
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer server.Close()
+	s, err := NewService(settings.DefaultControl(), nil, nil, server.Client(), noop.Meter{}, slog.New(slog.DiscardHandler))
+	qt.Assert(t, err, qt.IsNil)
+	o := Order{Backend: "e1", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Order: engine.Order{Fence: 1, Action: Load, Target: "x"}}
+	for _, test := range []struct {
+		left    time.Duration
+		calls   int32
+		pending int
+	}{{-time.Millisecond, 0, 0}, {time.Minute, 1, 1}} {
+		s.planner.begin(time.Now(), o.Fence)
+		s.planner.pending[o.Backend] = pending{action: o.Action, service: o.Target, sent: time.Now()}
+		o.Deadline = time.Now().Add(test.left)
+		s.send(context.Background(), o)
+		qt.Check(t, calls.Load(), qt.Equals, test.calls)
+		qt.Check(t, s.planner.pending, qt.HasLen, test.pending)
+	}
+}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -42,6 +42,10 @@
 	faults, ok := err.(*FaultsError)
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, faults.Faults, qt.HasLen, 9)
+	control := DefaultControl()
+	usable := len(control.check())
+	control.Entries, control.LoadsPerSecond, control.LoadBurst = []Peer{{ID: "a", Address: "host:80"}}, 0, 0
+	qt.Assert(t, control.check(), qt.HasLen, usable+3)
 	qt.Assert(t, os.WriteFile(file, []byte("{\n  \"polcy\": 1\n}"), 0o600), qt.IsNil)
 	_, err = LoadEntry(file)
 	qt.Assert(t, err, qt.ErrorMatches, `.*entry.json:\d+:\d+: json: unknown field "polcy"`)
