--- a/pkg/broker/service_test.go
+++ b/pkg/broker/service_test.go
@@ -603,9 +603,11 @@
 func TestBrokerWithoutConfiguration(t *testing.T) {
 	c := newCluster(t, "a", "a")
 	b, others := c.roles("a")
+	late := &configwatch.Holder{}
 	b.mu.Lock()
-	b.config = &configwatch.Holder{}
+	b.config = late
 	b.mu.Unlock()
 	c.announce("a", 2, "b0")
+	time.AfterFunc(500*time.Millisecond, func() { late.Set(c.config.Current()) })
 	others[0].acquire(t, 5*time.Second).Release(Usage{Result: OK})
 }
