orders: entry instances are asked only if a rule wants replicas

Cause: the holder of the lease asked all entry instances for all announcements once a second even if no placement rule names a number of replicas.

Ruled out: asking less often while rules do name one. The age of announcements tells of lost backend servers within 5 s.

Change: without such a rule nothing is asked. The bytes were not measured.

Check: go test ./internal/e2e -run TestPlacementIsReachedByOrders passes (20 s). No test counts the calls.

--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -173,6 +173,9 @@
 // give plans and sends the orders that are due.
 func (s *Service) give(ctx context.Context) {
 	doc := s.control().Document()
+	if !wantsReplicas(doc) {
+		return // the answers of all entry instances are worth their bytes only for a plan
+	}
 	backends := s.backends(ctx, doc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -181,6 +184,15 @@
 	}
 }
 
+func wantsReplicas(doc *document.Document) bool {
+	for _, rule := range doc.Placements {
+		if rule.Replicas > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // send sends an order before its deadline. The clock is compared right before
 // the call, because the process may have been frozen since the order was planned.
 func (s *Service) send(ctx context.Context, o Order) {
