--- a/pkg/control/group_test.go
+++ b/pkg/control/group_test.go
@@ -27,13 +27,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if s := r.Snapshot; s != nil {
-		kept := []consensus.Entry{}
-		for _, e := range m.stored.Entries {
-			if e.Index > s.Index {
-				kept = append(kept, e)
-			}
-		}
-		m.stored.Snapshot, m.stored.Entries = *s, kept
+		m.stored.Snapshot, m.stored.Entries = *s, m.entriesAfter(*s)
 	}
 	if len(r.Entries) > 0 {
 		keep := r.Entries[0].Index - m.stored.Snapshot.Index - 1
@@ -45,6 +39,21 @@
 	return nil
 }
 
+// entriesAfter returns the entries that follow a snapshot. They are kept only
+// if the log holds the last entry of the snapshot, as pkg/wal does: entries of
+// another history must not follow it.
+func (m *memoryStore) entriesAfter(s consensus.Snapshot) []consensus.Entry {
+	held := m.stored.Snapshot.Index == s.Index && m.stored.Snapshot.Term == s.Term
+	kept := []consensus.Entry{}
+	for _, e := range m.stored.Entries {
+		held = held || e.Index == s.Index && e.Term == s.Term
+		if e.Index > s.Index && held {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
 func (m *memoryStore) Close() error { return nil }
 
 func (m *memoryStore) read() consensus.Stored {
