gateway, coordinator, platform: a thin whole path on the users' platform

Cause: the product has to serve on the users' platform. The control state machine gains publications of which the highest revision counts.

--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -271,11 +271,11 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	before := n.state.document.Version
+	version, revision := n.state.document.Version, n.state.publication.Revision
 	for _, e := range entries {
 		n.applyOne(e)
 	}
-	if n.state.document.Version != before {
+	if n.state.document.Version != version || n.state.publication.Revision != revision {
 		n.announce()
 	}
 }
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -105,6 +105,8 @@
 	Time   time.Time        `json:"time"`
 	Change *document.Change `json:"change,omitempty"`
 	Lease  *LeaseRequest    `json:"lease,omitempty"`
+	// Publication is a whole configuration of which the highest revision counts.
+	Publication *Publication `json:"publication,omitempty"`
 }
 
 // applied is the answer of the state machine to one command.
@@ -129,7 +131,8 @@
 	// keyOwners maps the key hashes of the document to their organisations.
 	keyOwners map[string]string
 	// evicted entries left the window and were not taken yet.
-	evicted []AuditEntry
+	evicted     []AuditEntry
+	publication Publication
 }
 
 // NewState returns the state before the first command.
@@ -155,6 +158,8 @@
 	case c.Lease != nil:
 		lease, granted := s.applyLease(c.Lease)
 		return applied{lease: lease, granted: granted}
+	case c.Publication != nil:
+		return applied{result: s.applyPublication(c.Time, *c.Publication)}
 	}
 	return applied{result: Result{Outcome: Invalid, Message: "the log entry is an unknown command"}}
 }
@@ -395,11 +400,15 @@
 	// of their change identifier.
 	Undecided []uint64 `json:"undecided,omitempty"`
 	Lease     Lease    `json:"lease"`
+	// Publication is the one with the highest revision.
+	Publication Publication `json:"publication"`
 }
 
 // encode returns the state as snapshot data.
 func (s *State) encode() ([]byte, error) {
-	out := stored{Document: s.document, Audit: s.audit, LastSeq: s.lastSeq, Lease: s.lease}
+	out := stored{
+		Document: s.document, Audit: s.audit, LastSeq: s.lastSeq, Lease: s.lease, Publication: s.publication,
+	}
 	for _, e := range s.audit {
 		if s.decided[e.Result.ChangeID] != e.Seq {
 			out.Undecided = append(out.Undecided, e.Seq)
@@ -420,6 +429,7 @@
 		return nil, eris.Wrap(err, "decode the control state")
 	}
 	s.document, s.audit, s.lastSeq, s.lease = in.Document, in.Audit, in.LastSeq, in.Lease
+	s.publication = in.Publication
 	for name, o := range s.document.Organisations {
 		for _, hash := range o.KeyHashes {
 			s.keyOwners[hash] = name
--- /dev/null
+++ b/pkg/coordinator/hub.go
@@ -0,0 +1,99 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+)
+
+// hub passes announcements on to the following gateways. Changes leave at once,
+// renewals with the next beat.
+type hub struct {
+	mu        sync.Mutex
+	servers   *directory.Directory
+	followers map[*follower]bool
+}
+
+// follower is the queue of one gateway.
+type follower struct {
+	hub     *hub
+	pending map[string]directory.Server
+	// urgent wakes the sender for changes, beat for renewals.
+	urgent, beat chan struct{}
+}
+
+func newHub(life time.Duration) *hub {
+	return &hub{servers: directory.New(life), followers: map[*follower]bool{}}
+}
+
+func (h *hub) announce(s directory.Server) directory.Effect {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	effect := h.servers.Apply(s, time.Now())
+	if effect == directory.Stale {
+		return effect
+	}
+	current, _ := h.servers.Lookup(s.ID)
+	for f := range h.followers {
+		f.pending[s.ID] = current
+		if effect == directory.Changed {
+			wake(f.urgent)
+		}
+	}
+	return effect
+}
+
+// subscribe returns a queue that starts with all that is known.
+func (h *hub) subscribe() *follower {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := &follower{
+		hub: h, pending: map[string]directory.Server{}, urgent: make(chan struct{}, 1), beat: make(chan struct{}, 1),
+	}
+	for _, s := range h.servers.All() {
+		f.pending[s.ID] = s
+	}
+	h.followers[f] = true
+	return f
+}
+
+func (h *hub) unsubscribe(f *follower) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.followers, f)
+}
+
+// take empties the queue.
+func (f *follower) take() []*wire.Announcement {
+	f.hub.mu.Lock()
+	defer f.hub.mu.Unlock()
+	announcements := make([]*wire.Announcement, 0, len(f.pending))
+	for _, s := range f.pending {
+		announcements = append(announcements, follow.Encode(s))
+	}
+	clear(f.pending)
+	return announcements
+}
+
+// run wakes the followers at each beat and drops lapsed servers.
+func (h *hub) run(ctx context.Context) {
+	for sleep(ctx, follow.Beat) {
+		h.mu.Lock()
+		h.servers.Expire(time.Now())
+		for f := range h.followers {
+			wake(f.beat)
+		}
+		h.mu.Unlock()
+	}
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/pkg/follow/client.go
@@ -0,0 +1,161 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+)
+
+const (
+	// Beat is the interval at which a coordinator sends at least an empty event.
+	Beat = 400 * time.Millisecond
+	// silence ends a stream after three missed beats: a connection can go silent
+	// for good while new ones work.
+	silence = 3*Beat + 100*time.Millisecond
+	// firstEventLimit bounds the wait for the first event, for which the
+	// coordinator may ask the leader.
+	firstEventLimit = 2 * time.Second
+	// redialPause is the wait before a failed stream is opened again.
+	redialPause = 200 * time.Millisecond
+	// forgetAfter ends the attempts at a coordinator that is named by no one.
+	forgetAfter = 20 * time.Second
+)
+
+// Sink takes what the streams bring. Calls may come from several goroutines.
+type Sink interface {
+	Publication(revision uint64, content []byte)
+	Announcements(servers []directory.Server)
+	// Revision returns the revision in force here.
+	Revision() uint64
+}
+
+// Client follows all coordinators that it hears of.
+type Client struct {
+	instance string
+	dialer   *rpc.Dialer
+	sink     Sink
+	log      *slog.Logger
+
+	mu        sync.Mutex
+	following map[string]*stream
+}
+
+// stream is the state of one followed coordinator.
+type stream struct {
+	// named is when the settings or a coordinator named it last.
+	named time.Time
+	up    bool
+}
+
+// NewClient returns a client that follows no one.
+func NewClient(instance string, dialer *rpc.Dialer, sink Sink, log *slog.Logger) *Client {
+	return &Client{instance: instance, dialer: dialer, sink: sink, log: log, following: map[string]*stream{}}
+}
+
+// Add follows the coordinators at these peer addresses until ctx ends.
+func (c *Client) Add(ctx context.Context, addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, address := range addresses {
+		if s, ok := c.following[address]; ok {
+			s.named = time.Now()
+			continue
+		}
+		s := &stream{named: time.Now()}
+		c.following[address] = s
+		go c.run(ctx, address, s)
+	}
+}
+
+// Connected returns the number of coordinators with an open stream.
+func (c *Client) Connected() (open int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.following {
+		if s.up {
+			open++
+		}
+	}
+	return open
+}
+
+func (c *Client) run(ctx context.Context, address string, s *stream) {
+	for ctx.Err() == nil {
+		err := c.follow(ctx, address, s)
+		c.dialer.Drop(address)
+		c.mu.Lock()
+		wasUp, expired := s.up, time.Since(s.named) > forgetAfter
+		s.up = false
+		if expired {
+			delete(c.following, address)
+		}
+		c.mu.Unlock()
+		if wasUp && ctx.Err() == nil {
+			c.log.Warn("lost the stream of a coordinator", "coordinator", address, "error", err)
+		}
+		if expired {
+			c.log.Info("forgot a coordinator that no one names", "coordinator", address)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialPause):
+		}
+	}
+}
+
+// follow reads one stream until it fails or falls silent.
+func (c *Client) follow(root context.Context, address string, s *stream) error {
+	ctx, cancel := context.WithCancel(root)
+	defer cancel()
+	watchdog := time.AfterFunc(firstEventLimit, cancel)
+	defer watchdog.Stop()
+	events, err := wire.NewDRPCCoordinatorClient(c.dialer.Conn(address)).Follow(ctx, &wire.FollowRequest{
+		Instance: c.instance, Revision: c.sink.Revision(),
+	})
+	if err != nil {
+		return err
+	}
+	defer events.Close()
+	for {
+		event, err := events.Recv()
+		if err != nil {
+			return err
+		}
+		watchdog.Reset(silence)
+		c.noteUp(address, s)
+		c.take(root, event)
+	}
+}
+
+func (c *Client) noteUp(address string, s *stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !s.up {
+		c.log.Info("follows a coordinator", "coordinator", address)
+	}
+	s.up, s.named = true, time.Now()
+}
+
+func (c *Client) take(ctx context.Context, event *wire.FollowEvent) {
+	if p := event.Publication; p != nil {
+		c.sink.Publication(p.Revision, p.Content)
+	}
+	if len(event.Announcements) > 0 {
+		servers := make([]directory.Server, 0, len(event.Announcements))
+		for _, a := range event.Announcements {
+			if s, ok := Decode(a); ok {
+				servers = append(servers, s)
+			}
+		}
+		c.sink.Announcements(servers)
+	}
+	if len(event.Coordinators) > 0 {
+		c.Add(ctx, event.Coordinators)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/protocol.go
@@ -0,0 +1,70 @@
+// Package gateway serves callers over HTTP/1.1: it forwards their requests to
+// backend servers, continues streams whose engine failed, and answers for work
+// that did not run. It decides by itself, from the configuration in force and
+// what backend servers announce.
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
+)
+
+// Protocol translates between the wire and what the gateway decides on. It names
+// headers and formats and makes no decisions.
+type Protocol interface {
+	// ParseRequest reads the headers of a caller's request.
+	ParseRequest(h http.Header) RequestFields
+	// Prepare removes the headers that only the system may set, and sets those
+	// for one backend server.
+	Prepare(h http.Header, s ServerFields)
+	// ParseAnswer reads the headers of a backend server's answer.
+	ParseAnswer(status int, h http.Header) AnswerFields
+	// ParseConfig reads published content.
+	ParseConfig(content []byte) (*routing.Config, error)
+}
+
+// RequestFields are what a caller says about its request.
+type RequestFields struct {
+	// ID is the identifier of this attempt of the caller.
+	ID string
+	// Key is the key of an organisation.
+	Key string
+	// Patience is how long the caller waits; 0 if it does not say.
+	Patience time.Duration
+	// LastEvent is the identifier of the last event that the caller has.
+	LastEvent string
+	// PromptTokens and OutputTokens are the size of a generation, 0 if unknown.
+	PromptTokens, OutputTokens int
+}
+
+// ServerFields are what the system tells a backend server with a request.
+type ServerFields struct {
+	// Instance is the identifier of the backend server that is meant.
+	Instance string
+	// Organisation is empty on public routes.
+	Organisation string
+	// Patience is the time that is left.
+	Patience time.Duration
+	// LastEvent is the event after which a stream goes on.
+	LastEvent string
+	// Rank is the urgency of a generation, nil for plain calls.
+	Rank *int
+	// Backup is the address of the engine that keeps a copy of the run's memory.
+	Backup string
+	// CopyAt is the address of the engine that has a copy of the memory of the
+	// run CopyRun, from which this run goes on.
+	CopyAt, CopyRun string
+}
+
+// AnswerFields are what a backend server says in the head of its answer.
+type AnswerFields struct {
+	// RequestID names the request that the answer belongs to.
+	RequestID string
+	// NotRun tells that the request did not run and will not.
+	NotRun bool
+	// Load is nil if the server does not tell it.
+	Load *placement.Load
+}
--- /dev/null
+++ b/pkg/gateway/service.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rotisserie/eris"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
+	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
+	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
+)
+
+// ServiceName is the name of the gateway in the kernel.
+const ServiceName = "gateway"
+
+// Gateway is the service.
+type Gateway struct {
+	settings settings.Gateway
+	protocol Protocol
+	client   *upstream.Client
+	follow   *follow.Client
+	log      *slog.Logger
+
+	table    atomic.Pointer[routing.Table]
+	tableAt  time.Time
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	servers *directory.Directory
+	pools   map[string]*placement.Pool
+	budgets map[string]*placement.Budget
+	rand    *mathrand.Rand
+	// changed is closed and replaced when servers came or left.
+	changed chan struct{}
+
+	http, ready *http.Server
+	cancel      context.CancelFunc
+}
+
+// New returns a gateway that is not started.
+func New(s settings.Gateway, p Protocol, client *upstream.Client, dialer *rpc.Dialer, log *slog.Logger) *Gateway {
+	g := &Gateway{
+		settings: s, protocol: p, client: client, log: log,
+		servers: directory.New(serverLife(s)), pools: map[string]*placement.Pool{},
+		budgets: map[string]*placement.Budget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
+		changed: make(chan struct{}),
+	}
+	g.follow = follow.NewClient(s.Instance.ID, dialer, g, log)
+	return g
+}
+
+// serverLife exceeds the time that coordinators allow, since announcements reach
+// a gateway over them.
+func serverLife(s settings.Gateway) time.Duration {
+	const missed = 6
+	return missed * time.Duration(s.AnnounceMS) * time.Millisecond
+}
+
+// ServiceName implements kernel.Service.
+func (g *Gateway) ServiceName() string { return ServiceName }
+
+// Provision implements kernel.Provisioner.
+func (g *Gateway) Provision(*kernel.Kernel) error { return nil }
+
+// Start binds the addresses and follows the coordinators.
+func (g *Gateway) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.AddSeeds(ctx, g.settings.PeerSeeds())
+	if err := g.listen(ctx); err != nil {
+		cancel()
+		return err
+	}
+	go g.maintain(ctx)
+	return nil
+}
+
+// AddSeeds follows further coordinators.
+func (g *Gateway) AddSeeds(ctx context.Context, seeds []string) { g.follow.Add(ctx, seeds) }
+
+func (g *Gateway) listen(ctx context.Context) error {
+	lc := net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+		var failure error
+		err := c.Control(func(fd uintptr) {
+			const tcpUserTimeout = 18
+			failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(callerSilence/time.Millisecond))
+		})
+		return errors.Join(err, failure)
+	}}
+	callers, err := lc.Listen(ctx, "tcp", g.settings.CallerAddress)
+	if err != nil {
+		return eris.Wrapf(err, "listen for callers on %s", g.settings.CallerAddress)
+	}
+	balancer, err := net.Listen("tcp", g.settings.ReadyAddress)
+	if err != nil {
+		return errors.Join(eris.Wrapf(err, "listen for the balancer on %s", g.settings.ReadyAddress), callers.Close())
+	}
+	g.http = &http.Server{
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit,
+		MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+	r := chi.NewRouter()
+	r.Get("/*", g.serveReady)
+	g.ready = &http.Server{Handler: r, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
+	serve := func(s *http.Server, l net.Listener) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			g.log.Error("listener failed", "address", l.Addr().String(), "error", err)
+		}
+	}
+	go serve(g.http, callers)
+	go serve(g.ready, balancer)
+	return nil
+}
+
+// Ready tells whether new callers should come here.
+func (g *Gateway) Ready() bool {
+	if g.stopping.Load() || g.table.Load() == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if time.Since(g.tableAt) > directoryWait {
+		return true
+	}
+	return len(g.pools) > 0
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if g.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Publication implements follow.Sink. Only higher revisions take effect, so that
+// this instance never goes back.
+func (g *Gateway) Publication(revision uint64, content []byte) {
+	if revision <= g.Revision() {
+		return
+	}
+	config, err := g.protocol.ParseConfig(content)
+	if err != nil {
+		g.log.Error("an accepted publication cannot be read", "revision", revision, "error", err)
+		return
+	}
+	table := routing.NewTable(config)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if current := g.table.Load(); current != nil && current.Config.Revision >= revision {
+		return
+	}
+	config.Revision = revision
+	if g.table.Load() == nil {
+		g.tableAt = time.Now()
+	}
+	g.table.Store(table)
+	g.log.Info("publication in force", "revision", revision, "routes", len(config.Routes),
+		"services", len(config.Services), "organisations", len(config.Organisations))
+}
+
+// Revision implements follow.Sink.
+func (g *Gateway) Revision() uint64 {
+	if t := g.table.Load(); t != nil {
+		return t.Config.Revision
+	}
+	return 0
+}
+
+// Announcements implements follow.Sink.
+func (g *Gateway) Announcements(servers []directory.Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	changed := false
+	for _, s := range servers {
+		effect := g.servers.Apply(s, now)
+		if effect == directory.Stale {
+			continue
+		}
+		s, _ = g.servers.Lookup(s.ID)
+		if effect == directory.Changed {
+			g.log.Info("backend server changed", "server", s.ID, "service", s.Service, "state", s.State,
+				"address", s.Address, "data_centre", s.DataCentre, "sequence", s.Sequence)
+		}
+		changed = g.pool(s.Service).Update(s, now) || changed
+	}
+	if changed {
+		g.announce()
+	}
+}
+
+// pool returns the pool of a service; g.mu is held.
+func (g *Gateway) pool(service string) *placement.Pool {
+	p := g.pools[service]
+	if p == nil {
+		p = placement.NewPool(g.settings.Instance.DataCentre, g.rand)
+		g.pools[service] = p
+	}
+	return p
+}
+
+// budget returns the budget for repeats of a service; g.mu is held.
+func (g *Gateway) budget(service string) *placement.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = &placement.Budget{
+			Ratio: g.settings.RetryRatio, Slack: g.settings.RetrySlack,
+			Window: time.Duration(g.settings.RetryWindowS * float64(time.Second)),
+		}
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// announce wakes the requests that wait for a server; g.mu is held.
+func (g *Gateway) announce() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// maintain drops servers that lapsed and connections that expired.
+func (g *Gateway) maintain(ctx context.Context) {
+	const interval = time.Second
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.client.Sweep(now)
+			g.mu.Lock()
+			for _, s := range g.servers.Expire(now) {
+				g.log.Info("backend server lapsed", "server", s.ID, "service", s.Service, "state", s.State)
+				g.pool(s.Service).Remove(s.ID)
+			}
+			g.mu.Unlock()
+		}
+	}
+}
+
+// Stop finishes the requests in flight. Callers come for a while after readiness
+// failed; their connections are closed after the answer.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.stopping.Store(true)
+	g.log.Info("planned stop: no longer ready")
+	end := time.Now().Add(time.Duration(g.settings.GraceS*float64(time.Second)) - stopMargin)
+	g.http.SetKeepAlivesEnabled(false)
+	select {
+	case <-time.After(balancerDelay):
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	err := g.http.Shutdown(ctx)
+	if err != nil {
+		g.log.Warn("planned stop: requests were still in flight at the end of the grace time")
+		err = g.http.Close()
+	}
+	g.cancel()
+	return errors.Join(err, g.ready.Close())
+}
--- /dev/null
+++ b/pkg/gateway/stream.go
@@ -0,0 +1,402 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
+)
+
+var (
+	errSilent  = eris.New("the engine is silent")
+	errRefused = eris.New("the engine refused the run")
+	errFailed  = eris.New("the engine answered with a failure")
+	errCaller  = eris.New("the caller has left")
+)
+
+// streaming is the state of one stream over all its attempts.
+type streaming struct {
+	g   *Gateway
+	j   *job
+	ctx context.Context
+	w   http.ResponseWriter
+	out *http.ResponseController
+
+	// begun tells that the caller has the head of the answer.
+	begun bool
+	// last is the identifier of the last event that the caller has.
+	last string
+	// excluded lists the engines that failed or refused this run, newest last.
+	excluded []string
+	// backup is the engine that may have a copy of the run's memory.
+	backup *placement.Server
+	tries  int
+	// ran counts the engines that may have worked on the run.
+	ran int
+	// failure is the last answer of an engine that tells of a failure.
+	failure *result
+}
+
+// stream serves a request whose answer is a stream of events.
+func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, j *job) *outcome {
+	s := &streaming{g: g, j: j, ctx: ctx, w: w, out: http.NewResponseController(w), last: j.fields.LastEvent}
+	for {
+		err := s.attempt()
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, errCaller) || !s.mayGoOn() {
+			return s.giveUp(err)
+		}
+		g.log.Info("stream goes on elsewhere", "request", j.fields.ID, "last_event", s.last, "cause", err.Error(),
+			"tries", s.tries, "has_copy", s.backup != nil)
+	}
+}
+
+// mayGoOn tells whether another engine may be tried.
+func (s *streaming) mayGoOn() bool {
+	if s.ctx.Err() != nil || s.tries >= maxStreamTries {
+		return false
+	}
+	if s.ran == 0 {
+		return true
+	}
+	return s.j.route.Repeatable() && s.ran < s.j.route.MaxServers
+}
+
+// giveUp ends the stream. One that has begun is broken off, so that it does not
+// look complete; its caller may go on with it elsewhere.
+func (s *streaming) giveUp(err error) *outcome {
+	if errors.Is(err, errCaller) {
+		return nil
+	}
+	if s.begun {
+		s.g.log.Warn("stream broken off", "request", s.j.fields.ID, "last_event", s.last, "cause", err.Error(), "tries", s.tries)
+		panic(http.ErrAbortHandler)
+	}
+	if s.failure != nil {
+		return s.g.deliver(s.ctx, s.w, s.failure)
+	}
+	switch {
+	case s.ran == 0:
+		return refused("no engine: "+err.Error(), comeBack)
+	case s.ctx.Err() != nil:
+		return unknown(http.StatusGatewayTimeout, "no answer in time: "+err.Error())
+	}
+	return unknown(http.StatusBadGateway, err.Error())
+}
+
+// attempt sends the run to one engine and passes its events on.
+func (s *streaming) attempt() error {
+	engine, copied := s.choose()
+	if engine == nil {
+		return errors.Join(eris.New("no engine takes work"), s.pauseForEngine())
+	}
+	run := s.demand()
+	backup := s.chooseBackup(engine, run)
+	s.tries++
+	s.ran++
+	s.reserve(engine, backup, run.Tokens, 1)
+	defer s.reserve(engine, backup, -run.Tokens, -1)
+
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	watch := s.watchFirstEvent(ctx, cancel, engine)
+	defer watch.stop()
+	header := s.j.header.Clone()
+	fields := ServerFields{
+		Instance: engine.ID, Organisation: s.j.organisation, Patience: time.Until(s.j.deadline), LastEvent: s.last,
+		Rank: &s.j.rank,
+	}
+	if backup != nil {
+		fields.Backup = backup.Address
+	}
+	if copied {
+		fields.CopyAt, fields.CopyRun = engine.Address, s.j.fields.ID
+	}
+	s.g.protocol.Prepare(header, fields)
+	response, err := s.g.client.Do(ctx, engine.Address, s.g.connectionLimit(s.j.service), s.g.request(s.j, header))
+	if err != nil {
+		return s.lost(engine, watch, err)
+	}
+	defer response.Abort()
+	if err := s.checkHead(engine, response); err != nil {
+		return err
+	}
+	s.backup = backup
+	err = s.pass(ctx, cancel, engine, response, watch)
+	if err == nil {
+		response.Finish()
+		s.g.mu.Lock()
+		s.g.pool(s.j.service.Name).Succeeded(engine.ID, time.Since(s.j.started))
+		s.g.mu.Unlock()
+	}
+	return err
+}
+
+// choose returns the engine for the next attempt, and whether it may have a copy
+// of the run's memory.
+func (s *streaming) choose() (*placement.Server, bool) {
+	now := time.Now()
+	g := s.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	pool := g.pool(s.j.service.Name)
+	if s.tries == 0 {
+		g.budget(s.j.service.Name).Request(now)
+	}
+	if b := s.backup; b != nil {
+		s.backup = nil
+		if live := pool.Get(b.ID); live != nil && live.StartedMS == b.StartedMS {
+			return b, true
+		}
+	}
+	run := s.demand()
+	chosen := pool.Engine(now, run)
+	if chosen == nil && len(s.excluded) > 0 {
+		// All engines failed this run once; the one that failed first may be back.
+		s.excluded = s.excluded[1:]
+		chosen = pool.Engine(now, s.demand())
+	}
+	if chosen == nil {
+		return nil, false
+	}
+	engine := *chosen
+	return &engine, false
+}
+
+// demand describes what the run needs.
+func (s *streaming) demand() placement.Run {
+	run := placement.Run{Tokens: s.j.fields.PromptTokens + s.j.fields.OutputTokens, Exclude: s.excluded}
+	if e := s.j.service.Engine; e != nil {
+		run.Memory = e.MemoryTokens
+	}
+	return run
+}
+
+func (s *streaming) chooseBackup(engine *placement.Server, run placement.Run) *placement.Server {
+	if e := s.j.service.Engine; e == nil || !e.Backups || !s.j.route.Resumable {
+		return nil
+	}
+	run.Exclude = append([]string{engine.ID}, run.Exclude...)
+	run.AwayFrom = engine.DataCentre
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	chosen := s.g.pool(s.j.service.Name).Backup(time.Now(), run)
+	if chosen == nil {
+		return nil
+	}
+	backup := *chosen
+	return &backup
+}
+
+// reserve notes or gives back what an attempt uses.
+func (s *streaming) reserve(engine, backup *placement.Server, tokens, reading int) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	pool := s.g.pool(s.j.service.Name)
+	if reading > 0 {
+		pool.Began(engine.ID, time.Now())
+		pool.Reserve(engine.ID, tokens, 0, reading)
+	} else {
+		pool.Ended(engine.ID)
+		pool.Reserve(engine.ID, tokens, 0, 0)
+	}
+	if backup != nil {
+		pool.Reserve(backup.ID, 0, tokens, 0)
+	}
+}
+
+// pauseForEngine waits until an engine may have appeared.
+func (s *streaming) pauseForEngine() error {
+	s.g.mu.Lock()
+	changed := s.g.changed
+	s.g.mu.Unlock()
+	s.tries++
+	select {
+	case <-changed:
+	case <-time.After(noServerWait):
+	case <-s.ctx.Done():
+	}
+	return nil
+}
+
+// lost handles an attempt without an answer.
+func (s *streaming) lost(engine *placement.Server, watch *firstEventWatch, err error) error {
+	var notSent *upstream.NotSentError
+	if errors.As(err, &notSent) {
+		s.ran--
+	}
+	if s.ctx.Err() != nil {
+		return err
+	}
+	s.exclude(engine, true)
+	if watch.fired() {
+		return errSilent
+	}
+	return err
+}
+
+// exclude passes an engine over for this run, and for all if it seems to be down.
+func (s *streaming) exclude(engine *placement.Server, down bool) {
+	s.excluded = append(s.excluded, engine.ID)
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	pool := s.g.pool(s.j.service.Name)
+	if down {
+		pool.Unreachable(engine.ID, time.Now())
+	}
+}
+
+// checkHead decides on the head of an answer.
+func (s *streaming) checkHead(engine *placement.Server, response *upstream.Response) error {
+	fields := s.g.protocol.ParseAnswer(response.StatusCode, response.Header)
+	s.g.mu.Lock()
+	pool := s.g.pool(s.j.service.Name)
+	if fields.Load != nil {
+		pool.Reported(engine.ID, *fields.Load, time.Now())
+	}
+	if response.StatusCode >= http.StatusInternalServerError && !fields.NotRun {
+		pool.Failed(engine.ID)
+	}
+	s.g.mu.Unlock()
+	if response.StatusCode < http.StatusMultipleChoices {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(response, answerBytes))
+	if err == nil {
+		response.Finish()
+	}
+	if fields.NotRun {
+		s.ran--
+		s.exclude(engine, false)
+		pause(s.ctx, refusalPause)
+		return errRefused
+	}
+	s.exclude(engine, false)
+	if err == nil && !s.begun {
+		s.failure = &result{status: response.StatusCode, header: response.Header, body: body}
+	}
+	if response.StatusCode < http.StatusInternalServerError {
+		// The request itself is at fault; no other engine would take it.
+		s.ran = s.j.route.MaxServers
+	}
+	return errFailed
+}
+
+// pass passes events on until the stream is complete.
+func (s *streaming) pass(
+	ctx context.Context, cancel context.CancelFunc, engine *placement.Server, response *upstream.Response, watch *firstEventWatch,
+) error {
+	events := newEventReader(response)
+	silent := time.AfterFunc(time.Hour, cancel)
+	defer silent.Stop()
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return s.finish(response)
+		}
+		if err != nil {
+			s.exclude(engine, true)
+			if s.ctx.Err() == nil && ctx.Err() != nil {
+				return errSilent
+			}
+			return eris.Wrap(err, "read an event")
+		}
+		watch.stop()
+		silent.Reset(s.silence())
+		if e.id != "" && !follows(e.id, s.last) {
+			continue
+		}
+		if err := s.send(response, e); err != nil {
+			return err
+		}
+	}
+}
+
+// silence returns the time without an event after which the engine is given up.
+func (s *streaming) silence() time.Duration {
+	if p := s.j.route.MaxPause; p > 0 {
+		return min(eventSilence, time.Duration(float64(p)*silenceShare))
+	}
+	return eventSilence
+}
+
+// send passes one event to the caller.
+func (s *streaming) send(response *upstream.Response, e event) error {
+	s.begin(response)
+	if _, err := s.w.Write(e.data); err != nil {
+		return errCaller
+	}
+	if err := s.out.Flush(); err != nil {
+		return errCaller
+	}
+	if e.id != "" {
+		s.last = e.id
+	}
+	return nil
+}
+
+// begin sends the head of the first engine's answer.
+func (s *streaming) begin(response *upstream.Response) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	copyHeader(s.w.Header(), response.Header)
+	s.w.WriteHeader(response.StatusCode)
+}
+
+// finish ends a complete stream.
+func (s *streaming) finish(response *upstream.Response) error {
+	s.begin(response)
+	return nil
+}
+
+// firstEventWatch checks an engine that has sent no event yet: it may be reading
+// the prompt, or be gone without a sign.
+type firstEventWatch struct {
+	cancel context.CancelFunc
+	done   context.Context
+	gone   bool
+	s      *streaming
+	id     string
+}
+
+func (s *streaming) watchFirstEvent(ctx context.Context, abort context.CancelFunc, engine *placement.Server) *firstEventWatch {
+	done, cancel := context.WithCancel(ctx)
+	w := &firstEventWatch{cancel: cancel, done: done, s: s, id: engine.ID}
+	go func() {
+		for pause(done, firstEventCheck) {
+			if !s.g.client.Reachable(done, engine.Address) && done.Err() == nil {
+				w.gone = true
+				abort()
+				return
+			}
+		}
+	}()
+	return w
+}
+
+// stop ends the checks: the prompt was read.
+func (w *firstEventWatch) stop() {
+	if w.done.Err() != nil && w.id == "" {
+		return
+	}
+	w.cancel()
+	if w.id != "" {
+		w.s.g.mu.Lock()
+		w.s.g.pool(w.s.j.service.Name).Reserve(w.id, 0, 0, -1)
+		w.s.g.mu.Unlock()
+		w.id = ""
+	}
+}
+
+// fired tells whether the engine was found to be gone.
+func (w *firstEventWatch) fired() bool { return w.done.Err() != nil && w.gone }
--- /dev/null
+++ b/pkg/placement/engine.go
@@ -0,0 +1,85 @@
+package placement
+
+import (
+	"time"
+)
+
+const (
+	// readingCost is the price of a prompt that is being read, in running
+	// streams: reading holds up the events of all streams beside it.
+	readingCost = 3.0
+	// copyCost is the price of a copy in running streams: it takes memory but no time.
+	copyCost = 0.5
+	// memoryReserve is the share of an engine's memory that stays free of this
+	// gateway's runs, for those of other gateways and for cached prompts.
+	memoryReserve = 0.1
+	// freshStart is how long a run that was just placed counts as being read by
+	// other gateways that report late.
+	reportedLife = 2 * time.Second
+)
+
+// Run describes a generation that needs an engine.
+type Run struct {
+	// Tokens is the memory that the run needs at its end.
+	Tokens int
+	// Memory is the memory of one engine in tokens, 0 if it is unknown.
+	Memory int
+	// Exclude lists the engines that must not be used.
+	Exclude []string
+	// AwayFrom is a data centre that is avoided if another one has an engine.
+	AwayFrom string
+}
+
+// Engine chooses the engine for a run: the one with the fewest streams, prompts
+// being read counted threefold. It answers bursts of prompts, which would
+// otherwise be read one after the other on one engine, and returns nil if no
+// engine takes work.
+func (p *Pool) Engine(now time.Time, r Run) *Server {
+	return p.cheapest(p.ready(now, r.Exclude), func(s *Server) float64 { return p.engineCost(s, now, r) })
+}
+
+// Backup chooses the engine that keeps a copy of a run's memory: in another data
+// centre, because the engines of one die together. It returns nil if no engine has
+// room, as far as this gateway knows.
+func (p *Pool) Backup(now time.Time, r Run) *Server {
+	candidates := p.ready(now, r.Exclude)
+	kept := candidates[:0]
+	for _, s := range candidates {
+		if s.DataCentre != r.AwayFrom && !now.Before(s.avoidUntil) && fits(s, r) {
+			kept = append(kept, s)
+		}
+	}
+	return p.cheapest(kept, func(s *Server) float64 { return p.engineCost(s, now, r) })
+}
+
+func fits(s *Server, r Run) bool {
+	free := float64(r.Memory)*(1-memoryReserve) - float64(s.Tokens+s.Copies)
+	return r.Memory == 0 || free >= float64(r.Tokens)
+}
+
+func (p *Pool) engineCost(s *Server, now time.Time, r Run) float64 {
+	running := float64(s.Inflight)
+	if now.Sub(s.loadAt) < reportedLife {
+		running = max(running, float64(s.load.Running+s.load.Waiting))
+	}
+	cost := running + readingCost*float64(s.Reading)
+	if r.Tokens > 0 {
+		cost += copyCost * float64(s.Copies) / float64(r.Tokens)
+	}
+	if !fits(s, r) {
+		cost += 100
+	}
+	if r.AwayFrom != "" && s.DataCentre == r.AwayFrom {
+		cost += 50
+	}
+	return cost * (1 + s.failures)
+}
+
+// Reserve notes the memory of a run and of its copy; a negative number gives it back.
+func (p *Pool) Reserve(id string, tokens, copies, reading int) {
+	if s := p.servers[id]; s != nil {
+		s.Tokens = max(0, s.Tokens+tokens)
+		s.Copies = max(0, s.Copies+copies)
+		s.Reading = max(0, s.Reading+reading)
+	}
+}
