gateway: servers displaced at their address leave; runs continue from the copy of a half-read prompt

Runs whose engine died before the first event forgot their backup. Requests tried each engine of a dead data centre in turn. Ruled out: a wrong handle of the copy (runs with a live backup continued). Change: the directory returns the displaced server; a sent run keeps its backup; several losses in one data centre within 600 ms make the others there last choice.

--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -33,7 +33,7 @@
 func (h *hub) announce(s directory.Server) directory.Effect {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	effect := h.servers.Apply(s, time.Now())
+	effect, _ := h.servers.Apply(s, time.Now())
 	if effect == directory.Stale {
 		return effect
 	}
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -101,7 +101,7 @@
 func (s *Service) Announce(a directory.Server) directory.Effect {
 	effect := s.hub.announce(a)
 	if effect == directory.Changed {
-		s.log.Info("backend server changed", "server", a.ID, "service", a.Service, "state", a.State,
+		s.log.Info("backend server changed", "server", a.ID, "service", a.Service, "state", a.State.String(),
 			"address", a.Address, "started_ms", a.StartedMS, "sequence", a.Sequence)
 	}
 	return effect
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -86,20 +86,24 @@
 	return &Directory{life: life, entries: map[string]*entry{}, byAddress: map[string]string{}}
 }
 
-// Apply takes an announcement that was heard at now.
-func (d *Directory) Apply(s Server, now time.Time) Effect {
+// Apply takes an announcement that was heard at now. It also returns the server
+// that ended because another one started at its address.
+func (d *Directory) Apply(s Server, now time.Time) (effect Effect, displaced *Server) {
 	old := d.entries[s.ID]
 	if old != nil && d.stale(old, &s) {
-		return Stale
+		return Stale, nil
 	}
-	if s.State != Gone && !d.claimAddress(s) {
-		return Stale
+	if s.State != Gone {
+		var claimed bool
+		if displaced, claimed = d.claimAddress(s); !claimed {
+			return Stale, nil
+		}
 	}
 	if old == nil {
 		d.entries[s.ID] = &entry{Server: s, heard: now}
-		return Changed
+		return Changed, displaced
 	}
-	effect := Renewed
+	effect = Renewed
 	if old.StartedMS != s.StartedMS || old.State != s.State || old.Address != s.Address || old.Service != s.Service {
 		effect = Changed
 	}
@@ -107,7 +111,7 @@
 		delete(d.byAddress, old.Address)
 	}
 	old.Server, old.heard = s, now
-	return effect
+	return effect, displaced
 }
 
 // stale tells whether an announcement is older than the entry. One without a
@@ -128,19 +132,23 @@
 	return old.State == Gone || s.Sequence <= old.Sequence
 }
 
-// claimAddress makes a server the owner of its address. It is false if a server
-// that started later has it.
-func (d *Directory) claimAddress(s Server) bool {
+// claimAddress makes a server the owner of its address and returns the one that
+// had it. It is false if a server that started later has it.
+func (d *Directory) claimAddress(s Server) (displaced *Server, ok bool) {
 	owner, known := d.byAddress[s.Address]
 	if known && owner != s.ID {
 		other := d.entries[owner]
 		if other.StartedMS > s.StartedMS {
-			return false
+			return nil, false
+		}
+		if other.State != Gone {
+			other.State = Gone
+			displaced = &Server{}
+			*displaced = other.Server
 		}
-		other.State = Gone
 	}
 	d.byAddress[s.Address] = s.ID
-	return true
+	return displaced, true
 }
 
 // Expire removes entries that were not renewed in time, and returns the servers
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -41,7 +41,8 @@
 			for _, s := range tt.known {
 				d.Apply(s, start)
 			}
-			qt.Assert(t, d.Apply(tt.next, start), qt.Equals, tt.want)
+			effect, _ := d.Apply(tt.next, start)
+			qt.Assert(t, effect, qt.Equals, tt.want)
 			got, ok := d.Lookup("a")
 			qt.Assert(t, ok, qt.IsTrue)
 			qt.Assert(t, got.State, qt.Equals, tt.state)
@@ -54,11 +55,18 @@
 func TestAddressBelongsToTheLatestStart(t *testing.T) {
 	d := New(time.Second)
 	d.Apply(ready("old", "1:1", 10, 7), start)
-	qt.Assert(t, d.Apply(ready("new", "1:1", 20, 1), start), qt.Equals, Changed)
+	effect, displaced := d.Apply(ready("new", "1:1", 20, 1), start)
+	qt.Assert(t, effect, qt.Equals, Changed)
+	qt.Assert(t, displaced, qt.IsNotNil)
+	qt.Assert(t, displaced.ID, qt.Equals, "old")
+	qt.Assert(t, displaced.State, qt.Equals, Gone)
 	old, _ := d.Lookup("old")
 	qt.Assert(t, old.State, qt.Equals, Gone)
-	qt.Assert(t, d.Apply(ready("late", "1:1", 15, 8), start), qt.Equals, Stale)
-	qt.Assert(t, d.Apply(ready("old", "1:1", 10, 8), start), qt.Equals, Stale)
+	for _, late := range []Server{ready("late", "1:1", 15, 8), ready("old", "1:1", 10, 8)} {
+		effect, displaced = d.Apply(late, start)
+		qt.Assert(t, effect, qt.Equals, Stale)
+		qt.Assert(t, displaced, qt.IsNil)
+	}
 }
 
 // Guards against servers that crashed silently and against tombstones that are
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
 	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
@@ -204,7 +205,7 @@
 		g.mu.Lock()
 		pool := g.pool(j.service.Name)
 		if s := pool.Call(now, tried); s != nil {
-			pool.Began(s.ID, now)
+			pool.Began(s.ID)
 			if wait {
 				g.budget(j.service.Name).Request(now)
 			}
@@ -263,7 +264,7 @@
 		return out
 	}
 	out.status, out.header = response.StatusCode, response.Header
-	g.noteAnswer(j, s.ID, response, out)
+	out.notRun = g.noteAnswer(j, s.ID, response).NotRun
 	out.body, err = io.ReadAll(io.LimitReader(response, answerBytes))
 	switch {
 	case err != nil:
@@ -277,14 +278,32 @@
 	return out
 }
 
-func (g *Gateway) noteAnswer(j *job, server string, response *upstream.Response, out *result) {
+// noteAnswer notes what the head of an answer tells about its server.
+func (g *Gateway) noteAnswer(j *job, server string, response *upstream.Response) AnswerFields {
 	fields := g.protocol.ParseAnswer(response.StatusCode, response.Header)
-	out.notRun = fields.NotRun
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	pool := g.pool(j.service.Name)
 	if fields.Load != nil {
-		g.mu.Lock()
-		g.pool(j.service.Name).Reported(server, *fields.Load, time.Now())
-		g.mu.Unlock()
+		pool.Reported(server, *fields.Load, time.Now())
+	}
+	if fields.Misdirected {
+		g.endServer(server)
+	}
+	return fields
+}
+
+// endServer notes that a server has ended although no one announced it; g.mu is held.
+func (g *Gateway) endServer(id string) {
+	s, known := g.servers.Lookup(id)
+	if !known || s.State == directory.Gone {
+		return
 	}
+	s.State = directory.Gone
+	g.servers.Apply(s, time.Now())
+	g.pool(s.Service).Update(s, time.Now())
+	g.log.Info("backend server changed", "server", id, "service", s.Service, "state", directory.Gone.String(),
+		"address", s.Address, "cause", "another server has its address")
 }
 
 func (g *Gateway) request(j *job, header http.Header) *upstream.Request {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -65,6 +65,8 @@
 	RequestID string
 	// NotRun tells that the request did not run and will not.
 	NotRun bool
+	// Misdirected tells that another backend server has the address now.
+	Misdirected bool
 	// Load is nil if the server does not tell it.
 	Load *placement.Load
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -189,13 +189,16 @@
 	now := time.Now()
 	changed := false
 	for _, s := range servers {
-		effect := g.servers.Apply(s, now)
+		effect, displaced := g.servers.Apply(s, now)
 		if effect == directory.Stale {
 			continue
 		}
+		if displaced != nil {
+			changed = g.pool(displaced.Service).Update(*displaced, now) || changed
+		}
 		s, _ = g.servers.Lookup(s.ID)
 		if effect == directory.Changed {
-			g.log.Info("backend server changed", "server", s.ID, "service", s.Service, "state", s.State,
+			g.log.Info("backend server changed", "server", s.ID, "service", s.Service, "state", s.State.String(),
 				"address", s.Address, "data_centre", s.DataCentre, "sequence", s.Sequence)
 		}
 		changed = g.pool(s.Service).Update(s, now) || changed
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
 )
@@ -36,6 +37,8 @@
 	excluded []string
 	// backup is the engine that may have a copy of the run's memory.
 	backup *placement.Server
+	// engine is the identifier of the last engine tried.
+	engine string
 	tries  int
 	// ran counts the engines that may have worked on the run.
 	ran int
@@ -55,7 +58,7 @@
 			return s.giveUp(err)
 		}
 		g.log.Info("stream goes on elsewhere", "request", j.fields.ID, "last_event", s.last, "cause", err.Error(),
-			"tries", s.tries, "has_copy", s.backup != nil)
+			"engine", s.engine, "tries", s.tries, "copy_at", s.copyAt())
 	}
 }
 
@@ -102,6 +105,7 @@
 	backup := s.chooseBackup(engine, run)
 	s.tries++
 	s.ran++
+	s.engine = engine.ID
 	s.reserve(engine, backup, run.Tokens, 1)
 	defer s.reserve(engine, backup, -run.Tokens, -1)
 
@@ -123,7 +127,7 @@
 	s.g.protocol.Prepare(header, fields)
 	response, err := s.g.client.Do(ctx, engine.Address, s.g.connectionLimit(s.j.service), s.g.request(s.j, header))
 	if err != nil {
-		return s.lost(engine, watch, err)
+		return s.lost(engine, backup, watch, err)
 	}
 	defer response.Abort()
 	if err := s.checkHead(engine, response); err != nil {
@@ -153,7 +157,7 @@
 	}
 	if b := s.backup; b != nil {
 		s.backup = nil
-		if live := pool.Get(b.ID); live != nil && live.StartedMS == b.StartedMS {
+		if live := pool.Get(b.ID); live != nil && live.StartedMS == b.StartedMS && live.State != directory.Gone {
 			return b, true
 		}
 	}
@@ -171,6 +175,14 @@
 	return &engine, false
 }
 
+// copyAt returns the identifier of the engine that may have a copy, for logs.
+func (s *streaming) copyAt() string {
+	if s.backup == nil {
+		return ""
+	}
+	return s.backup.ID
+}
+
 // demand describes what the run needs.
 func (s *streaming) demand() placement.Run {
 	run := placement.Run{Tokens: s.j.fields.PromptTokens + s.j.fields.OutputTokens, Exclude: s.excluded}
@@ -202,7 +214,7 @@
 	defer s.g.mu.Unlock()
 	pool := s.g.pool(s.j.service.Name)
 	if reading > 0 {
-		pool.Began(engine.ID, time.Now())
+		pool.Began(engine.ID)
 		pool.Reserve(engine.ID, tokens, 0, reading)
 	} else {
 		pool.Ended(engine.ID)
@@ -227,11 +239,14 @@
 	return nil
 }
 
-// lost handles an attempt without an answer.
-func (s *streaming) lost(engine *placement.Server, watch *firstEventWatch, err error) error {
+// lost handles an attempt without an answer. The engine may have read a part of
+// the prompt and copied it to the backup.
+func (s *streaming) lost(engine, backup *placement.Server, watch *firstEventWatch, err error) error {
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		s.ran--
+	} else {
+		s.backup = backup
 	}
 	if s.ctx.Err() != nil {
 		return err
@@ -256,16 +271,12 @@
 
 // checkHead decides on the head of an answer.
 func (s *streaming) checkHead(engine *placement.Server, response *upstream.Response) error {
-	fields := s.g.protocol.ParseAnswer(response.StatusCode, response.Header)
-	s.g.mu.Lock()
-	pool := s.g.pool(s.j.service.Name)
-	if fields.Load != nil {
-		pool.Reported(engine.ID, *fields.Load, time.Now())
-	}
+	fields := s.g.noteAnswer(s.j, engine.ID, response)
 	if response.StatusCode >= http.StatusInternalServerError && !fields.NotRun {
-		pool.Failed(engine.ID)
+		s.g.mu.Lock()
+		s.g.pool(s.j.service.Name).Failed(engine.ID)
+		s.g.mu.Unlock()
 	}
-	s.g.mu.Unlock()
 	if response.StatusCode < http.StatusMultipleChoices {
 		return nil
 	}
@@ -277,7 +288,7 @@
 		s.ran--
 		s.exclude(engine, false)
 		pause(s.ctx, refusalPause)
-		return errRefused
+		return eris.Wrapf(errRefused, "status %d", response.StatusCode)
 	}
 	s.exclude(engine, false)
 	if err == nil && !s.begun {
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -13,8 +13,8 @@
 	// memoryReserve is the share of an engine's memory that stays free of this
 	// gateway's runs, for those of other gateways and for cached prompts.
 	memoryReserve = 0.1
-	// freshStart is how long a run that was just placed counts as being read by
-	// other gateways that report late.
+	// reportedLife is how long the load that an engine reported is used; engines
+	// tell it with the first event of a run.
 	reportedLife = 2 * time.Second
 )
 
@@ -45,7 +45,7 @@
 	candidates := p.ready(now, r.Exclude)
 	kept := candidates[:0]
 	for _, s := range candidates {
-		if s.DataCentre != r.AwayFrom && !now.Before(s.avoidUntil) && fits(s, r) {
+		if s.DataCentre != r.AwayFrom && !now.Before(s.avoidUntil) && !p.inOutage(s, now) && fits(s, r) {
 			kept = append(kept, s)
 		}
 	}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -19,6 +19,10 @@
 	// listener, the longest a partition, after which it must be found again.
 	firstPenalty   = 200 * time.Millisecond
 	longestPenalty = 1600 * time.Millisecond
+	// outageServers is the number of servers of one data centre that could not be
+	// reached within outageWindow from which on the others there are avoided too.
+	outageServers = 2
+	outageWindow  = 600 * time.Millisecond
 	// loadLife is how long a reported load is used; it is older than the
 	// requests that this gateway sent since.
 	loadLife = 400 * time.Millisecond
@@ -60,7 +64,9 @@
 	penalty     time.Duration
 	avoidUntil  time.Time
 	firstSeen   time.Time
-	lastStarted time.Time
+	// lastAnswer is when the server showed a sign of life, lostAt when it could
+	// not be reached last.
+	lastAnswer, lostAt time.Time
 }
 
 // Pool holds the candidates of one service. It is not safe for concurrent use.
@@ -125,7 +131,7 @@
 		if s.State != directory.Ready || slices.Contains(exclude, s.ID) {
 			continue
 		}
-		if now.Before(s.avoidUntil) {
+		if now.Before(s.avoidUntil) || p.inOutage(s, now) {
 			avoided = append(avoided, s)
 		} else {
 			sound = append(sound, s)
@@ -137,6 +143,31 @@
 	return avoided
 }
 
+// inOutage tells whether a server is in a data centre of which several servers
+// were lost just now, and has shown no sign of life since. It answers a data
+// centre whose engines die together: without it, every request would find out
+// for each of them.
+func (p *Pool) inOutage(s *Server, now time.Time) bool {
+	lost := 0
+	var latest time.Time
+	for _, other := range p.servers {
+		if other.DataCentre == s.DataCentre && now.Sub(other.lostAt) < outageWindow {
+			lost++
+			if other.lostAt.After(latest) {
+				latest = other.lostAt
+			}
+		}
+	}
+	return lost >= outageServers && s.lastAnswer.Before(latest) && s.firstSeen.Before(latest)
+}
+
+// Alive notes a sign of life of a server.
+func (p *Pool) Alive(id string, now time.Time) {
+	if s := p.servers[id]; s != nil {
+		s.lastAnswer = now
+	}
+}
+
 // Call chooses the server for a call of a plain service: the least loaded one,
 // preferably in this data centre, away from servers that fail or are slow while
 // their health check is good. It returns nil if there is none.
@@ -202,10 +233,9 @@
 }
 
 // Began notes a request that is sent to a server.
-func (p *Pool) Began(id string, now time.Time) {
+func (p *Pool) Began(id string) {
 	if s := p.servers[id]; s != nil {
 		s.Inflight++
-		s.lastStarted = now
 	}
 }
 
@@ -224,7 +254,7 @@
 // Reported notes the load that a server told.
 func (p *Pool) Reported(id string, l Load, now time.Time) {
 	if s := p.servers[id]; s != nil {
-		s.load, s.loadAt = l, now
+		s.load, s.loadAt, s.lastAnswer = l, now, now
 	}
 }
 
@@ -253,7 +283,11 @@
 // Unreachable passes a server over for a while that doubles with each failure.
 func (p *Pool) Unreachable(id string, now time.Time) {
 	s := p.servers[id]
-	if s == nil || now.Before(s.avoidUntil) {
+	if s == nil {
+		return
+	}
+	s.lostAt = now
+	if now.Before(s.avoidUntil) {
 		return
 	}
 	s.penalty = min(longestPenalty, max(firstPenalty, 2*s.penalty))
