gateway: callers that come back go on at the engine that has their prompt

Ruled out: continuing from the copy of the broken run; it belongs to another attempt of the caller. Change: the start of a run is told to the other gateways over a coordinator; a run whose prompt is known to be in an engine's memory goes there if it has room.

--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -22,6 +22,8 @@
 type follower struct {
 	hub     *hub
 	pending map[string]directory.Server
+	// placements wait to be sent, at most maxPlacements.
+	placements []*wire.Placement
 	// urgent wakes the sender for changes, beat for renewals.
 	urgent, beat chan struct{}
 }
@@ -67,16 +69,33 @@
 	delete(h.followers, f)
 }
 
+// maxPlacements bounds the placements that wait for one gateway. They only save
+// work, so those beyond it are dropped.
+const maxPlacements = 256
+
+// place passes placements on to all gateways.
+func (h *hub) place(placements []*wire.Placement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for f := range h.followers {
+		room := max(0, maxPlacements-len(f.placements))
+		f.placements = append(f.placements, placements[:min(room, len(placements))]...)
+		wake(f.urgent)
+	}
+}
+
 // take empties the queue.
-func (f *follower) take() []*wire.Announcement {
+func (f *follower) take() ([]*wire.Announcement, []*wire.Placement) {
 	f.hub.mu.Lock()
 	defer f.hub.mu.Unlock()
+	placements := f.placements
+	f.placements = nil
 	announcements := make([]*wire.Announcement, 0, len(f.pending))
 	for _, s := range f.pending {
 		announcements = append(announcements, follow.Encode(s))
 	}
 	clear(f.pending)
-	return announcements
+	return announcements, placements
 }
 
 // run wakes the followers at each beat and drops lapsed servers.
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -253,6 +253,12 @@
 	return &wire.ReadRevisionResponse{Confirmed: true, Revision: node.Publication().Revision}, nil
 }
 
+// Place implements wire.DRPCCoordinatorServer.
+func (r *rpcServer) Place(_ context.Context, request *wire.PlaceRequest) (*wire.PlaceResponse, error) {
+	r.s.hub.place(request.Placements)
+	return &wire.PlaceResponse{}, nil
+}
+
 // newestLimit bounds the wait for a leader before a gateway is told what this
 // coordinator holds: a data centre that is cut off goes on with that.
 const newestLimit = 700 * time.Millisecond
@@ -270,7 +276,8 @@
 	cancel()
 	sent := request.Revision
 	for {
-		event := &wire.FollowEvent{Announcements: f.take(), Coordinators: s.group.coordinators()}
+		event := &wire.FollowEvent{Coordinators: s.group.coordinators()}
+		event.Announcements, event.Placements = f.take()
 		var changed <-chan struct{}
 		if node := s.group.current(); node != nil && node.Up() {
 			var p control.Publication
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"storj.io/drpc"
+
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
@@ -30,6 +32,8 @@
 type Sink interface {
 	Publication(revision uint64, content []byte)
 	Announcements(servers []directory.Server)
+	// Placed tells which engine has the prompt of a run in its memory.
+	Placed(subject, server string)
 	// Revision returns the revision in force here.
 	Revision() uint64
 }
@@ -43,18 +47,25 @@
 
 	mu        sync.Mutex
 	following map[string]*stream
+
+	placements chan *wire.Placement
 }
 
 // stream is the state of one followed coordinator.
 type stream struct {
 	// named is when the settings or a coordinator named it last.
 	named time.Time
+	// heard is when the last event came.
+	heard time.Time
 	up    bool
 }
 
 // NewClient returns a client that follows no one.
 func NewClient(instance string, dialer *rpc.Dialer, sink Sink, log *slog.Logger) *Client {
-	return &Client{instance: instance, dialer: dialer, sink: sink, log: log, following: map[string]*stream{}}
+	return &Client{
+		instance: instance, dialer: dialer, sink: sink, log: log, following: map[string]*stream{},
+		placements: make(chan *wire.Placement, placeQueue),
+	}
 }
 
 // Add follows the coordinators at these peer addresses until ctx ends.
@@ -139,7 +150,8 @@
 	if !s.up {
 		c.log.Info("follows a coordinator", "coordinator", address)
 	}
-	s.up, s.named = true, time.Now()
+	now := time.Now()
+	s.up, s.named, s.heard = true, now, now
 }
 
 func (c *Client) take(ctx context.Context, event *wire.FollowEvent) {
@@ -155,7 +167,76 @@
 		}
 		c.sink.Announcements(servers)
 	}
+	for _, p := range event.Placements {
+		c.sink.Placed(p.Subject, p.Server)
+	}
 	if len(event.Coordinators) > 0 {
 		c.Add(ctx, event.Coordinators)
 	}
 }
+
+const (
+	// placeInterval collects placements for one call; a caller needs more time
+	// than this to come back after its gateway failed.
+	placeInterval = 50 * time.Millisecond
+	// placeQueue bounds the placements that wait; those beyond it are dropped.
+	placeQueue = 128
+	placeLimit = 500 * time.Millisecond
+)
+
+// Place tells the other gateways where the prompt of a run is in memory. It does
+// not wait and may drop placements.
+func (c *Client) Place(subject, server string) {
+	select {
+	case c.placements <- &wire.Placement{Subject: subject, Server: server}:
+	default:
+	}
+}
+
+// RunPlacements sends placements until ctx ends.
+func (c *Client) RunPlacements(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-c.placements:
+			c.sendPlacements(ctx, first)
+		}
+	}
+}
+
+func (c *Client) sendPlacements(ctx context.Context, first *wire.Placement) {
+	request := &wire.PlaceRequest{Placements: []*wire.Placement{first}}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(placeInterval):
+	}
+	for len(c.placements) > 0 {
+		request.Placements = append(request.Placements, <-c.placements)
+	}
+	address := c.freshest()
+	if address == "" {
+		return
+	}
+	_, err := rpc.Call(ctx, c.dialer, address, placeLimit,
+		func(ctx context.Context, conn drpc.Conn) (*wire.PlaceResponse, error) {
+			return wire.NewDRPCCoordinatorClient(conn).Place(ctx, request)
+		})
+	if err != nil {
+		c.log.Warn("placements were lost", "coordinator", address, "count", len(request.Placements), "error", err)
+	}
+}
+
+// freshest returns the coordinator that was heard of last.
+func (c *Client) freshest() (best string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var latest time.Time
+	for address, s := range c.following {
+		if s.up && s.heard.After(latest) {
+			best, latest = address, s.heard
+		}
+	}
+	return best
+}
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -36,6 +36,9 @@
 	Patience time.Duration
 	// LastEvent is the identifier of the last event that the caller has.
 	LastEvent string
+	// Subject is the part of the prompt that belongs to this request or its
+	// session alone, empty if it is unknown.
+	Subject string
 	// PromptTokens and OutputTokens are the size of a generation, 0 if unknown.
 	PromptTokens, OutputTokens int
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -45,6 +45,7 @@
 	pools   map[string]*placement.Pool
 	budgets map[string]*placement.Budget
 	rand    *mathrand.Rand
+	memory  placement.Memory
 	// changed is closed and replaced when servers came or left.
 	changed chan struct{}
 
@@ -87,6 +88,7 @@
 		return err
 	}
 	go g.maintain(ctx)
+	go g.follow.RunPlacements(ctx)
 	return nil
 }
 
@@ -208,6 +210,13 @@
 	}
 }
 
+// Placed implements follow.Sink.
+func (g *Gateway) Placed(subject, server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.memory.Note(subject, server, time.Now())
+}
+
 // pool returns the pool of a service; g.mu is held.
 func (g *Gateway) pool(service string) *placement.Pool {
 	p := g.pools[service]
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -49,6 +49,9 @@
 // stream serves a request whose answer is a stream of events.
 func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, j *job) *outcome {
 	s := &streaming{g: g, j: j, ctx: ctx, w: w, out: http.NewResponseController(w), last: j.fields.LastEvent}
+	if s.last != "" {
+		g.log.Info("caller goes on with a stream", "request", j.fields.ID, "last_event", s.last)
+	}
 	for {
 		err := s.attempt()
 		if err == nil {
@@ -134,6 +137,7 @@
 		return err
 	}
 	s.backup = backup
+	s.notePlacement(engine)
 	err = s.pass(ctx, cancel, engine, response, watch)
 	if err == nil {
 		response.Finish()
@@ -144,6 +148,17 @@
 	return err
 }
 
+// notePlacement remembers, here and at the other gateways, which engine has the
+// prompt in its memory.
+func (s *streaming) notePlacement(engine *placement.Server) {
+	subject := s.j.fields.Subject
+	if subject == "" || !s.j.route.Resumable {
+		return
+	}
+	s.g.Placed(subject, engine.ID)
+	s.g.follow.Place(subject, engine.ID)
+}
+
 // choose returns the engine for the next attempt, and whether it may have a copy
 // of the run's memory.
 func (s *streaming) choose() (*placement.Server, bool) {
@@ -162,6 +177,9 @@
 		}
 	}
 	run := s.demand()
+	if s.tries == 0 && s.j.fields.Subject != "" {
+		run.Prefer = g.memory.Engine(s.j.fields.Subject, now)
+	}
 	chosen := pool.Engine(now, run)
 	if chosen == nil && len(s.excluded) > 0 {
 		// All engines failed this run once; the one that failed first may be back.
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -1,7 +1,10 @@
 package placement
 
 import (
+	"slices"
 	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 )
 
 const (
@@ -26,6 +29,8 @@
 	Memory int
 	// Exclude lists the engines that must not be used.
 	Exclude []string
+	// Prefer is an engine that may have the prompt in its memory, empty if none is known.
+	Prefer string
 	// AwayFrom is a data centre that is avoided if another one has an engine.
 	AwayFrom string
 }
@@ -35,6 +40,10 @@
 // otherwise be read one after the other on one engine, and returns nil if no
 // engine takes work.
 func (p *Pool) Engine(now time.Time, r Run) *Server {
+	if s := p.servers[r.Prefer]; s != nil && s.State == directory.Ready && !now.Before(s.avoidUntil) &&
+		!p.inOutage(s, now) && !slices.Contains(r.Exclude, s.ID) && fits(s, r) {
+		return s
+	}
 	return p.cheapest(p.ready(now, r.Exclude), func(s *Server) float64 { return p.engineCost(s, now, r) })
 }
 
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -57,13 +57,13 @@
 	// Reading counts this gateway's runs whose first event has not come.
 	Reading int
 
-	load        Load
-	loadAt      time.Time
-	failures    float64
-	latency     float64
-	penalty     time.Duration
-	avoidUntil  time.Time
-	firstSeen   time.Time
+	load       Load
+	loadAt     time.Time
+	failures   float64
+	latency    float64
+	penalty    time.Duration
+	avoidUntil time.Time
+	firstSeen  time.Time
 	// lastAnswer is when the server showed a sign of life, lostAt when it could
 	// not be reached last.
 	lastAnswer, lostAt time.Time
