placement: a backup lies in the gateway's own data centre if the engine does not

Cause: a stream over an engine of another data centre with its backup in a third one loses both when the gateway's data centre is cut off. Change: such a backup is chosen in the own data centre unless it is much more loaded.

--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -13,6 +13,11 @@
 	readingCost = 3.0
 	// copyCost is the price of a copy in running streams: it takes memory but no time.
 	copyCost = 0.5
+	// farBackupCost is the price, in running streams, of a backup that a cut of
+	// this data centre would take along with the engine.
+	farBackupCost = 4.0
+	// fullCost puts engines without room behind all others.
+	fullCost = 100.0
 	// memoryReserve is the share of an engine's memory that stays free of this
 	// gateway's runs, for those of other gateways and for cached prompts.
 	memoryReserve = 0.1
@@ -31,7 +36,7 @@
 	Exclude []string
 	// Prefer is an engine that may have the prompt in its memory, empty if none is known.
 	Prefer string
-	// AwayFrom is a data centre that is avoided if another one has an engine.
+	// AwayFrom is the data centre of the engine, where a backup is of no use.
 	AwayFrom string
 }
 
@@ -48,8 +53,10 @@
 }
 
 // Backup chooses the engine that keeps a copy of a run's memory: in another data
-// centre, because the engines of one die together. It returns nil if no engine has
-// room, as far as this gateway knows.
+// centre, because the engines of one die together. For an engine elsewhere it is
+// preferably one of the gateway's own data centre, so that the run goes on when
+// that one is cut off. It returns nil if no engine has room, as far as this
+// gateway knows.
 func (p *Pool) Backup(now time.Time, r Run) *Server {
 	candidates := p.ready(now, r.Exclude)
 	kept := candidates[:0]
@@ -58,7 +65,13 @@
 			kept = append(kept, s)
 		}
 	}
-	return p.cheapest(kept, func(s *Server) float64 { return p.engineCost(s, now, r) })
+	return p.cheapest(kept, func(s *Server) float64 {
+		cost := p.engineCost(s, now, r)
+		if r.AwayFrom != p.dataCentre && s.DataCentre != p.dataCentre {
+			cost += farBackupCost
+		}
+		return cost
+	})
 }
 
 func fits(s *Server, r Run) bool {
@@ -76,10 +89,7 @@
 		cost += copyCost * float64(s.Copies) / float64(r.Tokens)
 	}
 	if !fits(s, r) {
-		cost += 100
-	}
-	if r.AwayFrom != "" && s.DataCentre == r.AwayFrom {
-		cost += 50
+		cost += fullCost
 	}
 	return cost * (1 + s.failures)
 }
