--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
@@ -16,6 +18,13 @@
 	mu        sync.Mutex
 	servers   *directory.Directory
 	followers map[*follower]bool
+	// recent are the last placements, for gateways that start.
+	recent []recentPlacement
+}
+
+type recentPlacement struct {
+	placement *wire.Placement
+	at        time.Time
 }
 
 // follower is the queue of one gateway.
@@ -59,6 +68,12 @@
 	for _, s := range h.servers.All() {
 		f.pending[s.ID] = s
 	}
+	oldest := time.Now().Add(-placement.MemoryLife)
+	for _, r := range h.recent {
+		if r.at.After(oldest) {
+			f.placements = append(f.placements, r.placement)
+		}
+	}
 	h.followers[f] = true
 	return f
 }
@@ -73,10 +88,16 @@
 // work, so those beyond it are dropped.
 const maxPlacements = 256
 
-// place passes placements on to all gateways.
+// place passes placements on to all gateways and keeps the last ones: callers
+// come back to a gateway that has just started, too.
 func (h *hub) place(placements []*wire.Placement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
+	for _, p := range placements {
+		h.recent = append(h.recent, recentPlacement{p, now})
+	}
+	h.recent = slices.Delete(h.recent, 0, max(0, len(h.recent)-maxPlacements))
 	for f := range h.followers {
 		room := max(0, maxPlacements-len(f.placements))
 		f.placements = append(f.placements, placements[:min(room, len(placements))]...)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -41,7 +41,8 @@
 	engine string
 	tries  int
 	// ran counts the engines that may have worked on the run.
-	ran int
+	ran    int
+	pauses pauses
 	// failure is the last answer of an engine that tells of a failure.
 	failure *result
 }
@@ -55,8 +56,10 @@
 	for {
 		err := s.attempt()
 		if err == nil {
+			s.logServed()
 			return nil
 		}
+		s.pauses.cause = err.Error()
 		if errors.Is(err, errCaller) || !s.mayGoOn() {
 			return s.giveUp(err)
 		}
@@ -360,6 +363,7 @@
 // send passes one event to the caller.
 func (s *streaming) send(response *upstream.Response, e event) error {
 	s.begin(response)
+	s.pauses.note(time.Now(), s.j.started)
 	if _, err := s.w.Write(e.data); err != nil {
 		return errCaller
 	}
@@ -372,6 +376,31 @@
 	return nil
 }
 
+// logServed tells how a complete stream went.
+func (s *streaming) logServed() {
+	s.g.log.Info("stream served", "request", s.j.fields.ID, "engine", s.engine, "tries", s.tries,
+		"first_event_ms", s.pauses.first.Milliseconds(), "longest_pause_ms", s.pauses.longest.Milliseconds(),
+		"pause_cause", s.pauses.longestCause, "resumed_by_caller", s.j.fields.LastEvent != "",
+		"after_ms", time.Since(s.j.started).Milliseconds())
+}
+
+// pauses measures the time between the events of a stream.
+type pauses struct {
+	last           time.Time
+	first, longest time.Duration
+	// cause is why the last attempt ended, longestCause that of the longest pause.
+	cause, longestCause string
+}
+
+func (p *pauses) note(now, started time.Time) {
+	if p.last.IsZero() {
+		p.first = now.Sub(started)
+	} else if d := now.Sub(p.last); d > p.longest {
+		p.longest, p.longestCause = d, p.cause
+	}
+	p.last, p.cause = now, ""
+}
+
 // begin sends the head of the first engine's answer.
 func (s *streaming) begin(response *upstream.Response) {
 	if s.begun {
--- a/pkg/placement/memory.go
+++ b/pkg/placement/memory.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// memoryLife is how long a prompt is expected to stay in the memory of an
+	// MemoryLife is how long a prompt is expected to stay in the memory of an
 	// engine after its run ended there.
-	memoryLife = 15 * time.Second
+	MemoryLife = 15 * time.Second
 	// memoryEntries bounds the prompts that are remembered.
 	memoryEntries = 4096
 )
@@ -36,7 +36,7 @@
 // sweep drops what has expired, and everything if that is not enough.
 func (m *Memory) sweep(now time.Time) {
 	for subject, e := range m.entries {
-		if now.Sub(e.at) > memoryLife {
+		if now.Sub(e.at) > MemoryLife {
 			delete(m.entries, subject)
 		}
 	}
@@ -47,7 +47,7 @@
 
 // Engine returns the engine that may have the prompt, empty if none is known.
 func (m *Memory) Engine(subject string, now time.Time) string {
-	if e, ok := m.entries[subject]; ok && now.Sub(e.at) <= memoryLife {
+	if e, ok := m.entries[subject]; ok && now.Sub(e.at) <= MemoryLife {
 		return e.server
 	}
 	return ""
