gateway: a run whose backup died gets a new copy at another engine

Ruled out: slow continuation from a live backup (pauses of 354 to 425 ms, within 700). Change: a gateway looks at the holder of each copy every 200 ms, orders the engine to copy the run to another one when the holder is lost, and refreshes that copy.

--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -22,10 +22,23 @@
 	Prepare(h http.Header, s ServerFields)
 	// ParseAnswer reads the headers of a backend server's answer.
 	ParseAnswer(status int, h http.Header) AnswerFields
+	// CopyOrder returns the order to an engine to copy the memory of a run to the
+	// engine at an address.
+	CopyOrder(run, to string) Order
+	// ParseCopy reads the handle of the copy from the answer to an order.
+	ParseCopy(body []byte) (handle string, err error)
 	// ParseConfig reads published content.
 	ParseConfig(content []byte) (*routing.Config, error)
 }
 
+// Order is a request of the system's own to an engine.
+type Order struct {
+	Method string
+	Target string
+	Header http.Header
+	Body   []byte
+}
+
 // RequestFields are what a caller says about its request.
 type RequestFields struct {
 	// ID is the identifier of this attempt of the caller.
@@ -57,8 +70,9 @@
 	Rank *int
 	// Backup is the address of the engine that keeps a copy of the run's memory.
 	Backup string
-	// CopyAt is the address of the engine that has a copy of the memory of the
-	// run CopyRun, from which this run goes on.
+	// CopyAt and CopyRun name the copy from which a run goes on: the address of
+	// the engine that made it and its handle, or the address of the engine that
+	// received it as the run went on and the identifier of the run.
 	CopyAt, CopyRun string
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -9,7 +9,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
 )
@@ -35,8 +34,7 @@
 	last string
 	// excluded lists the engines that failed or refused this run, newest last.
 	excluded []string
-	// backup is the engine that may have a copy of the run's memory.
-	backup *placement.Server
+	copies   copies
 	// engine is the identifier of the last engine tried.
 	engine string
 	tries  int
@@ -103,7 +101,7 @@
 
 // attempt sends the run to one engine and passes its events on.
 func (s *streaming) attempt() error {
-	engine, copied := s.choose()
+	engine, source := s.choose()
 	if engine == nil {
 		return errors.Join(eris.New("no engine takes work"), s.pauseForEngine())
 	}
@@ -127,8 +125,8 @@
 	if backup != nil {
 		fields.Backup = backup.Address
 	}
-	if copied {
-		fields.CopyAt, fields.CopyRun = engine.Address, s.j.fields.ID
+	if source != nil {
+		fields.CopyAt, fields.CopyRun = source.source, source.handle
 	}
 	s.g.protocol.Prepare(header, fields)
 	response, err := s.g.client.Do(ctx, engine.Address, s.g.connectionLimit(s.j.service), s.g.request(s.j, header))
@@ -139,8 +137,9 @@
 	if err := s.checkHead(engine, response); err != nil {
 		return err
 	}
-	s.backup = backup
+	s.copies.set(s.backupCopy(backup))
 	s.notePlacement(engine)
+	go s.protect(ctx, engine, run)
 	err = s.pass(ctx, cancel, engine, response, watch)
 	if err == nil {
 		response.Finish()
@@ -162,9 +161,9 @@
 	s.g.follow.Place(subject, engine.ID)
 }
 
-// choose returns the engine for the next attempt, and whether it may have a copy
-// of the run's memory.
-func (s *streaming) choose() (*placement.Server, bool) {
+// choose returns the engine for the next attempt, and the copy of the run's memory
+// that it may have.
+func (s *streaming) choose() (*placement.Server, *runCopy) {
 	now := time.Now()
 	g := s.g
 	g.mu.Lock()
@@ -173,11 +172,8 @@
 	if s.tries == 0 {
 		g.budget(s.j.service.Name).Request(now)
 	}
-	if b := s.backup; b != nil {
-		s.backup = nil
-		if live := pool.Get(b.ID); live != nil && live.StartedMS == b.StartedMS && live.State != directory.Gone {
-			return b, true
-		}
+	if c := s.copies.take(); c != nil && g.holderLives(s.j.service.Name, c) {
+		return &c.holder, c
 	}
 	run := s.demand()
 	if s.tries == 0 && s.j.fields.Subject != "" {
@@ -190,18 +186,18 @@
 		chosen = pool.Engine(now, s.demand())
 	}
 	if chosen == nil {
-		return nil, false
+		return nil, nil
 	}
 	engine := *chosen
-	return &engine, false
+	return &engine, nil
 }
 
 // copyAt returns the identifier of the engine that may have a copy, for logs.
 func (s *streaming) copyAt() string {
-	if s.backup == nil {
-		return ""
+	if c := s.copies.get(); c != nil {
+		return c.holder.ID
 	}
-	return s.backup.ID
+	return ""
 }
 
 // demand describes what the run needs.
@@ -267,7 +263,7 @@
 	if errors.As(err, &notSent) {
 		s.ran--
 	} else {
-		s.backup = backup
+		s.copies.set(s.backupCopy(backup))
 	}
 	if s.ctx.Err() != nil {
 		return err
--- a/pkg/routing/config.go
+++ b/pkg/routing/config.go
@@ -74,6 +74,8 @@
 	MemoryTokens int
 	// Backups tells that an engine copies the memory of a run to another one.
 	Backups bool
+	// Moves tells that an engine copies the memory of a run when it is ordered to.
+	Moves bool
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
 	// HandleLife is how long a copy waits to be used.
