--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -9,6 +9,7 @@
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
 	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
 )
 
@@ -31,6 +32,8 @@
 	source string
 	// handle names the copy: a handle of the source, or the run itself.
 	handle string
+	// ordered copies stay until they are used, released or expired.
+	ordered bool
 }
 
 // copies holds the copy of one run that can be used next.
@@ -99,9 +102,33 @@
 			s.copies.set(ordered)
 		}
 	}
-	if ordered != nil && s.ctx.Err() == nil {
-		s.g.log.Debug("an ordered copy is left to expire", "request", s.j.fields.ID, "holder", ordered.holder.ID)
+}
+
+// releaseLimit bounds the order to free a copy; without it the copy expires.
+const releaseLimit = time.Second
+
+// release frees an ordered copy that was not needed. It does not wait.
+func (g *Gateway) release(service *routing.Service, c *runCopy) {
+	if c == nil || !c.ordered {
+		return
 	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
+		defer cancel()
+		order := g.protocol.ReleaseOrder(c.handle)
+		response, err := g.client.Do(ctx, c.source, g.connectionLimit(service), &upstream.Request{
+			Method: order.Method, Target: order.Target, Host: c.source, Header: order.Header, Body: order.Body,
+		})
+		if err != nil {
+			g.log.Info("a copy is left to expire", "holder", c.holder.ID, "error", err)
+			return
+		}
+		if _, err := io.Copy(io.Discard, response); err != nil {
+			response.Abort()
+			return
+		}
+		response.Finish()
+	}()
 }
 
 // orderCopy makes the engine copy the run's memory, to the present holder if it
@@ -144,7 +171,7 @@
 	if !lives {
 		s.logCopy(engine, holder, response.StatusCode, nil)
 	}
-	return &runCopy{holder: *holder, source: engine.Address, handle: handle}
+	return &runCopy{holder: *holder, source: engine.Address, handle: handle, ordered: true}
 }
 
 func (s *streaming) logCopy(engine, holder *placement.Server, status int, err error) {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -25,6 +25,8 @@
 	// CopyOrder returns the order to an engine to copy the memory of a run to the
 	// engine at an address.
 	CopyOrder(run, to string) Order
+	// ReleaseOrder returns the order to the engine that made a copy to free it.
+	ReleaseOrder(handle string) Order
 	// ParseCopy reads the handle of the copy from the answer to an order.
 	ParseCopy(body []byte) (handle string, err error)
 	// ParseConfig reads published content.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -55,6 +55,7 @@
 		err := s.attempt()
 		if err == nil {
 			s.logServed()
+			g.release(j.service, s.copies.take())
 			return nil
 		}
 		s.pauses.cause = err.Error()
