--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -13,6 +13,10 @@
 	readingCost = 3.0
 	// copyCost is the price of a copy in running streams: it takes memory but no time.
 	copyCost = 0.5
+	// remoteEngineCost is the price of an engine in another data centre, in running
+	// streams: links between data centres lose packets and are cut, and a burst of
+	// prompts in one data centre still spreads over the others.
+	remoteEngineCost = 2.0
 	// farBackupCost is the price, in running streams, of a backup that a cut of
 	// this data centre would take along with the engine.
 	farBackupCost = 4.0
@@ -41,15 +45,21 @@
 }
 
 // Engine chooses the engine for a run: the one with the fewest streams, prompts
-// being read counted threefold. It answers bursts of prompts, which would
-// otherwise be read one after the other on one engine, and returns nil if no
-// engine takes work.
+// being read counted threefold, preferably in this data centre. It answers bursts
+// of prompts, which would otherwise be read one after the other on one engine, and
+// returns nil if no engine takes work.
 func (p *Pool) Engine(now time.Time, r Run) *Server {
 	if s := p.servers[r.Prefer]; s != nil && s.State == directory.Ready && !now.Before(s.avoidUntil) &&
 		!p.inOutage(s, now) && !slices.Contains(r.Exclude, s.ID) && fits(s, r) {
 		return s
 	}
-	return p.cheapest(p.ready(now, r.Exclude), func(s *Server) float64 { return p.engineCost(s, now, r) })
+	return p.cheapest(p.ready(now, r.Exclude), func(s *Server) float64 {
+		cost := p.engineCost(s, now, r)
+		if s.DataCentre != p.dataCentre {
+			cost += remoteEngineCost
+		}
+		return cost
+	})
 }
 
 // Backup chooses the engine that keeps a copy of a run's memory: in another data
