gateway: one that is cut off from a service reports not ready

Ruled out: leaving rotation for silent coordinators alone (all gateways would leave when only the coordinators are down). Change: a gateway that hears less than half of the coordinators and has a service without a reachable server fails its readiness and closes kept connections.

--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -83,16 +83,17 @@
 	}
 }
 
-// Connected returns the number of coordinators with an open stream.
-func (c *Client) Connected() (open int) {
+// Fresh returns how many coordinators were heard of within a time, and how many
+// are known.
+func (c *Client) Fresh(now time.Time, within time.Duration) (fresh, known int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.following {
-		if s.up {
-			open++
+		if now.Sub(s.heard) <= within {
+			fresh++
 		}
 	}
-	return open
+	return fresh, len(c.following)
 }
 
 func (c *Client) run(ctx context.Context, address string, s *stream) {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -240,7 +240,7 @@
 		pool.Unreachable(s.ID, now)
 	case r.notSent || r.notRun:
 	case r.err == nil && r.status < http.StatusInternalServerError:
-		pool.Succeeded(s.ID, now.Sub(began))
+		pool.Succeeded(s.ID, now.Sub(began), now)
 	case ctx.Err() == nil || now.Sub(began) > time.Duration(float64(j.route.Objective)*hedgeShare):
 		pool.Failed(s.ID)
 	}
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -48,7 +48,7 @@
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	if g.stopping.Load() {
+	if g.stopping.Load() || g.isolated.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	j, fault := g.accept(w, r, started)
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -39,6 +39,8 @@
 	table    atomic.Pointer[routing.Table]
 	tableAt  time.Time
 	stopping atomic.Bool
+	// isolated tells that callers should go elsewhere, see noteIsolation.
+	isolated atomic.Bool
 
 	mu      sync.Mutex
 	servers *directory.Directory
@@ -131,7 +133,7 @@
 
 // Ready tells whether new callers should come here.
 func (g *Gateway) Ready() bool {
-	if g.stopping.Load() || g.table.Load() == nil {
+	if g.stopping.Load() || g.table.Load() == nil || g.isolated.Load() {
 		return false
 	}
 	g.mu.Lock()
@@ -142,6 +144,36 @@
 	return len(g.pools) > 0
 }
 
+// noteIsolation decides whether this gateway is cut off from what callers need
+// while others probably are not: most coordinators are silent, and a service has
+// no server that can be reached. Callers do better at another gateway then. It
+// answers a cut of this data centre; when only the coordinators are down, or only
+// the servers, all gateways fare alike and stay ready.
+func (g *Gateway) noteIsolation(now time.Time) {
+	fresh, known := g.follow.Fresh(now, coordinatorSilence)
+	isolated := 2*fresh < known && g.starved(now)
+	if g.isolated.Swap(isolated) != isolated {
+		g.log.Warn("isolation changed", "isolated", isolated, "coordinators_heard", fresh, "coordinators_known", known)
+	}
+}
+
+// starved tells whether a service of the configuration has no server that can be
+// reached.
+func (g *Gateway) starved(now time.Time) bool {
+	table := g.table.Load()
+	if table == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range table.Config.Services {
+		if p := g.pools[s.Name]; p != nil && p.Starved(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if g.Ready() {
 		w.WriteHeader(http.StatusOK)
@@ -251,10 +283,14 @@
 	const interval = time.Second
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	isolation := time.NewTicker(isolationCheck)
+	defer isolation.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case now := <-isolation.C:
+			g.noteIsolation(now)
 		case now := <-ticker.C:
 			g.client.Sweep(now)
 			g.mu.Lock()
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -41,6 +41,11 @@
 	// directoryWait is how long a new gateway waits for announcements before it
 	// is ready.
 	directoryWait = 1500 * time.Millisecond
+	// isolationCheck is the interval at which a gateway looks whether it is cut off.
+	isolationCheck = 250 * time.Millisecond
+	// coordinatorSilence is the time after which a coordinator counts as out of
+	// reach: two beats and some delay.
+	coordinatorSilence = 900 * time.Millisecond
 	// balancerDelay is how long new connections are accepted after a stop began.
 	balancerDelay = 2500 * time.Millisecond
 	// stopMargin is left of the grace time for the exit itself.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -145,7 +145,7 @@
 	if err == nil {
 		response.Finish()
 		s.g.mu.Lock()
-		s.g.pool(s.j.service.Name).Succeeded(engine.ID, time.Since(s.j.started))
+		s.g.pool(s.j.service.Name).Succeeded(engine.ID, time.Since(s.j.started), time.Now())
 		s.g.mu.Unlock()
 	}
 	return err
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -113,14 +113,19 @@
 // Get returns a server, nil if it is unknown.
 func (p *Pool) Get(id string) *Server { return p.servers[id] }
 
-// Usable tells whether any server takes work.
-func (p *Pool) Usable(now time.Time) bool {
+// starvedFor is how long the loss of a server counts without a sign of life. It
+// exceeds the longest penalty, so that each server is tried again within it.
+const starvedFor = 2 * longestPenalty
+
+// Starved tells whether work for this service fails here: all servers that take
+// work could not be reached when they were tried last, or there is none.
+func (p *Pool) Starved(now time.Time) bool {
 	for _, s := range p.servers {
-		if s.State == directory.Ready && !now.Before(s.avoidUntil) {
-			return true
+		if s.State == directory.Ready && (now.Sub(s.lostAt) > starvedFor || s.lastAnswer.After(s.lostAt)) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // ready returns the servers that take work, but for the excluded ones. Servers
@@ -161,13 +166,6 @@
 	return lost >= outageServers && s.lastAnswer.Before(latest) && s.firstSeen.Before(latest)
 }
 
-// Alive notes a sign of life of a server.
-func (p *Pool) Alive(id string, now time.Time) {
-	if s := p.servers[id]; s != nil {
-		s.lastAnswer = now
-	}
-}
-
 // Call chooses the server for a call of a plain service: the least loaded one,
 // preferably in this data centre, away from servers that fail or are slow while
 // their health check is good. It returns nil if there is none.
@@ -259,13 +257,14 @@
 }
 
 // Succeeded notes an answer and how long it took.
-func (p *Pool) Succeeded(id string, took time.Duration) {
+func (p *Pool) Succeeded(id string, took time.Duration, now time.Time) {
 	s := p.servers[id]
 	if s == nil {
 		return
 	}
 	s.failures *= 1 - failureMemory
 	s.penalty = 0
+	s.lastAnswer = now
 	ms := float64(took) / float64(time.Millisecond)
 	if s.latency == 0 {
 		s.latency = ms
