--- /dev/null
+++ b/pkg/control/publication_test.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func publish(t *testing.T, s *State, revision uint64, content string) Result {
+	t.Helper()
+	data, err := json.Marshal(command{Time: time.Unix(1, 0), Publication: &Publication{Revision: revision, Content: []byte(content)}})
+	qt.Assert(t, err, qt.IsNil)
+	return s.apply(data).result
+}
+
+// Guards against an accepted publication that an older or a repeated one undoes,
+// and against other content under the revision that is in force.
+func TestHighestPublicationCounts(t *testing.T) {
+	s := NewState()
+	for _, p := range []struct {
+		revision uint64
+		content  string
+		want     string
+	}{
+		{3, "three", "three"}, {2, "two", "three"}, {3, "other three", "three"}, {9, "nine", "nine"}, {3, "three", "nine"},
+	} {
+		result := publish(t, s, p.revision, p.content)
+		qt.Assert(t, result.Outcome, qt.Equals, Accepted)
+		qt.Assert(t, string(s.publication.Content), qt.Equals, p.want)
+		qt.Assert(t, result.Version, qt.Equals, s.publication.Revision)
+	}
+	// Only what took effect is a change in the audit trail.
+	entries, _ := s.Audit(0, 10)
+	qt.Assert(t, entries, qt.HasLen, 2)
+	qt.Assert(t, entries[1].Base, qt.Equals, uint64(3))
+	qt.Assert(t, entries[1].Result.Version, qt.Equals, uint64(9))
+}
+
+// Guards against a publication that a snapshot loses.
+func TestPublicationInSnapshot(t *testing.T) {
+	s := NewState()
+	publish(t, s, 7, "seven")
+	data, err := s.encode()
+	qt.Assert(t, err, qt.IsNil)
+	restored, err := decodeState(data)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, restored.publication, qt.DeepEquals, s.publication)
+	publish(t, restored, 6, "six")
+	qt.Assert(t, restored.publication.Revision, qt.Equals, uint64(7))
+}
--- /dev/null
+++ b/pkg/placement/engine_test.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var run = Run{Tokens: 9000, Memory: 88000}
+
+// Replays a burst of prompts: they spread over the engines instead of being read
+// one after the other.
+func TestEngineSpreadsABurst(t *testing.T) {
+	p := newTestPool("here1", "here2", "here3", "there1", "there2", "there3")
+	counts := map[string]int{}
+	for range 12 {
+		s := p.Engine(at(0), run)
+		counts[s.ID]++
+		p.Began(s.ID)
+		p.Reserve(s.ID, run.Tokens, 0, 1)
+	}
+	for id, n := range counts {
+		qt.Assert(t, n <= 3, qt.IsTrue, qt.Commentf("%s got %d of 12", id, n))
+	}
+	qt.Assert(t, counts, qt.HasLen, 6)
+}
+
+// Guards against streams that cross data centres without need.
+func TestEngineIsLocalUnlessBusier(t *testing.T) {
+	p := newTestPool("here1", "there1")
+	for range 2 {
+		qt.Assert(t, p.Engine(at(0), run).ID, qt.Equals, "here1")
+		p.Began("here1")
+	}
+	p.Reserve("here1", run.Tokens, 0, 1)
+	qt.Assert(t, p.Engine(at(0), run).ID, qt.Equals, "there1")
+}
+
+// Guards against a prompt that is read again although an engine has it, and
+// against an engine that has it but is full, lost or failed for this run.
+func TestEngineWithThePrompt(t *testing.T) {
+	prefer := run
+	prefer.Prefer = "there1"
+	p := newTestPool("here1", "there1")
+	qt.Assert(t, p.Engine(at(0), prefer).ID, qt.Equals, "there1")
+	excluded := prefer
+	excluded.Exclude = []string{"there1"}
+	qt.Assert(t, p.Engine(at(0), excluded).ID, qt.Equals, "here1")
+	p.Reserve("there1", 80000, 0, 0)
+	qt.Assert(t, p.Engine(at(0), prefer).ID, qt.Equals, "here1")
+	p.Reserve("there1", -80000, 0, 0)
+	p.Unreachable("there1", at(0))
+	qt.Assert(t, p.Engine(at(1), prefer).ID, qt.Equals, "here1")
+}
+
+// Guards against a backup that is lost together with its engine, or with the link
+// to a data centre, and against one for which there is no room.
+func TestBackup(t *testing.T) {
+	p := newTestPool("here1", "here2", "there1", "there2", "far1")
+	backup := func(awayFrom string, exclude ...string) string {
+		r := run
+		r.AwayFrom, r.Exclude = awayFrom, exclude
+		if s := p.Backup(at(0), r); s != nil {
+			return s.DataCentre
+		}
+		return ""
+	}
+	qt.Assert(t, backup("here", "here1"), qt.Not(qt.Equals), "here")
+	for range 20 {
+		qt.Assert(t, backup("there", "there1"), qt.Equals, "here")
+	}
+	p.Reserve("here1", 0, 75000, 0)
+	p.Reserve("here2", 0, 75000, 0)
+	qt.Assert(t, backup("there", "there1"), qt.Equals, "far")
+	p.Unreachable("far1", start)
+	qt.Assert(t, backup("there", "there1"), qt.Equals, "")
+}
+
+// Guards against placements that outlive the memory of engines or grow without bound.
+func TestMemory(t *testing.T) {
+	var m Memory
+	m.Note("a", "here1", at(0))
+	qt.Assert(t, m.Engine("a", at(100)), qt.Equals, "here1")
+	qt.Assert(t, m.Engine("b", at(100)), qt.Equals, "")
+	m.Note("a", "there1", at(200))
+	qt.Assert(t, m.Engine("a", at(300)), qt.Equals, "there1")
+	qt.Assert(t, m.Engine("a", at(201).Add(MemoryLife)), qt.Equals, "")
+	for i := range 3 * memoryEntries {
+		m.Note(string(rune('a'+i%26))+time.Duration(i).String(), "x", at(i))
+	}
+	qt.Assert(t, len(m.entries) <= memoryEntries, qt.IsTrue)
+}
--- /dev/null
+++ b/pkg/upstream/client_test.go
@@ -0,0 +1,293 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// server answers each connection by a script that gets the connection and the
+// number of the connection, from 1.
+type server struct {
+	net.Listener
+	connections atomic.Int32
+}
+
+func newServer(t *testing.T, script func(number int, c net.Conn, r *bufio.Reader)) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &server{Listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			number := int(s.connections.Add(1))
+			go func() {
+				defer c.Close()
+				script(number, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	return s
+}
+
+func (s *server) address() string { return s.Addr().String() }
+
+// readRequest reads one request and returns its identifier, empty at the end.
+func readRequest(r *bufio.Reader) string {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return request.Header.Get("X-Id")
+}
+
+func answerTo(id, body string, headers ...string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n" +
+		strings.Join(headers, "\r\n") + map[bool]string{true: "\r\n"}[len(headers) > 0] + "\r\n" + body
+}
+
+func itoa(n int) string {
+	if n < 10 {
+		return string(rune('0' + n))
+	}
+	return itoa(n/10) + itoa(n%10)
+}
+
+func request(id string) *Request {
+	return &Request{
+		Method: "POST", Target: "/a/b?c", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("hello"),
+		Own: func(h http.Header) bool { return h.Get("X-Id") == id },
+	}
+}
+
+// exchange sends a request and returns the body of its answer.
+func exchange(c *Client, address, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	response, err := c.Do(ctx, address, 0, request(id))
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(response)
+	if err != nil {
+		response.Abort()
+		return string(body), err
+	}
+	response.Finish()
+	return string(body), nil
+}
+
+func isNotSent(err error) bool {
+	var notSent *NotSentError
+	return errors.As(err, &notSent)
+}
+
+// Guards against a new connection for every request.
+func TestConnectionsAreReused(t *testing.T) {
+	s := newServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for id := readRequest(r); id != ""; id = readRequest(r) {
+			_, _ = io.WriteString(c, answerTo(id, "body "+id))
+		}
+	})
+	c := NewClient(nil)
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := exchange(c, s.address(), id)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, "body "+id)
+	}
+	qt.Assert(t, s.connections.Load(), qt.Equals, int32(1))
+}
+
+// Guards against answers that reach another request: an extra answer on the idle
+// connection, one in front of the next answer, and bytes after a complete answer.
+func TestForeignBytes(t *testing.T) {
+	tests := []struct {
+		name   string
+		script func(number int, c net.Conn, r *bufio.Reader)
+	}{
+		{"extra answer at once", func(_ int, c net.Conn, r *bufio.Reader) {
+			for id := readRequest(r); id != ""; id = readRequest(r) {
+				_, _ = io.WriteString(c, answerTo(id, "body "+id)+answerTo("old", "other"))
+			}
+		}},
+		{"extra answer on the idle connection", func(_ int, c net.Conn, r *bufio.Reader) {
+			for id := readRequest(r); id != ""; id = readRequest(r) {
+				_, _ = io.WriteString(c, answerTo(id, "body "+id))
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(c, answerTo("old", "other"))
+			}
+		}},
+		{"extra answer after the next request", func(number int, c net.Conn, r *bufio.Reader) {
+			extra := ""
+			for id := readRequest(r); id != ""; id = readRequest(r) {
+				_, _ = io.WriteString(c, extra+answerTo(id, "body "+id))
+				extra = answerTo(id, "other")
+			}
+		}},
+		{"bytes after the answer", func(_ int, c net.Conn, r *bufio.Reader) {
+			for id := readRequest(r); id != ""; id = readRequest(r) {
+				_, _ = io.WriteString(c, answerTo(id, "body "+id)+"garbage")
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t, tt.script)
+			c := NewClient(nil)
+			for _, id := range []string{"1", "2", "3", "4"} {
+				body, err := exchange(c, s.address(), id)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, body, qt.Equals, "body "+id)
+				time.Sleep(40 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// Guards against an answer that ends early and looks complete, and against a
+// broken request that is taken for one that was not sent.
+func TestBrokenAnswers(t *testing.T) {
+	tests := []struct{ name, answer string }{
+		{"nothing", ""},
+		{"half a head", "HTTP/1.1 200 OK\r\nX-I"},
+		{"short body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\nfive5"},
+		{"chunks without an end", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"},
+		{"no answer in the protocol", "?????\r\n\r\n"},
+		{"only an answer to another request", answerTo("old", "other")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, tt.answer)
+			})
+			_, err := exchange(NewClient(nil), s.address(), "1")
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Assert(t, isNotSent(err), qt.IsFalse)
+		})
+	}
+}
+
+// Guards against an answer without a length that was reset and looks complete.
+func TestAnswerWithoutLength(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		s := newServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\nall of it")
+			time.Sleep(50 * time.Millisecond)
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		body, err := exchange(NewClient(nil), s.address(), "1")
+		qt.Assert(t, err == nil, qt.Equals, !reset)
+		qt.Assert(t, body, qt.Equals, "all of it")
+	}
+}
+
+// Guards against a request that may have run and is reported as not sent, when
+// the server closes an idle connection.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := newServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, answerTo(readRequest(r), "body"))
+	})
+	c := NewClient(nil)
+	for _, id := range []string{"1", "2", "3"} {
+		_, err := exchange(c, s.address(), id)
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(20 * time.Millisecond)
+	}
+	qt.Assert(t, s.connections.Load(), qt.Equals, int32(3))
+}
+
+// Guards against a connection that is kept longer than its server says.
+func TestKeepAliveTime(t *testing.T) {
+	s := newServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for id := readRequest(r); id != ""; id = readRequest(r) {
+			_, _ = io.WriteString(c, answerTo(id, "body", "Keep-Alive: timeout=1"))
+		}
+	})
+	c := NewClient(nil)
+	for _, id := range []string{"1", "2"} {
+		_, err := exchange(c, s.address(), id)
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, s.connections.Load(), qt.Equals, int32(2))
+	c.Sweep(time.Now())
+	qt.Assert(t, c.pools[s.address()].open, qt.Equals, 0)
+}
+
+// Guards against the rest of a long body on a connection whose answer came early.
+func TestEarlyAnswer(t *testing.T) {
+	s := newServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answerTo(request.Header.Get("X-Id"), "too large"))
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, request.Body)
+		if id := readRequest(r); id != "" {
+			_, _ = io.WriteString(c, answerTo(id, "second"))
+		}
+	})
+	c := NewClient(nil)
+	long := request("1")
+	long.Body = make([]byte, 32<<20)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	response, err := c.Do(ctx, s.address(), 0, long)
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(response)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(body), qt.Equals, "too large")
+	response.Finish()
+	qt.Assert(t, c.pools[s.address()].idle, qt.HasLen, 0)
+}
+
+// Guards against requests that wait for a server that is not there, and against
+// more connections than a server accepts.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := l.Addr().String()
+	qt.Assert(t, l.Close(), qt.IsNil)
+	c := NewClient(nil)
+	_, err = exchange(c, address, "1")
+	qt.Assert(t, isNotSent(err), qt.IsTrue)
+	qt.Assert(t, c.Reachable(context.Background(), address), qt.IsFalse)
+
+	s := newServer(t, func(_ int, _ net.Conn, r *bufio.Reader) { readRequest(r); time.Sleep(time.Second) })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Do(ctx, s.address(), 1, request("1"))
+		done <- err
+	}()
+	for s.connections.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = c.Do(ctx, s.address(), 1, request("2"))
+	qt.Assert(t, errors.Is(err, ErrTooMany), qt.IsTrue)
+	// The server drops a request whose connection is closed.
+	cancel()
+	err = <-done
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, isNotSent(err), qt.IsFalse)
+}
