gateway: tests of large answers that break off and of a proper end within an event

Mutations that had survived: a partial event passed on at a clean end of the stream, and a broken large answer that is not cut.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -170,6 +170,10 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}},
+		{"part of an event at a proper end", func(w http.ResponseWriter, r *http.Request) {
+			events(func(i int) bool { return i < 4 })(w, r)
+			_, _ = io.WriteString(w, "id: 5\ndata: tok")
+		}},
 		{"before the first event", breakOff},
 	}
 	for _, tt := range tests {
@@ -207,6 +211,26 @@
 	qt.Assert(t, other.ran(), qt.HasLen, 0)
 }
 
+// Guards against an answer that is too large to be kept, breaks off and looks complete.
+func TestLargeAnswers(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, testConfig())
+	large := strings.Repeat("x", 3*answerBytes)
+	f.add("app", "a1", "here", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(len(large)))
+		if strings.HasSuffix(r.URL.Path, "whole") {
+			_, _ = io.WriteString(w, large)
+			return
+		}
+		_, _ = io.WriteString(w, large[:2*answerBytes])
+		panic(http.ErrAbortHandler)
+	})
+	got := f.send("POST", "/once/whole", nil)
+	qt.Assert(t, got.err, qt.IsNil)
+	qt.Assert(t, got.body == large, qt.IsTrue)
+	qt.Assert(t, f.send("POST", "/once/broken", nil).err, qt.IsNotNil)
+}
+
 // Guards against events that a second engine repeats.
 func TestRepeatedEventsAreDropped(t *testing.T) {
 	f := newFixture(t)
