--- a/cmd/gp-coordinator/commands.go
+++ b/cmd/gp-coordinator/commands.go
@@ -16,6 +16,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
 	"github.com/geraniumpitch/geraniumpitch/platform"
 )
 
@@ -36,9 +37,8 @@
 		fmt.Fprintln(os.Stderr, "gp-coordinator:", err)
 		return subcommands.ExitUsageError
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With("instance", s.Instance.ID)
-	if err := run(ctx, c.file, s, log); err != nil {
-		log.Error("the coordinator failed", "error", err)
+	err = instance.Main(s.Instance.ID, func(log *slog.Logger) error { return run(ctx, c.file, s, log) })
+	if err != nil {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
@@ -56,7 +56,19 @@
 		return err
 	}
 	c := coordinator.New(s, dialer, rpc.NewServer(nil, counters, log), log)
+	metrics, err := telemetry.New()
+	if err != nil {
+		return err
+	}
+	if err := c.Instrument(metrics.Meter("coordinator")); err != nil {
+		return err
+	}
 	k := kernel.New(log)
+	if s.MetricsAddress != "" {
+		if err := k.Register(instance.NewMetricsServer(s.MetricsAddress, metrics.Handler(), log)); err != nil {
+			return err
+		}
+	}
 	if err := k.Register(c); err != nil {
 		return err
 	}
--- a/cmd/gp-gateway/commands.go
+++ b/cmd/gp-gateway/commands.go
@@ -16,6 +16,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
 	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
 	"github.com/geraniumpitch/geraniumpitch/platform"
 )
@@ -37,9 +38,8 @@
 		fmt.Fprintln(os.Stderr, "gp-gateway:", err)
 		return subcommands.ExitUsageError
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With("instance", s.Instance.ID)
-	if err := run(ctx, c.file, s, log); err != nil {
-		log.Error("the gateway failed", "error", err)
+	err = instance.Main(s.Instance.ID, func(log *slog.Logger) error { return run(ctx, c.file, s, log) })
+	if err != nil {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
@@ -57,7 +57,19 @@
 		return err
 	}
 	g := gateway.New(s, platform.Protocol{}, upstream.NewClient(source), dialer, log)
+	metrics, err := telemetry.New()
+	if err != nil {
+		return err
+	}
+	if err := g.Instrument(metrics.Meter("gateway")); err != nil {
+		return err
+	}
 	k := kernel.New(log)
+	if s.MetricsAddress != "" {
+		if err := k.Register(instance.NewMetricsServer(s.MetricsAddress, metrics.Handler(), log)); err != nil {
+			return err
+		}
+	}
 	if err := k.Register(g); err != nil {
 		return err
 	}
--- a/pkg/consensus/cluster_test.go
+++ b/pkg/consensus/cluster_test.go
@@ -158,7 +158,7 @@
 		ID: m.id, Disk: m.disk.id, Members: c.ids, HeartbeatTicks: 2, ElectionTicks: 8, MaxEntries: c.maxEntries,
 		// Half of the starts have a short first election.
 		FirstElectionTicks: 2 * int(c.rand.Uint64()%2),
-		Rand: rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
+		Rand:               rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
 	}
 	m.node = New(cfg, m.disk.stored)
 	m.ready, m.frozen, m.index, m.hash = nil, false, 0, 0
--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -78,6 +78,13 @@
 	return f
 }
 
+// count returns the number of following gateways.
+func (h *hub) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.followers)
+}
+
 func (h *hub) unsubscribe(f *follower) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/pkg/coordinator/metrics.go
@@ -0,0 +1,79 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
+	"github.com/geraniumpitch/geraniumpitch/pkg/control"
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+)
+
+// metrics are the instruments of a coordinator.
+type metrics struct {
+	publications, announcements metric.Int64Counter
+	publishing                  metric.Float64Histogram
+}
+
+// Instrument registers the metrics of the coordinator. It is called before Start.
+func (s *Service) Instrument(meter metric.Meter) error {
+	m := &metrics{}
+	var failures []error
+	counter := func(name, description string) metric.Int64Counter {
+		c, err := meter.Int64Counter(name, metric.WithDescription(description))
+		failures = append(failures, err)
+		return c
+	}
+	m.publications = counter("gp_coordinator_publications", "Publications by outcome.")
+	m.announcements = counter("gp_coordinator_announcements", "Announcements of backend servers by effect.")
+	publishing, err := meter.Float64Histogram("gp_coordinator_publish_duration",
+		metric.WithDescription("Time until a publication was decided."), metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(.005, .01, .02, .05, .1, .2, .5, 1, 2, 4))
+	failures = append(failures, err)
+	m.publishing = publishing
+	gauge := func(name, description string, value func(*control.Node) int64) {
+		_, err := meter.Int64ObservableGauge(name, metric.WithDescription(description),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				if node := s.group.current(); node != nil {
+					o.Observe(value(node))
+				}
+				return nil
+			}))
+		failures = append(failures, err)
+	}
+	gauge("gp_coordinator_revision", "Revision of the publication applied here.", func(n *control.Node) int64 {
+		return int64(n.Publication().Revision)
+	})
+	gauge("gp_coordinator_role", "0 learner, 1 follower, 2 candidate, 3 leader.", func(n *control.Node) int64 {
+		return int64(n.Status().Role)
+	})
+	gauge("gp_coordinator_term", "Consensus term.", func(n *control.Node) int64 { return int64(n.Status().Term) })
+	gauge("gp_coordinator_leader", "1 while this coordinator leads.", func(n *control.Node) int64 {
+		if n.Status().Role == consensus.Leader {
+			return 1
+		}
+		return 0
+	})
+	gauge("gp_coordinator_followers", "Gateways that follow.", func(*control.Node) int64 { return int64(s.hub.count()) })
+	s.metrics = m
+	return eris.Wrap(errors.Join(failures...), "register the metrics of the coordinator")
+}
+
+func (m *metrics) published(outcome control.Outcome, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.publications.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", string(outcome))))
+	m.publishing.Record(context.Background(), took.Seconds())
+}
+
+func (m *metrics) announced(effect directory.Effect) {
+	if m != nil {
+		m.announcements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("effect", effect.String())))
+	}
+}
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -33,8 +33,10 @@
 	log      *slog.Logger
 	group    *group
 	hub      *hub
-	cancel   context.CancelFunc
-	wait     sync.WaitGroup
+	// metrics is nil in a coordinator that counts nothing.
+	metrics *metrics
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
 }
 
 // New returns a coordinator that is not started.
@@ -100,6 +102,7 @@
 // Announce takes an announcement of a backend server.
 func (s *Service) Announce(a directory.Server) directory.Effect {
 	effect := s.hub.announce(a)
+	s.metrics.announced(effect)
 	if effect == directory.Changed {
 		s.log.Info("backend server changed", "server", a.ID, "service", a.Service, "state", a.State.String(),
 			"address", a.Address, "started_ms", a.StartedMS, "sequence", a.Sequence)
@@ -112,6 +115,7 @@
 func (s *Service) Publish(ctx context.Context, p control.Publication) control.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, requestLimit)
 	defer cancel()
+	began := time.Now()
 	outcome := control.Unavailable
 	for {
 		outcome = s.publishOnce(ctx, p)
@@ -119,7 +123,9 @@
 			break
 		}
 	}
-	s.log.Info("publication decided", "revision", p.Revision, "bytes", len(p.Content), "outcome", outcome)
+	s.metrics.published(outcome, time.Since(began))
+	s.log.Info("publication decided", "revision", p.Revision, "bytes", len(p.Content), "outcome", outcome,
+		"after_ms", time.Since(began).Milliseconds())
 	return outcome
 }
 
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -63,6 +63,19 @@
 	Changed
 )
 
+// String returns the name of the effect for metrics.
+func (e Effect) String() string {
+	switch e {
+	case Stale:
+		return "stale"
+	case Renewed:
+		return "renewed"
+	case Changed:
+		return "changed"
+	}
+	return "unknown"
+}
+
 // tombstoneLife is how long the end of a server is remembered. It exceeds the
 // time that an announcement can be delayed by a partition.
 const tombstoneLife = 2 * time.Minute
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -27,6 +27,14 @@
 	rest *upstream.Response
 }
 
+// describe tells what became of a send, for logs.
+func (r *result) describe() string {
+	if r.err != nil {
+		return r.err.Error()
+	}
+	return "status " + strconv.Itoa(r.status)
+}
+
 // failed tells whether another send may give a better answer.
 func (r *result) failed() bool { return r.err != nil || r.status >= http.StatusInternalServerError }
 
@@ -72,7 +80,7 @@
 		case <-hedge.C:
 			if c.mayRepeat() && c.takeBudget() {
 				// A second server is a gain only; the first send goes on without it.
-				_ = c.send()
+				_ = c.repeat("slow", "")
 			}
 		case r := <-c.results:
 			c.open--
@@ -100,7 +108,7 @@
 	if c.open > 0 {
 		return nil, nil
 	}
-	if c.mayRepeat() && c.takeBudget() && c.send() == nil {
+	if c.mayRepeat() && c.takeBudget() && c.repeat("failure", r.describe()) == nil {
 		return nil, nil
 	}
 	if c.fallback != nil {
@@ -126,7 +134,7 @@
 		if r.notRun && !pause(c.ctx, refusalPause) {
 			return c.expired()
 		}
-		if c.send() == nil {
+		if c.repeat("refusal", r.describe()) == nil {
 			return nil, nil
 		}
 	}
@@ -182,6 +190,17 @@
 	return nil
 }
 
+// repeat sends the call once more and logs why.
+func (c *calling) repeat(cause, detail string) *outcome {
+	if fault := c.send(); fault != nil {
+		return fault
+	}
+	c.g.metrics.repeat(cause)
+	c.g.log.Info("call sent again", "request", c.j.fields.ID, "cause", cause, "detail", detail,
+		"servers", c.tried, "after_ms", time.Since(c.j.started).Milliseconds())
+	return nil
+}
+
 // abandon gives up sends whose result no one waits for.
 func (c *calling) abandon() {
 	if c.open == 0 {
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -175,10 +175,14 @@
 }
 
 func (s *streaming) logCopy(engine, holder *placement.Server, status int, err error) {
-	cause := ""
+	cause, outcome := "", "made"
 	if err != nil {
 		cause = err.Error()
 	}
+	if err != nil || status != http.StatusOK {
+		outcome = "failed"
+	}
+	s.g.metrics.copyOrder(outcome)
 	s.g.log.Info("ordered a copy of a run", "request", s.j.fields.ID, "engine", engine.ID, "holder", holder.ID,
 		"status", status, "error", cause)
 }
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -61,7 +61,9 @@
 			fault = g.call(ctx, w, j)
 		}
 	}
-	if fault == nil || r.Context().Err() != nil {
+	left := r.Context().Err() != nil
+	g.metrics.request(kindOf(j), outcomeOf(fault, left), time.Since(started))
+	if fault == nil || left {
 		return
 	}
 	g.log.Info("request not served", "request", g.protocol.ParseRequest(r.Header).ID, "status", fault.status,
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
@@ -35,6 +36,8 @@
 	client   *upstream.Client
 	follow   *follow.Client
 	log      *slog.Logger
+	// metrics is nil in a gateway that counts nothing.
+	metrics *metrics
 
 	table    atomic.Pointer[routing.Table]
 	tableAt  time.Time
@@ -67,6 +70,12 @@
 	return g
 }
 
+// Instrument registers the metrics of the gateway. It is called before Start.
+func (g *Gateway) Instrument(meter metric.Meter) (err error) {
+	g.metrics, err = newMetrics(meter, g)
+	return err
+}
+
 // serverLife exceeds the time that coordinators allow, since announcements reach
 // a gateway over them.
 func serverLife(s settings.Gateway) time.Duration {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -20,6 +20,22 @@
 	errCaller  = eris.New("the caller has left")
 )
 
+// causeOf returns the label of the end of an attempt.
+func causeOf(err error) string {
+	var notSent *upstream.NotSentError
+	switch {
+	case errors.Is(err, errSilent):
+		return "silent"
+	case errors.Is(err, errRefused):
+		return "refused"
+	case errors.Is(err, errFailed):
+		return "failure"
+	case errors.As(err, &notSent):
+		return "unreachable"
+	}
+	return "broken_off"
+}
+
 // streaming is the state of one stream over all its attempts.
 type streaming struct {
 	g   *Gateway
@@ -62,6 +78,7 @@
 		if errors.Is(err, errCaller) || !s.mayGoOn() {
 			return s.giveUp(err)
 		}
+		g.metrics.resume(causeOf(err))
 		g.log.Info("stream goes on elsewhere", "request", j.fields.ID, "last_event", s.last, "cause", err.Error(),
 			"engine", s.engine, "tries", s.tries, "copy_at", s.copyAt())
 	}
@@ -375,6 +392,7 @@
 
 // logServed tells how a complete stream went.
 func (s *streaming) logServed() {
+	s.g.metrics.stream(s.pauses)
 	s.g.log.Info("stream served", "request", s.j.fields.ID, "engine", s.engine, "tries", s.tries,
 		"first_event_ms", s.pauses.first.Milliseconds(), "longest_pause_ms", s.pauses.longest.Milliseconds(),
 		"pause_cause", s.pauses.longestCause, "resumed_by_caller", s.j.fields.LastEvent != "",
--- a/pkg/instance/process.go
+++ b/pkg/instance/process.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
+	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
 )
 
 const (
@@ -23,6 +26,10 @@
 	// settingsPoll is the interval at which the settings file is looked at; it
 	// may change without a signal.
 	settingsPoll = 2 * time.Second
+	// logFlush bounds the writing of the last log lines.
+	logFlush = 200 * time.Millisecond
+	// metricsTimeout bounds the headers of a request for metrics.
+	metricsTimeout = 2 * time.Second
 )
 
 // LimitMemory sets the limits of the Go runtime for a process with this many
@@ -34,6 +41,56 @@
 	}
 }
 
+// Main runs body with a bounded log on the standard output and returns its error
+// after the log was written.
+func Main(instance string, body func(log *slog.Logger) error) error {
+	output, log := telemetry.NewBoundedLog(os.Stdout, instance)
+	err := body(log)
+	if err != nil {
+		log.Error("failed", "error", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), logFlush)
+	defer cancel()
+	output.Close(ctx)
+	return err
+}
+
+// MetricsServer serves metrics as a service of the kernel.
+type MetricsServer struct {
+	server *http.Server
+	log    *slog.Logger
+}
+
+// NewMetricsServer returns a server at address that is not started.
+func NewMetricsServer(address string, handler http.Handler, log *slog.Logger) *MetricsServer {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", handler)
+	return &MetricsServer{server: &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: metricsTimeout}, log: log}
+}
+
+// ServiceName implements kernel.Service.
+func (m *MetricsServer) ServiceName() string { return "metrics" }
+
+// Start binds the address. A process without metrics still does its work, so a
+// failure is only logged.
+func (m *MetricsServer) Start(ctx context.Context) error {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", m.server.Addr)
+	if err != nil {
+		m.log.Error("metrics are not served", "address", m.server.Addr, "error", err)
+		return nil
+	}
+	go func() {
+		if err := m.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			m.log.Error("metrics listener failed", "error", err)
+		}
+	}()
+	return nil
+}
+
+// Stop closes the listener.
+func (m *MetricsServer) Stop(context.Context) error { return m.server.Close() }
+
 // Run starts a kernel, calls reload on SIGHUP and when the settings file changed,
 // and stops the kernel gracefully when ctx ends or failed is closed.
 func Run(ctx context.Context, k *kernel.Kernel, file string, reload func(), failed <-chan struct{}, grace time.Duration) error {
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -110,6 +110,14 @@
 // Len returns the number of known servers.
 func (p *Pool) Len() int { return len(p.servers) }
 
+// Inflight returns the requests in flight at all servers.
+func (p *Pool) Inflight() (open int) {
+	for _, s := range p.servers {
+		open += s.Inflight
+	}
+	return open
+}
+
 // Get returns a server, nil if it is unknown.
 func (p *Pool) Get(id string) *Server { return p.servers[id] }
 
--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -19,6 +19,8 @@
 	DataFolder string `json:"data_folder"`
 	// AnnounceMS is the interval of announcements of backend servers, in milliseconds.
 	AnnounceMS int `json:"announce_ms"`
+	// MetricsAddress serves metrics in the Prometheus format; empty means nowhere.
+	MetricsAddress string `json:"metrics_address"`
 	// MemoryMB is the memory that the process may use, in megabytes; 0 means no limit.
 	MemoryMB int `json:"memory_mb"`
 }
@@ -43,6 +45,8 @@
 	RetryRatio   float64 `json:"retry_ratio"`
 	RetrySlack   float64 `json:"retry_slack"`
 	RetryWindowS float64 `json:"retry_window_s"`
+	// MetricsAddress serves metrics in the Prometheus format; empty means nowhere.
+	MetricsAddress string `json:"metrics_address"`
 	// MemoryMB is the memory that the process may use, in megabytes; 0 means no limit.
 	MemoryMB int `json:"memory_mb"`
 }
@@ -81,6 +85,7 @@
 	f.seeds(s.Seeds)
 	f.required("data_folder", s.DataFolder)
 	f.atLeast("announce_ms", int64(s.AnnounceMS), 1)
+	f.optionalAddress("metrics_address", s.MetricsAddress)
 	f.atLeast("memory_mb", int64(s.MemoryMB), 0)
 	return f.faults
 }
@@ -93,6 +98,7 @@
 	f.seeds(s.Seeds)
 	f.atLeast("peer_port", int64(s.PeerPort), 1)
 	f.atLeast("announce_ms", int64(s.AnnounceMS), 1)
+	f.optionalAddress("metrics_address", s.MetricsAddress)
 	f.atLeast("memory_mb", int64(s.MemoryMB), 0)
 	f.positive("grace_s", s.GraceS)
 	f.positive("retry_window_s", s.RetryWindowS)
@@ -111,6 +117,12 @@
 	}
 }
 
+func (f *faultList) optionalAddress(field, value string) {
+	if value != "" {
+		f.address(field, value)
+	}
+}
+
 func (f *faultList) positive(field string, value float64) {
 	if value <= 0 {
 		f.addf("%s: is %g, must be above 0", field, value)
