--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -447,7 +447,7 @@
 	w := &firstEventWatch{cancel: cancel, done: done, s: s, id: engine.ID}
 	go func() {
 		for pause(done, firstEventCheck) {
-			if !s.g.client.Reachable(done, engine.Address) && done.Err() == nil {
+			if s.g.client.Silent(done, engine.Address) && done.Err() == nil {
 				w.gone = true
 				abort()
 				return
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -328,14 +328,16 @@
 	}
 }
 
-// Reachable tells whether a backend server accepts a connection.
-func (c *Client) Reachable(ctx context.Context, address string) bool {
+// Silent tells whether a backend server does not answer a connection attempt at
+// all. One that refuses or resets it is there, and may only be busy.
+func (c *Client) Silent(ctx context.Context, address string) bool {
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
+	if err == nil {
+		_ = raw.Close()
 		return false
 	}
-	_ = raw.Close()
-	return true
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // quiet tells whether an idle connection is open and carries no bytes: bytes
