gpctl: explain shows the path of a request from log files

Change: pkg/explain reads the logs of several processes, collects the lines of one request and what its instances knew beside it, in order of time; refusals and broken streams name the servers that were tried.

--- a/cmd/gpctl/main.go
+++ b/cmd/gpctl/main.go
@@ -38,6 +38,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	for _, c := range []subcommands.Command{
 		&getCommand{}, &diffCommand{}, &applyCommand{}, &validateCommand{}, &auditCommand{}, &statusCommand{}, &hashKeyCommand{},
+		&explainCommand{},
 	} {
 		subcommands.Register(c, "")
 	}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -46,6 +46,7 @@
 	defer c.abandon()
 	best, fault := c.run()
 	if fault != nil {
+		fault.servers = c.tried
 		return fault
 	}
 	return g.deliver(ctx, w, best)
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -37,6 +37,8 @@
 	// reason is logged; refusals tell that the request did not run.
 	reason     string
 	retryAfter time.Duration
+	// servers lists the backend servers that were tried, for logs.
+	servers []string
 }
 
 func refused(reason string, retryAfter time.Duration) *outcome {
@@ -66,8 +68,13 @@
 	if fault == nil || left {
 		return
 	}
+	route, service := "", ""
+	if j != nil {
+		route, service = j.route.Name, j.service.Name
+	}
 	g.log.Info("request not served", "request", g.protocol.ParseRequest(r.Header).ID, "status", fault.status,
-		"reason", fault.reason, "after_ms", time.Since(started).Milliseconds(), "revision", g.Revision())
+		"reason", fault.reason, "route", route, "service", service, "servers", fault.servers,
+		"after_ms", time.Since(started).Milliseconds(), "revision", g.Revision(), "isolated", g.isolated.Load())
 	g.answer(w, fault)
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -76,7 +76,11 @@
 		}
 		s.pauses.cause = err.Error()
 		if errors.Is(err, errCaller) || !s.mayGoOn() {
-			return s.giveUp(err)
+			fault := s.giveUp(err)
+			if fault != nil {
+				fault.servers = append(s.excluded, s.engine)
+			}
+			return fault
 		}
 		g.metrics.resume(causeOf(err))
 		g.log.Info("stream goes on elsewhere", "request", j.fields.ID, "last_event", s.last, "cause", err.Error(),
@@ -102,7 +106,8 @@
 		return nil
 	}
 	if s.begun {
-		s.g.log.Warn("stream broken off", "request", s.j.fields.ID, "last_event", s.last, "cause", err.Error(), "tries", s.tries)
+		s.g.log.Warn("stream broken off", "request", s.j.fields.ID, "last_event", s.last, "cause", err.Error(),
+			"engine", s.engine, "tries", s.tries, "stopping", s.g.stopping.Load())
 		panic(http.ErrAbortHandler)
 	}
 	if s.failure != nil {
