placement: gateways count each other's runs

Change: a run is told to the other gateways when it is sent instead of at its first event, and counts there as running for 7 s and as being read for 1.2 s.

--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -251,11 +251,18 @@
 	}
 }
 
-// Placed implements follow.Sink.
+// Placed implements follow.Sink. Own placements come back and are known already.
 func (g *Gateway) Placed(subject, server string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.memory.Note(subject, server, time.Now())
+	now := time.Now()
+	if g.memory.Engine(subject, now) == server {
+		return
+	}
+	g.memory.Note(subject, server, now)
+	if s, known := g.servers.Lookup(server); known {
+		g.pool(s.Service).PlacedElsewhere(server, now)
+	}
 }
 
 // pool returns the pool of a service; g.mu is held.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -51,9 +51,9 @@
 	// excluded lists the engines that failed or refused this run, newest last.
 	excluded []string
 	copies   copies
-	// engine is the identifier of the last engine tried.
-	engine string
-	tries  int
+	// engine and first are the identifiers of the last and the first engine tried.
+	engine, first string
+	tries         int
 	// ran counts the engines that may have worked on the run.
 	ran    int
 	pauses pauses
@@ -65,7 +65,10 @@
 func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, j *job) *outcome {
 	s := &streaming{g: g, j: j, ctx: ctx, w: w, out: http.NewResponseController(w), last: j.fields.LastEvent}
 	if s.last != "" {
-		g.log.Info("caller goes on with a stream", "request", j.fields.ID, "last_event", s.last)
+		g.mu.Lock()
+		known := g.memory.Engine(j.fields.Subject, j.started)
+		g.mu.Unlock()
+		g.log.Info("caller goes on with a stream", "request", j.fields.ID, "last_event", s.last, "prompt_at", known)
 	}
 	for {
 		err := s.attempt()
@@ -133,6 +136,10 @@
 	s.tries++
 	s.ran++
 	s.engine = engine.ID
+	if s.first == "" {
+		s.first = engine.ID
+	}
+	s.notePlacement(engine)
 	s.reserve(engine, backup, run.Tokens, 1)
 	defer s.reserve(engine, backup, -run.Tokens, -1)
 
@@ -161,7 +168,6 @@
 		return err
 	}
 	s.copies.set(s.backupCopy(backup))
-	s.notePlacement(engine)
 	go s.protect(ctx, engine, run)
 	err = s.pass(ctx, cancel, engine, response, watch)
 	if err == nil {
@@ -173,14 +179,17 @@
 	return err
 }
 
-// notePlacement remembers, here and at the other gateways, which engine has the
-// prompt in its memory.
+// notePlacement remembers, here and at the other gateways, which engine reads the
+// prompt. It comes before the run is sent, so that the others avoid the engine
+// while it reads.
 func (s *streaming) notePlacement(engine *placement.Server) {
 	subject := s.j.fields.Subject
 	if subject == "" || !s.j.route.Resumable {
 		return
 	}
-	s.g.Placed(subject, engine.ID)
+	s.g.mu.Lock()
+	s.g.memory.Note(subject, engine.ID, time.Now())
+	s.g.mu.Unlock()
 	s.g.follow.Place(subject, engine.ID)
 }
 
@@ -400,7 +409,7 @@
 	s.g.metrics.stream(s.pauses)
 	s.g.log.Info("stream served", "request", s.j.fields.ID, "engine", s.engine, "tries", s.tries,
 		"first_event_ms", s.pauses.first.Milliseconds(), "longest_pause_ms", s.pauses.longest.Milliseconds(),
-		"pause_cause", s.pauses.longestCause, "resumed_by_caller", s.j.fields.LastEvent != "",
+		"pause_cause", s.pauses.longestCause, "first_engine", s.first, "resumed_by_caller", s.j.fields.LastEvent != "",
 		"after_ms", time.Since(s.j.started).Milliseconds())
 }
 
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -25,6 +25,12 @@
 	// memoryReserve is the share of an engine's memory that stays free of this
 	// gateway's runs, for those of other gateways and for cached prompts.
 	memoryReserve = 0.1
+	// runLife is how long a run of another gateway is assumed to last, the usual
+	// length of a stream, and readingLife how long its prompt is being read.
+	runLife     = 7 * time.Second
+	readingLife = 1200 * time.Millisecond
+	// maxElsewhere bounds the runs of other gateways that are remembered.
+	maxElsewhere = 64
 	// reportedLife is how long the load that an engine reported is used; engines
 	// tell it with the first event of a run.
 	reportedLife = 2 * time.Second
@@ -50,7 +56,7 @@
 // returns nil if no engine takes work.
 func (p *Pool) Engine(now time.Time, r Run) *Server {
 	if s := p.servers[r.Prefer]; s != nil && s.State == directory.Ready && !now.Before(s.avoidUntil) &&
-		!p.inOutage(s, now) && !slices.Contains(r.Exclude, s.ID) && fits(s, r) {
+		!p.inOutage(s, now) && !slices.Contains(r.Exclude, s.ID) && fits(s, now, r) {
 		return s
 	}
 	return p.cheapest(p.ready(now, r.Exclude), func(s *Server) float64 {
@@ -71,7 +77,7 @@
 	candidates := p.ready(now, r.Exclude)
 	kept := candidates[:0]
 	for _, s := range candidates {
-		if s.DataCentre != r.AwayFrom && !now.Before(s.avoidUntil) && !p.inOutage(s, now) && fits(s, r) {
+		if s.DataCentre != r.AwayFrom && !now.Before(s.avoidUntil) && !p.inOutage(s, now) && fits(s, now, r) {
 			kept = append(kept, s)
 		}
 	}
@@ -84,21 +90,48 @@
 	})
 }
 
-func fits(s *Server, r Run) bool {
-	free := float64(r.Memory)*(1-memoryReserve) - float64(s.Tokens+s.Copies)
+// PlacedElsewhere notes a run that another gateway placed on an engine. It answers
+// bursts in which every gateway would choose the same engine.
+func (p *Pool) PlacedElsewhere(id string, now time.Time) {
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	s.elsewhere = append(s.elsewhere, now)
+	s.elsewhere = slices.Delete(s.elsewhere, 0, max(0, len(s.elsewhere)-maxElsewhere))
+}
+
+// runsElsewhere returns the runs of other gateways on an engine, and how many of
+// them are reading their prompt, as far as is known.
+func (s *Server) runsElsewhere(now time.Time) (running, reading int) {
+	for _, at := range s.elsewhere {
+		if age := now.Sub(at); age < runLife {
+			running++
+			if age < readingLife {
+				reading++
+			}
+		}
+	}
+	return running, reading
+}
+
+func fits(s *Server, now time.Time, r Run) bool {
+	elsewhere, _ := s.runsElsewhere(now)
+	free := float64(r.Memory)*(1-memoryReserve) - float64(s.Tokens+s.Copies+elsewhere*r.Tokens)
 	return r.Memory == 0 || free >= float64(r.Tokens)
 }
 
 func (p *Pool) engineCost(s *Server, now time.Time, r Run) float64 {
-	running := float64(s.Inflight)
+	elsewhere, reading := s.runsElsewhere(now)
+	running := float64(s.Inflight + elsewhere)
 	if now.Sub(s.loadAt) < reportedLife {
 		running = max(running, float64(s.load.Running+s.load.Waiting))
 	}
-	cost := running + readingCost*float64(s.Reading)
+	cost := running + readingCost*float64(s.Reading+reading)
 	if r.Tokens > 0 {
 		cost += copyCost * float64(s.Copies) / float64(r.Tokens)
 	}
-	if !fits(s, r) {
+	if !fits(s, now, r) {
 		cost += fullCost
 	}
 	return cost * (1 + s.failures)
--- a/pkg/placement/engine_test.go
+++ b/pkg/placement/engine_test.go
@@ -26,6 +26,33 @@
 	qt.Assert(t, counts, qt.HasLen, 6)
 }
 
+// Replays a burst at several gateways: without what the others tell, each of them
+// would choose the same engines.
+func TestRunsOfOtherGateways(t *testing.T) {
+	p := newTestPool("here1", "here2")
+	p.PlacedElsewhere("here1", at(0))
+	qt.Assert(t, p.Engine(at(100), run).ID, qt.Equals, "here2")
+	// A prompt that is being read counts more than running streams.
+	for range 3 {
+		p.Began("here2")
+	}
+	qt.Assert(t, p.Engine(at(100), run).ID, qt.Equals, "here2")
+	qt.Assert(t, p.Engine(at(2000), run).ID, qt.Equals, "here1")
+	// Their memory counts as taken.
+	for range 9 {
+		p.PlacedElsewhere("here1", at(2000))
+	}
+	qt.Assert(t, p.Engine(at(6000), run).ID, qt.Equals, "here2")
+	full := run
+	full.Prefer = "here1"
+	qt.Assert(t, p.Engine(at(6000), full).ID, qt.Equals, "here2")
+	qt.Assert(t, p.Engine(at(2000).Add(runLife), full).ID, qt.Equals, "here1")
+	for range 3 * maxElsewhere {
+		p.PlacedElsewhere("here1", at(0))
+	}
+	qt.Assert(t, p.Get("here1").elsewhere, qt.HasLen, maxElsewhere)
+}
+
 // Guards against streams that cross data centres without need.
 func TestEngineIsLocalUnlessBusier(t *testing.T) {
 	p := newTestPool("here1", "there1")
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -63,7 +63,9 @@
 	latency    float64
 	penalty    time.Duration
 	avoidUntil time.Time
-	firstSeen  time.Time
+	// elsewhere are the times at which other gateways placed runs here.
+	elsewhere []time.Time
+	firstSeen time.Time
 	// lastAnswer is when the server showed a sign of life, lostAt when it could
 	// not be reached last.
 	lastAnswer, lostAt time.Time
