gateway: copies of other gateways count, a run without a copy goes on where it was

Their prompts were read again elsewhere although the engine that broke off was there. Change: placements name the engine of the copy; a stream that was broken off and has no copy is tried once more at its engine.

--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -32,8 +32,9 @@
 type Sink interface {
 	Publication(revision uint64, content []byte)
 	Announcements(servers []directory.Server)
-	// Placed tells which engine has the prompt of a run in its memory.
-	Placed(subject, server string)
+	// Placed tells which engine has the prompt of a run in its memory, and which
+	// one receives a copy; backup is empty if none does.
+	Placed(subject, server, backup string)
 	// Revision returns the revision in force here.
 	Revision() uint64
 }
@@ -169,7 +170,7 @@
 		c.sink.Announcements(servers)
 	}
 	for _, p := range event.Placements {
-		c.sink.Placed(p.Subject, p.Server)
+		c.sink.Placed(p.Subject, p.Server, p.Backup)
 	}
 	if len(event.Coordinators) > 0 {
 		c.Add(ctx, event.Coordinators)
@@ -187,9 +188,9 @@
 
 // Place tells the other gateways where the prompt of a run is in memory. It does
 // not wait and may drop placements.
-func (c *Client) Place(subject, server string) {
+func (c *Client) Place(subject, server, backup string) {
 	select {
-	case c.placements <- &wire.Placement{Subject: subject, Server: server}:
+	case c.placements <- &wire.Placement{Subject: subject, Server: server, Backup: backup}:
 	default:
 	}
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -252,7 +252,7 @@
 }
 
 // Placed implements follow.Sink. Own placements come back and are known already.
-func (g *Gateway) Placed(subject, server string) {
+func (g *Gateway) Placed(subject, server, backup string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -261,7 +261,7 @@
 	}
 	g.memory.Note(subject, server, now)
 	if s, known := g.servers.Lookup(server); known {
-		g.pool(s.Service).PlacedElsewhere(server, now)
+		g.pool(s.Service).PlacedElsewhere(server, backup, now)
 	}
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -48,6 +48,11 @@
 	begun bool
 	// last is the identifier of the last event that the caller has.
 	last string
+	// again is an engine that broke off and may still have the prompt, empty if
+	// there is none; it is tried once.
+	again string
+	// broke is the last engine that broke off and was tried again.
+	broke string
 	// excluded lists the engines that failed or refused this run, newest last.
 	excluded []string
 	copies   copies
@@ -139,7 +144,7 @@
 	if s.first == "" {
 		s.first = engine.ID
 	}
-	s.notePlacement(engine)
+	s.notePlacement(engine, backup)
 	s.reserve(engine, backup, run.Tokens, 1)
 	defer s.reserve(engine, backup, -run.Tokens, -1)
 
@@ -182,7 +187,7 @@
 // notePlacement remembers, here and at the other gateways, which engine reads the
 // prompt. It comes before the run is sent, so that the others avoid the engine
 // while it reads.
-func (s *streaming) notePlacement(engine *placement.Server) {
+func (s *streaming) notePlacement(engine, backup *placement.Server) {
 	subject := s.j.fields.Subject
 	if subject == "" || !s.j.route.Resumable {
 		return
@@ -190,7 +195,11 @@
 	s.g.mu.Lock()
 	s.g.memory.Note(subject, engine.ID, time.Now())
 	s.g.mu.Unlock()
-	s.g.follow.Place(subject, engine.ID)
+	copyAt := ""
+	if backup != nil {
+		copyAt = backup.ID
+	}
+	s.g.follow.Place(subject, engine.ID, copyAt)
 }
 
 // choose returns the engine for the next attempt, and the copy of the run's memory
@@ -208,7 +217,10 @@
 		return &c.holder, c
 	}
 	run := s.demand()
-	if s.tries == 0 && s.j.fields.Subject != "" {
+	switch {
+	case s.again != "":
+		run.Prefer, s.again = s.again, ""
+	case s.tries == 0 && s.j.fields.Subject != "":
 		run.Prefer = g.memory.Engine(s.j.fields.Subject, now)
 	}
 	chosen := pool.Engine(now, run)
@@ -363,11 +375,7 @@
 			return s.finish(response)
 		}
 		if err != nil {
-			s.exclude(engine, true)
-			if s.ctx.Err() == nil && ctx.Err() != nil {
-				return errSilent
-			}
-			return eris.Wrap(err, "read an event")
+			return s.broken(ctx, engine, err)
 		}
 		watch.stop()
 		silent.Reset(s.silence())
@@ -380,6 +388,22 @@
 	}
 }
 
+// broken handles an engine that ended a stream early. One that fell silent is
+// passed over; one that broke off may be there and have the prompt, so it is tried
+// again once, unless there is a copy.
+func (s *streaming) broken(ctx context.Context, engine *placement.Server, err error) error {
+	if s.ctx.Err() == nil && ctx.Err() != nil {
+		s.exclude(engine, true)
+		return errSilent
+	}
+	if s.broke == engine.ID {
+		s.exclude(engine, false)
+	} else {
+		s.broke, s.again = engine.ID, engine.ID
+	}
+	return eris.Wrap(err, "read an event")
+}
+
 // silence returns the time without an event after which the engine is given up.
 func (s *streaming) silence() time.Duration {
 	if p := s.j.route.MaxPause; p > 0 {
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -56,7 +56,7 @@
 // returns nil if no engine takes work.
 func (p *Pool) Engine(now time.Time, r Run) *Server {
 	if s := p.servers[r.Prefer]; s != nil && s.State == directory.Ready && !now.Before(s.avoidUntil) &&
-		!p.inOutage(s, now) && !slices.Contains(r.Exclude, s.ID) && fits(s, now, r) {
+		!p.inOutage(s, now) && !slices.Contains(r.Exclude, s.ID) && fitsOwn(s, r) {
 		return s
 	}
 	return p.cheapest(p.ready(now, r.Exclude), func(s *Server) float64 {
@@ -90,46 +90,71 @@
 	})
 }
 
-// PlacedElsewhere notes a run that another gateway placed on an engine. It answers
-// bursts in which every gateway would choose the same engine.
-func (p *Pool) PlacedElsewhere(id string, now time.Time) {
+// elsewhere is a run that another gateway placed on an engine, or its copy.
+type elsewhere struct {
+	at   time.Time
+	copy bool
+}
+
+// PlacedElsewhere notes a run that another gateway placed on an engine, and the
+// engine that receives its copy, if any. It answers bursts in which every gateway
+// would choose the same engines.
+func (p *Pool) PlacedElsewhere(id, backup string, now time.Time) {
+	p.noteElsewhere(id, elsewhere{at: now})
+	p.noteElsewhere(backup, elsewhere{at: now, copy: true})
+}
+
+func (p *Pool) noteElsewhere(id string, e elsewhere) {
 	s := p.servers[id]
 	if s == nil {
 		return
 	}
-	s.elsewhere = append(s.elsewhere, now)
+	s.elsewhere = append(s.elsewhere, e)
 	s.elsewhere = slices.Delete(s.elsewhere, 0, max(0, len(s.elsewhere)-maxElsewhere))
 }
 
-// runsElsewhere returns the runs of other gateways on an engine, and how many of
-// them are reading their prompt, as far as is known.
-func (s *Server) runsElsewhere(now time.Time) (running, reading int) {
-	for _, at := range s.elsewhere {
-		if age := now.Sub(at); age < runLife {
+// othersUse returns the runs of other gateways on an engine, how many of them are
+// reading their prompt, and the copies there, as far as is known.
+func (s *Server) othersUse(now time.Time) (running, reading, copies int) {
+	for _, e := range s.elsewhere {
+		age := now.Sub(e.at)
+		switch {
+		case age >= runLife:
+		case e.copy:
+			copies++
+		default:
 			running++
 			if age < readingLife {
 				reading++
 			}
 		}
 	}
-	return running, reading
+	return running, reading, copies
+}
+
+// fitsOwn tells whether an engine that has the prompt has room beside this
+// gateway's own runs. Runs of other gateways do not count: the one that comes back
+// is among them.
+func fitsOwn(s *Server, r Run) bool {
+	free := float64(r.Memory)*(1-memoryReserve) - float64(s.Tokens+s.Copies)
+	return r.Memory == 0 || free >= float64(r.Tokens)
 }
 
 func fits(s *Server, now time.Time, r Run) bool {
-	elsewhere, _ := s.runsElsewhere(now)
-	free := float64(r.Memory)*(1-memoryReserve) - float64(s.Tokens+s.Copies+elsewhere*r.Tokens)
+	running, _, copies := s.othersUse(now)
+	free := float64(r.Memory)*(1-memoryReserve) - float64(s.Tokens+s.Copies+(running+copies)*r.Tokens)
 	return r.Memory == 0 || free >= float64(r.Tokens)
 }
 
 func (p *Pool) engineCost(s *Server, now time.Time, r Run) float64 {
-	elsewhere, reading := s.runsElsewhere(now)
-	running := float64(s.Inflight + elsewhere)
+	others, reading, copies := s.othersUse(now)
+	running := float64(s.Inflight + others)
 	if now.Sub(s.loadAt) < reportedLife {
 		running = max(running, float64(s.load.Running+s.load.Waiting))
 	}
 	cost := running + readingCost*float64(s.Reading+reading)
 	if r.Tokens > 0 {
-		cost += copyCost * float64(s.Copies) / float64(r.Tokens)
+		cost += copyCost * (float64(s.Copies)/float64(r.Tokens) + float64(copies))
 	}
 	if !fits(s, now, r) {
 		cost += fullCost
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -63,8 +63,8 @@
 	latency    float64
 	penalty    time.Duration
 	avoidUntil time.Time
-	// elsewhere are the times at which other gateways placed runs here.
-	elsewhere []time.Time
+	// elsewhere are the runs that other gateways placed here, copies included.
+	elsewhere []elsewhere
 	firstSeen time.Time
 	// lastAnswer is when the server showed a sign of life, lostAt when it could
 	// not be reached last.
