gateway: requests wait a moment for the first configuration

Ruled out: sending them elsewhere; all gateways were in the same state. Change: a request waits at most 900 ms, and 40% of its caller's patience, for the first configuration of a gateway.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -20,9 +20,10 @@
 func TestAccept(t *testing.T) {
 	f := newFixture(t)
 	app := f.add("app", "a1", "here", ok)
-	got := f.send("POST", "/safe/x", nil)
+	got := f.send("POST", "/safe/x", map[string]string{"X-Patience": "100"})
 	qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
 	qt.Assert(t, got.header.Get("Retry-After"), qt.Equals, "0.5")
+	qt.Assert(t, got.took < 90*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", got.took))
 	f.publish(1, testConfig())
 	for _, tt := range []struct {
 		path, key string
@@ -40,6 +41,21 @@
 	qt.Assert(t, runs[1].Get("X-Key"), qt.Equals, "")
 }
 
+// Replays the start of all processes at once: callers that come before the first
+// configuration are served and not refused.
+func TestCallersWaitForTheFirstConfiguration(t *testing.T) {
+	f := newFixture(t)
+	f.add("app", "a1", "here", ok)
+	time.AfterFunc(200*time.Millisecond, func() { f.publish(1, testConfig()) })
+	var wait sync.WaitGroup
+	for range 5 {
+		wait.Go(func() {
+			qt.Check(t, f.send("POST", "/once/x", map[string]string{"X-Patience": "1500"}).status, qt.Equals, 200)
+		})
+	}
+	wait.Wait()
+}
+
 // Guards against a configuration that an instance takes back.
 func TestPublicationNeverGoesBack(t *testing.T) {
 	f := newFixture(t)
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -89,7 +89,8 @@
 
 // accept reads a request and decides whether the configuration allows it.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, started time.Time) (*job, *outcome) {
-	table := g.table.Load()
+	fields := g.protocol.ParseRequest(r.Header)
+	table := g.awaitTable(r.Context(), fields)
 	if table == nil {
 		return nil, refused("no configuration yet", comeBack)
 	}
@@ -100,7 +101,6 @@
 	if r.ContentLength > limit {
 		return nil, unknown(http.StatusRequestEntityTooLarge, "the body is too large")
 	}
-	fields := g.protocol.ParseRequest(r.Header)
 	body, err := readBody(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -146,6 +146,24 @@
 	return j, nil
 }
 
+// awaitTable returns the configuration in force. A gateway that has just started
+// waits a moment for its first one.
+func (g *Gateway) awaitTable(ctx context.Context, fields RequestFields) *routing.Table {
+	if t := g.table.Load(); t != nil {
+		return t
+	}
+	limit := configWait
+	if fields.Patience > 0 {
+		limit = min(limit, time.Duration(float64(fields.Patience)*configShare))
+	}
+	select {
+	case <-g.configured:
+	case <-time.After(limit):
+	case <-ctx.Done():
+	}
+	return g.table.Load()
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -39,9 +39,11 @@
 	// metrics is nil in a gateway that counts nothing.
 	metrics *metrics
 
-	table    atomic.Pointer[routing.Table]
-	tableAt  time.Time
-	stopping atomic.Bool
+	table   atomic.Pointer[routing.Table]
+	tableAt time.Time
+	// configured is closed when the first configuration is in force.
+	configured chan struct{}
+	stopping   atomic.Bool
 	// isolated tells that callers should go elsewhere, see noteIsolation.
 	isolated atomic.Bool
 
@@ -64,7 +66,7 @@
 		settings: s, protocol: p, client: client, log: log,
 		servers: directory.New(serverLife(s)), pools: map[string]*placement.Pool{},
 		budgets: map[string]*placement.Budget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), configured: make(chan struct{}),
 	}
 	g.follow = follow.NewClient(s.Instance.ID, dialer, g, log)
 	return g
@@ -209,10 +211,12 @@
 		return
 	}
 	config.Revision = revision
-	if g.table.Load() == nil {
+	first := g.table.Load() == nil
+	g.table.Store(table)
+	if first {
 		g.tableAt = time.Now()
+		close(g.configured)
 	}
-	g.table.Store(table)
 	g.log.Info("publication in force", "revision", revision, "routes", len(config.Routes),
 		"services", len(config.Services), "organisations", len(config.Organisations))
 }
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -17,6 +17,12 @@
 	answerBytes = 256 << 10
 	// lastMoment is taken off a limit so that the answer reaches the caller in time.
 	lastMoment = 30 * time.Millisecond
+	// configWait is how long a request waits for the first configuration of a
+	// gateway that has just started, and configShare the largest part of its
+	// caller's patience: after a failure of all processes the configuration is there
+	// within half a second, and a caller that is refused has no other gateway.
+	configWait  = 900 * time.Millisecond
+	configShare = 0.4
 	// noServerWait is how long a request waits for a server to appear.
 	noServerWait = 300 * time.Millisecond
 	// comeBack is the time after which a refused caller should come back: a
