--- a/pkg/coordinator/coordinator_test.go
+++ b/pkg/coordinator/coordinator_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
 // waitLimit bounds waits for the group: several elections.
@@ -299,10 +301,59 @@
 	g.eventually("the next publication", r.holds(func(r *recorder) bool { return r.revision == 2 }))
 	c.Place("part", "engine", "backup")
 	g.eventually("the placement", r.holds(func(r *recorder) bool { return r.placement["part"] == "engine backup" }))
+	g.eventually("the placement at all coordinators", func() bool {
+		for i := 1; i <= 3; i++ {
+			f := g.nodes[i].hub.subscribe()
+			_, kept := f.take()
+			g.nodes[i].hub.unsubscribe(f)
+			if len(kept) == 0 {
+				return false
+			}
+		}
+		return true
+	})
 	late, _ := g.followAt(g.peer(2))
 	g.eventually("the placement at a late gateway", late.holds(func(r *recorder) bool { return r.placement["part"] == "engine backup" }))
 }
 
+// Replays the end of all processes at once: a gateway that starts after it learns
+// the backend servers and where recent prompts are; a torn or old file does no harm.
+func TestSoftStateOutlivesTheProcess(t *testing.T) {
+	folder := t.TempDir()
+	file := filepath.Join(folder, softStateFile)
+	before := newHub(time.Second)
+	before.announce(directory.Server{ID: "s", Service: "p", Address: "a:1", StartedMS: 1, Sequence: 1})
+	before.place([]*wire.Placement{{Subject: "part", Server: "engine", Backup: "backup"}}, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { before.keepState(ctx, folder, slog.New(slog.DiscardHandler)); close(done) }()
+	for limit := time.Now().Add(waitLimit); ; time.Sleep(10 * time.Millisecond) {
+		if _, err := os.Stat(file); err == nil {
+			break
+		}
+		qt.Assert(t, time.Now().Before(limit), qt.IsTrue)
+	}
+	cancel()
+	<-done
+	restored := func(now time.Time) (servers, placements int) {
+		after := newHub(time.Second)
+		_ = after.restore(file, now)
+		s, p := after.subscribe().take()
+		return len(s), len(p)
+	}
+	check := func(now time.Time, wantServers, wantPlacements int) {
+		servers, placements := restored(now)
+		qt.Assert(t, servers, qt.Equals, wantServers)
+		qt.Assert(t, placements, qt.Equals, wantPlacements)
+	}
+	check(time.Now(), 1, 1)
+	check(time.Now().Add(5*time.Second), 0, 1)
+	check(time.Now().Add(time.Minute), 0, 0)
+	check(time.Now().Add(-time.Minute), 0, 0)
+	qt.Assert(t, os.WriteFile(file, []byte("{\"servers\":["), 0o600), qt.IsNil)
+	check(time.Now(), 0, 0)
+}
+
 // Guards against two machines that are promised one slot, and against a slot that
 // is taken from the leader or from a holder that is heard.
 func TestFreeSlot(t *testing.T) {
--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -20,11 +20,14 @@
 	followers map[*follower]bool
 	// recent are the last placements, for gateways that start.
 	recent []recentPlacement
+	// noted counts announcements and placements.
+	noted int
 }
 
+// recentPlacement is a placement and when it came. It is also kept in a file.
 type recentPlacement struct {
-	placement *wire.Placement
-	at        time.Time
+	Placement *wire.Placement `json:"placement"`
+	At        time.Time       `json:"at"`
 }
 
 // follower is the queue of one gateway.
@@ -48,6 +51,7 @@
 	if effect == directory.Stale {
 		return effect
 	}
+	h.noted++
 	current, _ := h.servers.Lookup(s.ID)
 	for f := range h.followers {
 		f.pending[s.ID] = current
@@ -70,8 +74,8 @@
 	}
 	oldest := time.Now().Add(-placement.MemoryLife)
 	for _, r := range h.recent {
-		if r.at.After(oldest) {
-			f.placements = append(f.placements, r.placement)
+		if r.At.After(oldest) {
+			f.placements = append(f.placements, r.Placement)
 		}
 	}
 	h.followers[f] = true
@@ -95,16 +99,20 @@
 // work, so those beyond it are dropped.
 const maxPlacements = 256
 
-// place passes placements on to all gateways and keeps the last ones: callers
-// come back to a gateway that has just started, too.
-func (h *hub) place(placements []*wire.Placement) {
+// place keeps the last placements, since callers come back to a gateway that has
+// just started, too, and passes them on to all gateways if asked.
+func (h *hub) place(placements []*wire.Placement, passOn bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
 	for _, p := range placements {
 		h.recent = append(h.recent, recentPlacement{p, now})
+		h.noted++
 	}
 	h.recent = slices.Delete(h.recent, 0, max(0, len(h.recent)-maxPlacements))
+	if !passOn {
+		return
+	}
 	for f := range h.followers {
 		room := max(0, maxPlacements-len(f.placements))
 		f.placements = append(f.placements, placements[:min(room, len(placements))]...)
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -66,6 +66,7 @@
 	}
 	s.wait.Go(func() { s.group.run(ctx) })
 	s.wait.Go(func() { s.hub.run(ctx) })
+	s.wait.Go(func() { s.hub.keepState(ctx, s.settings.DataFolder, s.log) })
 	s.wait.Go(func() { s.greet(ctx) })
 	return nil
 }
@@ -261,7 +262,7 @@
 
 // Place implements wire.DRPCCoordinatorServer.
 func (r *rpcServer) Place(_ context.Context, request *wire.PlaceRequest) (*wire.PlaceResponse, error) {
-	r.s.hub.place(request.Placements)
+	r.s.hub.place(request.Placements, !request.KeepOnly)
 	return &wire.PlaceResponse{}, nil
 }
 
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -196,6 +196,30 @@
 	return e.Server, true
 }
 
+// Entry is an announcement and when it was heard.
+type Entry struct {
+	Server Server    `json:"server"`
+	Heard  time.Time `json:"heard"`
+}
+
+// Entries returns all announcements, those of ended servers included.
+func (d *Directory) Entries() []Entry {
+	entries := make([]Entry, 0, len(d.entries))
+	for _, e := range d.entries {
+		entries = append(entries, Entry{e.Server, e.heard})
+	}
+	return entries
+}
+
+// Restore takes announcements that another process heard, as far as they count at now.
+func (d *Directory) Restore(entries []Entry, now time.Time) {
+	for _, e := range entries {
+		if age := now.Sub(e.Heard); age >= 0 && age <= d.life {
+			d.Apply(e.Server, e.Heard)
+		}
+	}
+}
+
 // All returns all entries, ended servers included, in no order.
 func (d *Directory) All() []Server {
 	all := make([]Server, 0, len(d.entries))
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -83,3 +83,26 @@
 	_, ok := d.Lookup("b")
 	qt.Assert(t, ok, qt.IsTrue)
 }
+
+// Guards against servers that count longer than they were announced after a
+// restart, and against an ended one that comes back.
+func TestRestore(t *testing.T) {
+	d := New(time.Second)
+	d.Apply(ready("a", "1:1", 10, 1), start)
+	d.Apply(ready("b", "1:2", 10, 1), start)
+	d.Apply(Server{ID: "b", State: Gone}, start)
+	entries := d.Entries()
+	qt.Assert(t, entries, qt.HasLen, 2)
+	restored := New(time.Second)
+	restored.Restore(entries, start.Add(500*time.Millisecond))
+	s, ok := restored.Lookup("a")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, s, qt.Equals, ready("a", "1:1", 10, 1))
+	s, _ = restored.Lookup("b")
+	qt.Assert(t, s.State, qt.Equals, Gone)
+	qt.Assert(t, restored.Expire(start.Add(1500*time.Millisecond)), qt.HasLen, 1)
+	late := New(time.Second)
+	late.Restore(entries, start.Add(2*time.Second))
+	late.Restore(entries, start.Add(-time.Second))
+	qt.Assert(t, late.All(), qt.HasLen, 0)
+}
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -157,9 +158,6 @@
 }
 
 func (c *Client) take(ctx context.Context, event *wire.FollowEvent) {
-	if p := event.Publication; p != nil {
-		c.sink.Publication(p.Revision, p.Content)
-	}
 	if len(event.Announcements) > 0 {
 		servers := make([]directory.Server, 0, len(event.Announcements))
 		for _, a := range event.Announcements {
@@ -175,6 +173,10 @@
 	if len(event.Coordinators) > 0 {
 		c.Add(ctx, event.Coordinators)
 	}
+	// The publication comes last: requests that wait for it need the rest.
+	if p := event.Publication; p != nil {
+		c.sink.Publication(p.Revision, p.Content)
+	}
 }
 
 const (
@@ -184,6 +186,8 @@
 	// placeQueue bounds the placements that wait; those beyond it are dropped.
 	placeQueue = 128
 	placeLimit = 500 * time.Millisecond
+	// maxPlaceCalls bounds the coordinators that get a placement.
+	maxPlaceCalls = 3
 )
 
 // Place tells the other gateways where the prompt of a run is in memory. It does
@@ -217,28 +221,30 @@
 	for len(c.placements) > 0 {
 		request.Placements = append(request.Placements, <-c.placements)
 	}
-	address := c.freshest()
-	if address == "" {
-		return
-	}
-	_, err := rpc.Call(ctx, c.dialer, address, placeLimit,
-		func(ctx context.Context, conn drpc.Conn) (*wire.PlaceResponse, error) {
-			return wire.NewDRPCCoordinatorClient(conn).Place(ctx, request)
-		})
-	if err != nil {
-		c.log.Warn("placements were lost", "coordinator", address, "count", len(request.Placements), "error", err)
+	// One coordinator passes them on, the others keep them for gateways that start.
+	for i, address := range c.freshest() {
+		request.KeepOnly = i > 0
+		_, err := rpc.Call(ctx, c.dialer, address, placeLimit,
+			func(ctx context.Context, conn drpc.Conn) (*wire.PlaceResponse, error) {
+				return wire.NewDRPCCoordinatorClient(conn).Place(ctx, request)
+			})
+		if err != nil {
+			c.log.Warn("placements were lost", "coordinator", address, "count", len(request.Placements), "error", err)
+		}
 	}
 }
 
-// freshest returns the coordinator that was heard of last.
-func (c *Client) freshest() (best string) {
+// freshest returns the coordinators with an open stream, the one that was heard
+// of last first.
+func (c *Client) freshest() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var latest time.Time
+	var open []string
 	for address, s := range c.following {
-		if s.up && s.heard.After(latest) {
-			best, latest = address, s.heard
+		if s.up {
+			open = append(open, address)
 		}
 	}
-	return best
+	slices.SortFunc(open, func(a, b string) int { return c.following[b].heard.Compare(c.following[a].heard) })
+	return open[:min(len(open), maxPlaceCalls)]
 }
