coordinator: members answer the disk that holds a slot, not an old one; smaller files

A member that had not given the slot away itself took its messages and sent its own to the old address from then on, so that the successor heard nothing and the group lost its majority. Change: a member in touch with a leader drops messages of a disk that is neither in the table nor promised the slot; messages that only leaders send are taken, since a member that was away may not know the leader's disk.

--- a/cmd/gp-coordinator/main.go
+++ b/cmd/gp-coordinator/main.go
@@ -7,22 +7,65 @@
 
 import (
 	"context"
-	"flag"
+	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
+	"time"
 
-	"github.com/google/subcommands"
+	"github.com/geraniumpitch/geraniumpitch/pkg/coordinator"
+	"github.com/geraniumpitch/geraniumpitch/pkg/instance"
+	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
+	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
+	"github.com/geraniumpitch/geraniumpitch/platform"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&runCommand{}, "")
-	subcommands.Register(&validateCommand{}, "")
-	subcommands.Register(&defaultsCommand{}, "")
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	os.Exit(int(subcommands.Execute(ctx)))
+	program := instance.Program[settings.Coordinator]{
+		Name: "gp-coordinator", Job: "a coordinator", File: platform.SettingsFile(), Load: settings.LoadCoordinator, Default: settings.DefaultCoordinator,
+		Instance: func(s settings.Coordinator) string { return s.Instance.ID }, Run: run,
+	}
+	os.Exit(program.Main())
+}
+
+// stopLimit bounds a planned stop: open proposals take an election at most.
+const stopLimit = 3 * time.Second
+
+func run(ctx context.Context, file string, s settings.Coordinator, log *slog.Logger) error {
+	instance.LimitMemory(s.MemoryMB)
+	counters := &rpc.Counters{}
+	dialer := rpc.NewDialer(nil, counters)
+	defer dialer.Close()
+	if err := dialer.BindSource(s.PeerAddress); err != nil {
+		return err
+	}
+	c := coordinator.New(s, dialer, rpc.NewServer(nil, counters, log), log)
+	metrics, err := telemetry.New()
+	if err != nil {
+		return err
+	}
+	if err := c.Instrument(metrics.Meter("coordinator")); err != nil {
+		return err
+	}
+	k := kernel.New(log)
+	if s.MetricsAddress != "" {
+		if err := k.Register(instance.NewMetricsServer(s.MetricsAddress, metrics.Handler(), log)); err != nil {
+			return err
+		}
+	}
+	if err := k.Register(c); err != nil {
+		return err
+	}
+	if err := k.Register(coordinator.NewOperators(s.OperatorAddress, platform.Handler(c, log), log)); err != nil {
+		return err
+	}
+	reload := func() {
+		next, err := settings.LoadCoordinator(file)
+		if err != nil {
+			log.Error("the new settings are faulty, the old ones stay in force", "error", err)
+			return
+		}
+		c.AddSeeds(next.PeerSeeds())
+	}
+	return instance.Run(ctx, k, file, reload, nil, stopLimit)
 }
--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -4,14 +4,11 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	mathrand "math/rand/v2"
 	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,28 +21,11 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
-// placeFile keeps the slot of a disk; it is written before the log.
-const placeFile = "place.json"
-
 // place is the slot of a disk and the slots of its group. Slots are named after
 // the peer addresses of the founding members and never change; the machine that
 // holds one may.
-type place struct {
-	Slot  string   `json:"slot"`
-	Slots []string `json:"slots"`
-}
-
 // diskAt returns the disk identity of a log at a peer address.
-func diskAt(disk consensus.DiskID, address string) consensus.DiskID {
-	return disk + "@" + consensus.DiskID(address)
-}
-
 // addressOf returns the peer address in a disk identity.
-func addressOf(disk consensus.DiskID) string {
-	_, address, _ := strings.Cut(string(disk), "@")
-	return address
-}
-
 // group runs this machine's part in the control group: it finds a slot, runs the
 // consensus node in it and starts over when the slot was given to another disk
 // or the log failed.
@@ -238,32 +218,42 @@
 	}
 }
 
-// admit returns the node for a message, nil if it comes from a disk that does
-// not hold its slot: an old holder that returns must not disturb its successor.
+// admit returns the node for a message, nil if it comes from a disk that has lost
+// its slot: an old holder that returns must not disturb its successor.
 func (g *group) admit(m consensus.Message) *control.Node {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.node == nil || string(m.To) != g.place.Slot {
 		return nil
 	}
-	holder := g.node.Status().Members[m.From]
-	promised, ok := g.reserved[string(m.From)]
-	if ok && promised.disk != m.Disk && m.Disk != holder {
-		return nil
-	}
 	now := time.Now()
-	if m.Disk == holder {
-		g.heard[string(m.From)] = now
+	slot, holder := string(m.From), g.node.Status().Members[m.From]
+	promised, ok := g.reserved[slot]
+	ok = ok && now.Before(promised.until)
+	switch {
+	case m.Disk == holder:
+		g.heard[slot] = now
+		if ok && promised.disk != m.Disk {
+			// The successor is catching up; answers go to it.
+			return g.node
+		}
+	case ok && promised.disk == m.Disk:
+		g.reserved[slot] = promise{disk: m.Disk, until: now.Add(reservation)}
+	case !fromLeader(m) && g.node.InTouch():
+		// The table of an instance in touch with the leader is up to date.
+		return nil
 	}
 	g.known[addressOf(m.Disk)] = now
-	if m.Disk == holder && ok && promised.disk != m.Disk && now.Before(promised.until) {
-		// Both the holder and the successor are there; answers go to the successor.
-		return g.node
-	}
 	g.carrier.route(m.From, addressOf(m.Disk))
 	return g.node
 }
 
+// fromLeader tells whether only a leader sends a message. One with a disk that
+// this instance does not know yet was replaced while this instance was away.
+func fromLeader(m consensus.Message) bool {
+	return m.Kind == consensus.Append || m.Kind == consensus.Heartbeat || m.Kind == consensus.Install
+}
+
 // join answers a machine that asks for a slot, or whether it still has one.
 func (g *group) join(r *wire.JoinRequest) *wire.JoinResponse {
 	g.mu.Lock()
@@ -412,66 +402,9 @@
 	return slices.Compact(addresses)
 }
 
-func readPlace(folder string) (place, error) {
-	var p place
-	data, err := os.ReadFile(filepath.Join(folder, placeFile))
-	if errors.Is(err, os.ErrNotExist) {
-		return p, nil
-	}
-	if err != nil {
-		return p, eris.Wrap(err, "read the slot")
-	}
-	if json.Unmarshal(data, &p) != nil {
-		// A torn file was never synced, so no log followed it.
-		return place{}, nil
-	}
-	return p, nil
-}
-
 // writePlace makes the slot durable.
-func writePlace(folder string, p place) error {
-	data, err := json.Marshal(p)
-	if err != nil {
-		return eris.Wrap(err, "encode the slot")
-	}
-	f, err := os.Create(filepath.Join(folder, placeFile))
-	if err != nil {
-		return eris.Wrap(err, "create the slot file")
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	err = errors.Join(err, f.Close())
-	if err != nil {
-		return eris.Wrap(err, "write the slot")
-	}
-	d, err := os.Open(folder)
-	if err != nil {
-		return eris.Wrap(err, "open the data folder")
-	}
-	return eris.Wrap(errors.Join(d.Sync(), d.Close()), "sync the data folder")
-}
-
 // emptyFolder removes what a former slot left, the slot file first: without it
 // the rest is not used.
-func emptyFolder(folder string) error {
-	err := os.Remove(filepath.Join(folder, placeFile))
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return eris.Wrap(err, "remove the slot")
-	}
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return eris.Wrap(err, "list the data folder")
-	}
-	for _, e := range entries {
-		if err := os.RemoveAll(filepath.Join(folder, e.Name())); err != nil {
-			return eris.Wrap(err, "empty the data folder")
-		}
-	}
-	return nil
-}
-
 // sleep waits and reports whether ctx is still open.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -187,119 +187,12 @@
 // notePlacement remembers, here and at the other gateways, which engine reads the
 // prompt. It comes before the run is sent, so that the others avoid the engine
 // while it reads.
-func (s *streaming) notePlacement(engine, backup *placement.Server) {
-	subject := s.j.fields.Subject
-	if subject == "" || !s.j.route.Resumable {
-		return
-	}
-	s.g.mu.Lock()
-	s.g.memory.Note(subject, engine.ID, time.Now())
-	s.g.mu.Unlock()
-	copyAt := ""
-	if backup != nil {
-		copyAt = backup.ID
-	}
-	s.g.follow.Place(subject, engine.ID, copyAt)
-}
-
 // choose returns the engine for the next attempt, and the copy of the run's memory
 // that it may have.
-func (s *streaming) choose() (*placement.Server, *runCopy) {
-	now := time.Now()
-	g := s.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	pool := g.pool(s.j.service.Name)
-	if s.tries == 0 {
-		g.budget(s.j.service.Name).Request(now)
-	}
-	if c := s.copies.take(); c != nil && g.holderLives(s.j.service.Name, c) {
-		return &c.holder, c
-	}
-	run := s.demand()
-	switch {
-	case s.again != "":
-		run.Prefer, s.again = s.again, ""
-	case s.tries == 0 && s.j.fields.Subject != "":
-		run.Prefer = g.memory.Engine(s.j.fields.Subject, now)
-	}
-	chosen := pool.Engine(now, run)
-	if chosen == nil && len(s.excluded) > 0 {
-		// All engines failed this run once; the one that failed first may be back.
-		s.excluded = s.excluded[1:]
-		chosen = pool.Engine(now, s.demand())
-	}
-	if chosen == nil {
-		return nil, nil
-	}
-	engine := *chosen
-	return &engine, nil
-}
-
 // copyAt returns the identifier of the engine that may have a copy, for logs.
-func (s *streaming) copyAt() string {
-	if c := s.copies.get(); c != nil {
-		return c.holder.ID
-	}
-	return ""
-}
-
 // demand describes what the run needs.
-func (s *streaming) demand() placement.Run {
-	run := placement.Run{Tokens: s.j.fields.PromptTokens + s.j.fields.OutputTokens, Exclude: s.excluded}
-	if e := s.j.service.Engine; e != nil {
-		run.Memory = e.MemoryTokens
-	}
-	return run
-}
-
-func (s *streaming) chooseBackup(engine *placement.Server, run placement.Run) *placement.Server {
-	if e := s.j.service.Engine; e == nil || !e.Backups || !s.j.route.Resumable {
-		return nil
-	}
-	run.Exclude = append([]string{engine.ID}, run.Exclude...)
-	run.AwayFrom = engine.DataCentre
-	s.g.mu.Lock()
-	defer s.g.mu.Unlock()
-	chosen := s.g.pool(s.j.service.Name).Backup(time.Now(), run)
-	if chosen == nil {
-		return nil
-	}
-	backup := *chosen
-	return &backup
-}
-
 // reserve notes or gives back what an attempt uses.
-func (s *streaming) reserve(engine, backup *placement.Server, tokens, reading int) {
-	s.g.mu.Lock()
-	defer s.g.mu.Unlock()
-	pool := s.g.pool(s.j.service.Name)
-	if reading > 0 {
-		pool.Began(engine.ID)
-		pool.Reserve(engine.ID, tokens, 0, reading)
-	} else {
-		pool.Ended(engine.ID)
-		pool.Reserve(engine.ID, tokens, 0, 0)
-	}
-	if backup != nil {
-		pool.Reserve(backup.ID, 0, tokens, 0)
-	}
-}
-
 // pauseForEngine waits until an engine may have appeared.
-func (s *streaming) pauseForEngine() error {
-	s.g.mu.Lock()
-	changed := s.g.changed
-	s.g.mu.Unlock()
-	s.tries++
-	select {
-	case <-changed:
-	case <-time.After(noServerWait):
-	case <-s.ctx.Done():
-	}
-	return nil
-}
-
 // lost handles an attempt without an answer. The engine may have read a part of
 // the prompt and copied it to the backup.
 func (s *streaming) lost(engine, backup *placement.Server, watch *firstEventWatch, err error) error {
@@ -320,16 +213,6 @@
 }
 
 // exclude passes an engine over for this run, and for all if it seems to be down.
-func (s *streaming) exclude(engine *placement.Server, down bool) {
-	s.excluded = append(s.excluded, engine.ID)
-	s.g.mu.Lock()
-	defer s.g.mu.Unlock()
-	pool := s.g.pool(s.j.service.Name)
-	if down {
-		pool.Unreachable(engine.ID, time.Now())
-	}
-}
-
 // checkHead decides on the head of an answer.
 func (s *streaming) checkHead(engine *placement.Server, response *upstream.Response) error {
 	fields := s.g.noteAnswer(s.j, engine.ID, response)
@@ -405,13 +288,6 @@
 }
 
 // silence returns the time without an event after which the engine is given up.
-func (s *streaming) silence() time.Duration {
-	if p := s.j.route.MaxPause; p > 0 {
-		return min(eventSilence, time.Duration(float64(p)*silenceShare))
-	}
-	return eventSilence
-}
-
 // send passes one event to the caller.
 func (s *streaming) send(response *upstream.Response, e event) error {
 	s.begin(response)
@@ -429,31 +305,7 @@
 }
 
 // logServed tells how a complete stream went.
-func (s *streaming) logServed() {
-	s.g.metrics.stream(s.pauses)
-	s.g.log.Info("stream served", "request", s.j.fields.ID, "engine", s.engine, "tries", s.tries,
-		"first_event_ms", s.pauses.first.Milliseconds(), "longest_pause_ms", s.pauses.longest.Milliseconds(),
-		"pause_cause", s.pauses.longestCause, "first_engine", s.first, "resumed_by_caller", s.j.fields.LastEvent != "",
-		"after_ms", time.Since(s.j.started).Milliseconds())
-}
-
 // pauses measures the time between the events of a stream.
-type pauses struct {
-	last           time.Time
-	first, longest time.Duration
-	// cause is why the last attempt ended, longestCause that of the longest pause.
-	cause, longestCause string
-}
-
-func (p *pauses) note(now, started time.Time) {
-	if p.last.IsZero() {
-		p.first = now.Sub(started)
-	} else if d := now.Sub(p.last); d > p.longest {
-		p.longest, p.longestCause = d, p.cause
-	}
-	p.last, p.cause = now, ""
-}
-
 // begin sends the head of the first engine's answer.
 func (s *streaming) begin(response *upstream.Response) {
 	if s.begun {
@@ -472,42 +324,5 @@
 
 // firstEventWatch checks an engine that has sent no event yet: it may be reading
 // the prompt, or be gone without a sign.
-type firstEventWatch struct {
-	cancel context.CancelFunc
-	done   context.Context
-	gone   bool
-	s      *streaming
-	id     string
-}
-
-func (s *streaming) watchFirstEvent(ctx context.Context, abort context.CancelFunc, engine *placement.Server) *firstEventWatch {
-	done, cancel := context.WithCancel(ctx)
-	w := &firstEventWatch{cancel: cancel, done: done, s: s, id: engine.ID}
-	go func() {
-		for pause(done, firstEventCheck) {
-			if s.g.client.Silent(done, engine.Address) && done.Err() == nil {
-				w.gone = true
-				abort()
-				return
-			}
-		}
-	}()
-	return w
-}
-
 // stop ends the checks: the prompt was read.
-func (w *firstEventWatch) stop() {
-	if w.done.Err() != nil && w.id == "" {
-		return
-	}
-	w.cancel()
-	if w.id != "" {
-		w.s.g.mu.Lock()
-		w.s.g.pool(w.s.j.service.Name).Reserve(w.id, 0, 0, -1)
-		w.s.g.mu.Unlock()
-		w.id = ""
-	}
-}
-
 // fired tells whether the engine was found to be gone.
-func (w *firstEventWatch) fired() bool { return w.done.Err() != nil && w.gone }
--- /dev/null
+++ b/pkg/gateway/streamplan.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+)
+
+func (s *streaming) notePlacement(engine, backup *placement.Server) {
+	subject := s.j.fields.Subject
+	if subject == "" || !s.j.route.Resumable {
+		return
+	}
+	s.g.mu.Lock()
+	s.g.memory.Note(subject, engine.ID, time.Now())
+	s.g.mu.Unlock()
+	copyAt := ""
+	if backup != nil {
+		copyAt = backup.ID
+	}
+	s.g.follow.Place(subject, engine.ID, copyAt)
+}
+
+func (s *streaming) choose() (*placement.Server, *runCopy) {
+	now := time.Now()
+	g := s.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	pool := g.pool(s.j.service.Name)
+	if s.tries == 0 {
+		g.budget(s.j.service.Name).Request(now)
+	}
+	if c := s.copies.take(); c != nil && g.holderLives(s.j.service.Name, c) {
+		return &c.holder, c
+	}
+	run := s.demand()
+	switch {
+	case s.again != "":
+		run.Prefer, s.again = s.again, ""
+	case s.tries == 0 && s.j.fields.Subject != "":
+		run.Prefer = g.memory.Engine(s.j.fields.Subject, now)
+	}
+	chosen := pool.Engine(now, run)
+	if chosen == nil && len(s.excluded) > 0 {
+		// All engines failed this run once; the one that failed first may be back.
+		s.excluded = s.excluded[1:]
+		chosen = pool.Engine(now, s.demand())
+	}
+	if chosen == nil {
+		return nil, nil
+	}
+	engine := *chosen
+	return &engine, nil
+}
+
+func (s *streaming) copyAt() string {
+	if c := s.copies.get(); c != nil {
+		return c.holder.ID
+	}
+	return ""
+}
+
+func (s *streaming) demand() placement.Run {
+	run := placement.Run{Tokens: s.j.fields.PromptTokens + s.j.fields.OutputTokens, Exclude: s.excluded}
+	if e := s.j.service.Engine; e != nil {
+		run.Memory = e.MemoryTokens
+	}
+	return run
+}
+
+func (s *streaming) chooseBackup(engine *placement.Server, run placement.Run) *placement.Server {
+	if e := s.j.service.Engine; e == nil || !e.Backups || !s.j.route.Resumable {
+		return nil
+	}
+	run.Exclude = append([]string{engine.ID}, run.Exclude...)
+	run.AwayFrom = engine.DataCentre
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	chosen := s.g.pool(s.j.service.Name).Backup(time.Now(), run)
+	if chosen == nil {
+		return nil
+	}
+	backup := *chosen
+	return &backup
+}
+
+func (s *streaming) reserve(engine, backup *placement.Server, tokens, reading int) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	pool := s.g.pool(s.j.service.Name)
+	if reading > 0 {
+		pool.Began(engine.ID)
+		pool.Reserve(engine.ID, tokens, 0, reading)
+	} else {
+		pool.Ended(engine.ID)
+		pool.Reserve(engine.ID, tokens, 0, 0)
+	}
+	if backup != nil {
+		pool.Reserve(backup.ID, 0, tokens, 0)
+	}
+}
+
+func (s *streaming) pauseForEngine() error {
+	s.g.mu.Lock()
+	changed := s.g.changed
+	s.g.mu.Unlock()
+	s.tries++
+	select {
+	case <-changed:
+	case <-time.After(noServerWait):
+	case <-s.ctx.Done():
+	}
+	return nil
+}
+
+func (s *streaming) exclude(engine *placement.Server, down bool) {
+	s.excluded = append(s.excluded, engine.ID)
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	pool := s.g.pool(s.j.service.Name)
+	if down {
+		pool.Unreachable(engine.ID, time.Now())
+	}
+}
--- a/pkg/instance/process.go
+++ b/pkg/instance/process.go
@@ -41,9 +41,9 @@
 	}
 }
 
-// Main runs body with a bounded log on the standard output and returns its error
-// after the log was written.
-func Main(instance string, body func(log *slog.Logger) error) error {
+// runLogged runs body with a bounded log on the standard output and returns its
+// error after the log was written.
+func runLogged(instance string, body func(log *slog.Logger) error) error {
 	output, log := telemetry.NewBoundedLog(os.Stdout, instance)
 	err := body(log)
 	if err != nil {
--- /dev/null
+++ b/pkg/instance/program.go
@@ -0,0 +1,108 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+// Program is a process that is described by a settings file of type T.
+type Program[T any] struct {
+	// Name is the name of the binary, Job what it runs, such as "a gateway".
+	Name, Job string
+	// File is the settings file that is used if none is named.
+	File string
+	// Load reads and checks a settings file, Default returns the defaults.
+	Load    func(file string) (T, error)
+	Default func() T
+	// Instance returns the name of the instance for its logs.
+	Instance func(T) string
+	// Run runs the process until ctx ends.
+	Run func(ctx context.Context, file string, settings T, log *slog.Logger) error
+}
+
+// Main runs the command of the arguments and returns the exit status: 0 after a
+// planned stop, 1 after a failure, 2 for faulty arguments or settings.
+func (p Program[T]) Main() int {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&command{
+		name: "run", synopsis: "run " + p.Job, file: &p.File,
+		usage: fmt.Sprintf("run [-settings FILE]: run %s until SIGTERM\n\nExample: %s run -settings settings.json\n", p.Job, p.Name),
+		run:   p.run,
+	}, "")
+	subcommands.Register(&command{
+		name: "validate", synopsis: "check a settings file", file: &p.File,
+		usage: "validate [-settings FILE]: check a settings file and report all faults\n", run: p.validate,
+	}, "")
+	subcommands.Register(&command{
+		name: "defaults", synopsis: "print the default settings", usage: "defaults: print the default settings\n", run: p.defaults,
+	}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return int(subcommands.Execute(ctx))
+}
+
+func (p *Program[T]) run(ctx context.Context) subcommands.ExitStatus {
+	s, err := p.Load(p.File)
+	if err != nil {
+		return p.usage(err)
+	}
+	if runLogged(p.Instance(s), func(log *slog.Logger) error { return p.Run(ctx, p.File, s, log) }) != nil {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (p *Program[T]) validate(context.Context) subcommands.ExitStatus {
+	if _, err := p.Load(p.File); err != nil {
+		return p.usage(err)
+	}
+	fmt.Println(p.File, "is valid")
+	return subcommands.ExitSuccess
+}
+
+func (p *Program[T]) defaults(context.Context) subcommands.ExitStatus {
+	out, err := json.MarshalIndent(p.Default(), "", "  ")
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Println(string(out))
+	return subcommands.ExitSuccess
+}
+
+func (p *Program[T]) usage(err error) subcommands.ExitStatus {
+	fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+	return subcommands.ExitUsageError
+}
+
+// command is one subcommand of a program.
+type command struct {
+	name, synopsis, usage string
+	// file is set by -settings; nil if the command takes no settings.
+	file *string
+	run  func(context.Context) subcommands.ExitStatus
+}
+
+func (c *command) Name() string     { return c.name }
+func (c *command) Synopsis() string { return c.synopsis }
+func (c *command) Usage() string    { return c.usage }
+
+func (c *command) SetFlags(f *flag.FlagSet) {
+	if c.file != nil {
+		f.StringVar(c.file, "settings", *c.file, "settings file")
+	}
+}
+
+func (c *command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.run(ctx)
+}
