--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -21,11 +21,6 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
-// place is the slot of a disk and the slots of its group. Slots are named after
-// the peer addresses of the founding members and never change; the machine that
-// holds one may.
-// diskAt returns the disk identity of a log at a peer address.
-// addressOf returns the peer address in a disk identity.
 // group runs this machine's part in the control group: it finds a slot, runs the
 // consensus node in it and starts over when the slot was given to another disk
 // or the log failed.
@@ -402,9 +397,6 @@
 	return slices.Compact(addresses)
 }
 
-// writePlace makes the slot durable.
-// emptyFolder removes what a former slot left, the slot file first: without it
-// the rest is not used.
 // sleep waits and reports whether ctx is still open.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- a/pkg/coordinator/place.go
+++ b/pkg/coordinator/place.go
@@ -15,15 +15,20 @@
 // placeFile keeps the slot of a disk; it is written before the log.
 const placeFile = "place.json"
 
+// place is the slot of a disk and the slots of its group. Slots are named after
+// the peer addresses of the founding members and never change; the machine that
+// holds one may.
 type place struct {
 	Slot  string   `json:"slot"`
 	Slots []string `json:"slots"`
 }
 
+// diskAt returns the disk identity of a log at a peer address.
 func diskAt(disk consensus.DiskID, address string) consensus.DiskID {
 	return disk + "@" + consensus.DiskID(address)
 }
 
+// addressOf returns the peer address in a disk identity.
 func addressOf(disk consensus.DiskID) string {
 	_, address, _ := strings.Cut(string(disk), "@")
 	return address
@@ -45,6 +50,7 @@
 	return p, nil
 }
 
+// writePlace makes the slot durable.
 func writePlace(folder string, p place) error {
 	data, err := json.Marshal(p)
 	if err != nil {
@@ -69,6 +75,8 @@
 	return eris.Wrap(errors.Join(d.Sync(), d.Close()), "sync the data folder")
 }
 
+// emptyFolder removes what a former slot left, the slot file first: without it
+// the rest is not used.
 func emptyFolder(folder string) error {
 	err := os.Remove(filepath.Join(folder, placeFile))
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -184,15 +184,6 @@
 	return err
 }
 
-// notePlacement remembers, here and at the other gateways, which engine reads the
-// prompt. It comes before the run is sent, so that the others avoid the engine
-// while it reads.
-// choose returns the engine for the next attempt, and the copy of the run's memory
-// that it may have.
-// copyAt returns the identifier of the engine that may have a copy, for logs.
-// demand describes what the run needs.
-// reserve notes or gives back what an attempt uses.
-// pauseForEngine waits until an engine may have appeared.
 // lost handles an attempt without an answer. The engine may have read a part of
 // the prompt and copied it to the backup.
 func (s *streaming) lost(engine, backup *placement.Server, watch *firstEventWatch, err error) error {
@@ -212,7 +203,6 @@
 	return err
 }
 
-// exclude passes an engine over for this run, and for all if it seems to be down.
 // checkHead decides on the head of an answer.
 func (s *streaming) checkHead(engine *placement.Server, response *upstream.Response) error {
 	fields := s.g.noteAnswer(s.j, engine.ID, response)
@@ -287,7 +277,6 @@
 	return eris.Wrap(err, "read an event")
 }
 
-// silence returns the time without an event after which the engine is given up.
 // send passes one event to the caller.
 func (s *streaming) send(response *upstream.Response, e event) error {
 	s.begin(response)
@@ -304,8 +293,6 @@
 	return nil
 }
 
-// logServed tells how a complete stream went.
-// pauses measures the time between the events of a stream.
 // begin sends the head of the first engine's answer.
 func (s *streaming) begin(response *upstream.Response) {
 	if s.begun {
@@ -321,8 +308,3 @@
 	s.begin(response)
 	return nil
 }
-
-// firstEventWatch checks an engine that has sent no event yet: it may be reading
-// the prompt, or be gone without a sign.
-// stop ends the checks: the prompt was read.
-// fired tells whether the engine was found to be gone.
--- a/pkg/gateway/streamplan.go
+++ b/pkg/gateway/streamplan.go
@@ -6,6 +6,9 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 )
 
+// notePlacement remembers, here and at the other gateways, which engine reads the
+// prompt. It comes before the run is sent, so that the others avoid the engine
+// while it reads.
 func (s *streaming) notePlacement(engine, backup *placement.Server) {
 	subject := s.j.fields.Subject
 	if subject == "" || !s.j.route.Resumable {
@@ -21,6 +24,8 @@
 	s.g.follow.Place(subject, engine.ID, copyAt)
 }
 
+// choose returns the engine for the next attempt, and the copy of the run's memory
+// that it may have.
 func (s *streaming) choose() (*placement.Server, *runCopy) {
 	now := time.Now()
 	g := s.g
@@ -53,6 +58,7 @@
 	return &engine, nil
 }
 
+// copyAt returns the identifier of the engine that may have a copy, for logs.
 func (s *streaming) copyAt() string {
 	if c := s.copies.get(); c != nil {
 		return c.holder.ID
@@ -60,6 +66,7 @@
 	return ""
 }
 
+// demand describes what the run needs.
 func (s *streaming) demand() placement.Run {
 	run := placement.Run{Tokens: s.j.fields.PromptTokens + s.j.fields.OutputTokens, Exclude: s.excluded}
 	if e := s.j.service.Engine; e != nil {
@@ -68,6 +75,7 @@
 	return run
 }
 
+// chooseBackup returns the engine that keeps a copy of the run, nil if there is none.
 func (s *streaming) chooseBackup(engine *placement.Server, run placement.Run) *placement.Server {
 	if e := s.j.service.Engine; e == nil || !e.Backups || !s.j.route.Resumable {
 		return nil
@@ -84,6 +92,7 @@
 	return &backup
 }
 
+// reserve notes or gives back what an attempt uses.
 func (s *streaming) reserve(engine, backup *placement.Server, tokens, reading int) {
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
@@ -100,6 +109,7 @@
 	}
 }
 
+// pauseForEngine waits until an engine may have appeared.
 func (s *streaming) pauseForEngine() error {
 	s.g.mu.Lock()
 	changed := s.g.changed
@@ -113,6 +123,7 @@
 	return nil
 }
 
+// exclude passes an engine over for this run, and for all if it seems to be down.
 func (s *streaming) exclude(engine *placement.Server, down bool) {
 	s.excluded = append(s.excluded, engine.ID)
 	s.g.mu.Lock()
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -7,6 +7,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 )
 
+// silence returns the time without an event after which the engine is given up.
 func (s *streaming) silence() time.Duration {
 	if p := s.j.route.MaxPause; p > 0 {
 		return min(eventSilence, time.Duration(float64(p)*silenceShare))
@@ -14,6 +15,7 @@
 	return eventSilence
 }
 
+// logServed tells how a complete stream went.
 func (s *streaming) logServed() {
 	s.g.metrics.stream(s.pauses)
 	s.g.log.Info("stream served", "request", s.j.fields.ID, "engine", s.engine, "tries", s.tries,
@@ -22,6 +24,7 @@
 		"after_ms", time.Since(s.j.started).Milliseconds())
 }
 
+// pauses measures the time between the events of a stream.
 type pauses struct {
 	last           time.Time
 	first, longest time.Duration
@@ -38,6 +41,8 @@
 	p.last, p.cause = now, ""
 }
 
+// firstEventWatch checks an engine that has sent no event yet: it may be reading
+// the prompt, or be gone without a sign.
 type firstEventWatch struct {
 	cancel context.CancelFunc
 	done   context.Context
@@ -46,6 +51,8 @@
 	id     string
 }
 
+// watchFirstEvent checks an engine until its first event and calls abort when it
+// is gone.
 func (s *streaming) watchFirstEvent(ctx context.Context, abort context.CancelFunc, engine *placement.Server) *firstEventWatch {
 	done, cancel := context.WithCancel(ctx)
 	w := &firstEventWatch{cancel: cancel, done: done, s: s, id: engine.ID}
@@ -61,6 +68,7 @@
 	return w
 }
 
+// stop ends the checks: the prompt was read.
 func (w *firstEventWatch) stop() {
 	if w.done.Err() != nil && w.id == "" {
 		return
@@ -74,4 +82,5 @@
 	}
 }
 
+// fired tells whether the engine was found to be gone.
 func (w *firstEventWatch) fired() bool { return w.done.Err() != nil && w.gone }
