gateway: runs leave engines that read prompts; coordinators exchange announcements

Cause: (1) an engine that reads a prompt passes events every 230 ms instead of every 30 ms, so streams took 8 to 13 s in bursts instead of 5 s, and more of them were under way when engines, gateways or all machines failed. (2) After all processes were killed, the first coordinator to answer knew only the backend servers that announce themselves to it, so callers who came back were sent away from the engines with their prompts, and gateways waited 130 to 190 ms for an election before they had a configuration.

Change: Pool.Relocate decides before a run is sent and at its first event whether it moves; the engine stops it and copies its memory. Coordinators follow each other's announcements. A gateway that starts without a leader takes the newest publication of a majority of the logs.

--- a/pkg/control/publication.go
+++ b/pkg/control/publication.go
@@ -48,6 +48,24 @@
 	return result
 }
 
+// StoredPublication returns the newest publication in a stored log, committed or
+// not. The newest one of a majority of logs is at least as new as every accepted one.
+func StoredPublication(stored consensus.Stored) (Publication, error) {
+	state, err := decodeState(stored.Snapshot.Data)
+	if err != nil {
+		return Publication{}, err
+	}
+	newest := state.publication
+	for _, e := range stored.Entries {
+		var c command
+		// Entries that are no commands belong to the group itself.
+		if json.Unmarshal(e.Data, &c) == nil && c.Publication != nil && c.Publication.Revision > newest.Revision {
+			newest = *c.Publication
+		}
+	}
+	return newest, nil
+}
+
 // Publish submits a publication to this instance alone. The outcome is Accepted
 // once a publication with this or a higher revision is in force on a quorum of
 // disks, and Unavailable when this instance is not the leader.
--- a/pkg/control/publication_test.go
+++ b/pkg/control/publication_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
 )
 
 func publish(t *testing.T, s *State, revision uint64, content string) Result {
@@ -50,3 +52,32 @@
 	publish(t, restored, 6, "six")
 	qt.Assert(t, restored.publication.Revision, qt.Equals, uint64(7))
 }
+
+// Guards against an accepted publication that is not found in the log after a
+// restart, and against entries that are no publications.
+func TestStoredPublication(t *testing.T) {
+	s := NewState()
+	publish(t, s, 7, "seven")
+	snapshot, err := s.encode()
+	qt.Assert(t, err, qt.IsNil)
+	entry := func(revision uint64) consensus.Entry {
+		data, err := json.Marshal(command{Publication: &Publication{Revision: revision, Content: []byte("x")}})
+		qt.Assert(t, err, qt.IsNil)
+		return consensus.Entry{Data: data}
+	}
+	for _, tt := range []struct {
+		stored consensus.Stored
+		want   uint64
+	}{
+		{consensus.Stored{}, 0},
+		{consensus.Stored{Snapshot: consensus.Snapshot{Data: snapshot}}, 7},
+		{consensus.Stored{Snapshot: consensus.Snapshot{Data: snapshot}, Entries: []consensus.Entry{entry(5)}}, 7},
+		{consensus.Stored{Entries: []consensus.Entry{{Data: []byte("table")}, entry(9), entry(8), {}}}, 9},
+	} {
+		got, err := StoredPublication(tt.stored)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got.Revision, qt.Equals, tt.want)
+	}
+	_, err = StoredPublication(consensus.Stored{Snapshot: consensus.Snapshot{Data: []byte("{")}})
+	qt.Assert(t, err, qt.IsNotNil)
+}
--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -34,6 +34,8 @@
 	node  *control.Node
 	place place
 	disk  consensus.DiskID
+	// stored is the newest publication that the log had when the node started.
+	stored control.Publication
 	// heard is when a slot's disk sent a message last.
 	heard map[string]time.Time
 	// reserved slots were promised to a disk until a time.
@@ -62,6 +64,21 @@
 	return g.node
 }
 
+// unconfirmed returns the newest publication in the log of a member that knows no
+// leader, and the number of slots; it is false otherwise.
+func (g *group) unconfirmed() (p control.Publication, slots int, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.node == nil || g.node.InTouch() {
+		return control.Publication{}, 0, false
+	}
+	p = g.stored
+	if applied := g.node.Publication(); applied.Revision > p.Revision {
+		p = applied
+	}
+	return p, len(g.place.Slots), p.Revision > 0
+}
+
 // run takes part in the group until ctx ends.
 func (g *group) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -89,6 +106,10 @@
 		return err
 	}
 	disk = diskAt(disk, g.settings.PeerAddress)
+	newest, err := control.StoredPublication(stored)
+	if err != nil {
+		return errors.Join(err, store.Close())
+	}
 	node, err := control.NewNode(control.NodeParts{
 		Config: nodeConfig(p, disk), Stored: stored, Store: store, Send: g.carrier.send,
 		Folder: g.settings.DataFolder, Tick: tick, CompactAfter: compactAfter, Log: g.log,
@@ -97,7 +118,7 @@
 		return errors.Join(err, store.Close())
 	}
 	g.mu.Lock()
-	g.node, g.place, g.disk, g.since = node, p, disk, time.Now()
+	g.node, g.place, g.disk, g.stored, g.since = node, p, disk, newest, time.Now()
 	g.mu.Unlock()
 	g.log.Info("takes part in the control group", "slot", p.Slot, "disk", disk, "stored_entries", len(stored.Entries),
 		"stored_snapshot", stored.Snapshot.Index)
--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -32,7 +32,9 @@
 
 // follower is the queue of one gateway.
 type follower struct {
-	hub     *hub
+	hub *hub
+	// peer tells that it is a coordinator: it gets only what is announced here.
+	peer    bool
 	pending map[string]directory.Server
 	// placements wait to be sent, at most maxPlacements.
 	placements []*wire.Placement
@@ -52,41 +54,81 @@
 		return effect
 	}
 	h.noted++
-	current, _ := h.servers.Lookup(s.ID)
+	h.queue(s.ID, effect, false)
+	return effect
+}
+
+// learn takes announcements that another coordinator heard. Gateways hear of them
+// there, too, so only changes are passed on: a gateway may be cut off from that
+// coordinator. It answers gateways that start: without it, each coordinator would
+// know only the backend servers that announce themselves to it.
+func (h *hub) learn(servers []directory.Server) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	for _, s := range servers {
+		effect, _ := h.servers.Apply(s, now)
+		if effect != directory.Stale {
+			h.noted++
+		}
+		if effect == directory.Changed {
+			h.queue(s.ID, effect, true)
+		}
+	}
+}
+
+// queue puts the state of a server into the queues of the followers; h.mu is held.
+func (h *hub) queue(id string, effect directory.Effect, heardElsewhere bool) {
+	current, _ := h.servers.Lookup(id)
 	for f := range h.followers {
-		f.pending[s.ID] = current
+		if heardElsewhere && f.peer {
+			continue
+		}
+		f.pending[id] = current
 		if effect == directory.Changed {
 			wake(f.urgent)
 		}
 	}
-	return effect
 }
 
-// subscribe returns a queue that starts with all that is known.
-func (h *hub) subscribe() *follower {
+// subscribe returns a queue that starts with all that is known; placements are for
+// gateways only.
+func (h *hub) subscribe(peer bool) *follower {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := &follower{
-		hub: h, pending: map[string]directory.Server{}, urgent: make(chan struct{}, 1), beat: make(chan struct{}, 1),
+		hub: h, peer: peer, pending: map[string]directory.Server{}, urgent: make(chan struct{}, 1), beat: make(chan struct{}, 1),
 	}
 	for _, s := range h.servers.All() {
 		f.pending[s.ID] = s
 	}
-	oldest := time.Now().Add(-placement.MemoryLife)
+	h.followers[f] = true
+	if peer {
+		return f
+	}
+	now := time.Now()
 	for _, r := range h.recent {
-		if r.At.After(oldest) {
-			f.placements = append(f.placements, r.Placement)
+		if age := now.Sub(r.At); age < placement.MemoryLife {
+			p := r.Placement
+			f.placements = append(f.placements, &wire.Placement{
+				Subject: p.Subject, Server: p.Server, Backup: p.Backup, Copied: p.Copied,
+				AgeMs: uint32(max(0, age.Milliseconds())),
+			})
 		}
 	}
-	h.followers[f] = true
 	return f
 }
 
 // count returns the number of following gateways.
-func (h *hub) count() int {
+func (h *hub) count() (gateways int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.followers)
+	for f := range h.followers {
+		if !f.peer {
+			gateways++
+		}
+	}
+	return gateways
 }
 
 func (h *hub) unsubscribe(f *follower) {
@@ -114,6 +156,9 @@
 		return
 	}
 	for f := range h.followers {
+		if f.peer {
+			continue
+		}
 		room := max(0, maxPlacements-len(f.placements))
 		f.placements = append(f.placements, placements[:min(room, len(placements))]...)
 		wake(f.urgent)
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -13,7 +13,9 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
 	"github.com/geraniumpitch/geraniumpitch/pkg/control"
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
@@ -35,8 +37,10 @@
 	hub      *hub
 	// metrics is nil in a coordinator that counts nothing.
 	metrics *metrics
-	cancel  context.CancelFunc
-	wait    sync.WaitGroup
+	// peers follows the other coordinators.
+	peers  *follow.Client
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
 }
 
 // New returns a coordinator that is not started.
@@ -68,9 +72,31 @@
 	s.wait.Go(func() { s.hub.run(ctx) })
 	s.wait.Go(func() { s.hub.keepState(ctx, s.settings.DataFolder, s.log) })
 	s.wait.Go(func() { s.greet(ctx) })
+	s.followPeers(ctx)
 	return nil
 }
 
+// followPeers keeps the directories of the coordinators equal.
+func (s *Service) followPeers(ctx context.Context) {
+	s.peers = follow.NewPeerClient(s.settings.Instance.ID, s.settings.PeerAddress, s.dialer, peerSink{s.hub}, s.log)
+	s.peers.Add(ctx, s.settings.PeerSeeds())
+}
+
+// peerSink takes what other coordinators hear from backend servers.
+type peerSink struct{ hub *hub }
+
+// Announcements implements follow.Sink.
+func (p peerSink) Announcements(servers []directory.Server) { p.hub.learn(servers) }
+
+// Publication implements follow.Sink; coordinators agree on publications.
+func (peerSink) Publication(uint64, []byte) {}
+
+// Placed implements follow.Sink; gateways tell each coordinator.
+func (peerSink) Placed(placement.Placement) {}
+
+// Revision implements follow.Sink.
+func (peerSink) Revision() uint64 { return 0 }
+
 // greet tells the other coordinators about this one while it is no member, so
 // that they name it to the gateways: backend servers may report here already.
 func (s *Service) greet(ctx context.Context) {
@@ -270,23 +296,45 @@
 // coordinator holds: a data centre that is cut off goes on with that.
 const newestLimit = 400 * time.Millisecond
 
+// sendNewest waits for a leader, so that the gateway gets the newest publication
+// first. Without a leader it sends what the log has, from which the gateway finds
+// out by itself once a majority has answered.
+func (s *Service) sendNewest(request *wire.FollowRequest, f *follower, out wire.DRPCCoordinator_FollowStream) error {
+	if p, slots, ok := s.group.unconfirmed(); ok {
+		event := &wire.FollowEvent{
+			Coordinators: s.group.coordinators(), GroupSlots: uint32(slots),
+			Stored: &wire.Publication{Revision: p.Revision, Content: p.Content},
+		}
+		event.Announcements, event.Placements = f.take()
+		if err := out.Send(event); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(out.Context(), newestLimit)
+	defer cancel()
+	if _, err := s.Read(ctx); err != nil {
+		s.log.Info("tells a gateway what this coordinator holds", "gateway", request.Instance, "reason", err.Error())
+	}
+	return nil
+}
+
 // Follow implements wire.DRPCCoordinatorServer.
 func (r *rpcServer) Follow(request *wire.FollowRequest, out wire.DRPCCoordinator_FollowStream) error {
 	s := r.s
-	f := s.hub.subscribe()
+	f := s.hub.subscribe(request.AnnouncementsOnly)
 	defer s.hub.unsubscribe(f)
-	s.log.Info("a gateway follows", "gateway", request.Instance, "revision", request.Revision)
-	ctx, cancel := context.WithTimeout(out.Context(), newestLimit)
-	if _, err := s.Read(ctx); err != nil {
-		s.log.Info("tells a gateway what this coordinator holds", "gateway", request.Instance, "reason", err.Error())
+	if !request.AnnouncementsOnly {
+		s.log.Info("a gateway follows", "gateway", request.Instance, "revision", request.Revision)
+		if err := s.sendNewest(request, f, out); err != nil {
+			return err
+		}
 	}
-	cancel()
 	sent := request.Revision
 	for {
 		event := &wire.FollowEvent{Coordinators: s.group.coordinators()}
 		event.Announcements, event.Placements = f.take()
 		var changed <-chan struct{}
-		if node := s.group.current(); node != nil && node.Up() {
+		if node := s.group.current(); node != nil && node.Up() && !request.AnnouncementsOnly {
 			var p control.Publication
 			p, changed = node.PublicationOrChange()
 			if p.Revision > sent {
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
@@ -33,9 +34,8 @@
 type Sink interface {
 	Publication(revision uint64, content []byte)
 	Announcements(servers []directory.Server)
-	// Placed tells which engine has the prompt of a run in its memory, and which
-	// one receives a copy; backup is empty if none does.
-	Placed(subject, server, backup string)
+	// Placed tells which engine has the prompt of a run in its memory.
+	Placed(p placement.Placement)
 	// Revision returns the revision in force here.
 	Revision() uint64
 }
@@ -43,12 +43,15 @@
 // Client follows all coordinators that it hears of.
 type Client struct {
 	instance string
-	dialer   *rpc.Dialer
-	sink     Sink
-	log      *slog.Logger
+	// self is the own peer address of a coordinator, empty at a gateway.
+	self   string
+	dialer *rpc.Dialer
+	sink   Sink
+	log    *slog.Logger
 
 	mu        sync.Mutex
 	following map[string]*stream
+	recovery  recovery
 
 	placements chan *wire.Placement
 }
@@ -70,11 +73,22 @@
 	}
 }
 
+// NewPeerClient returns a client of a coordinator that follows the others; self is
+// its own peer address.
+func NewPeerClient(instance, self string, dialer *rpc.Dialer, sink Sink, log *slog.Logger) *Client {
+	c := NewClient(instance, dialer, sink, log)
+	c.self = self
+	return c
+}
+
 // Add follows the coordinators at these peer addresses until ctx ends.
 func (c *Client) Add(ctx context.Context, addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, address := range addresses {
+		if address == c.self {
+			continue
+		}
 		if s, ok := c.following[address]; ok {
 			s.named = time.Now()
 			continue
@@ -130,7 +144,7 @@
 	watchdog := time.AfterFunc(firstEventLimit, cancel)
 	defer watchdog.Stop()
 	events, err := wire.NewDRPCCoordinatorClient(c.dialer.Conn(address)).Follow(ctx, &wire.FollowRequest{
-		Instance: c.instance, Revision: c.sink.Revision(),
+		Instance: c.instance, Revision: c.sink.Revision(), AnnouncementsOnly: c.self != "",
 	})
 	if err != nil {
 		return err
@@ -143,7 +157,7 @@
 		}
 		watchdog.Reset(silence)
 		c.noteUp(address, s)
-		c.take(root, event)
+		c.take(root, address, event)
 	}
 }
 
@@ -157,7 +171,7 @@
 	s.up, s.named, s.heard = true, now, now
 }
 
-func (c *Client) take(ctx context.Context, event *wire.FollowEvent) {
+func (c *Client) take(ctx context.Context, address string, event *wire.FollowEvent) {
 	if len(event.Announcements) > 0 {
 		servers := make([]directory.Server, 0, len(event.Announcements))
 		for _, a := range event.Announcements {
@@ -168,7 +182,10 @@
 		c.sink.Announcements(servers)
 	}
 	for _, p := range event.Placements {
-		c.sink.Placed(p.Subject, p.Server, p.Backup)
+		c.sink.Placed(placement.Placement{
+			Subject: p.Subject, Server: p.Server, Backup: p.Backup, Copied: p.Copied,
+			Age: time.Duration(p.AgeMs) * time.Millisecond,
+		})
 	}
 	if len(event.Coordinators) > 0 {
 		c.Add(ctx, event.Coordinators)
@@ -177,6 +194,15 @@
 	if p := event.Publication; p != nil {
 		c.sink.Publication(p.Revision, p.Content)
 	}
+	if p := event.Stored; p != nil && c.sink.Revision() == 0 {
+		c.mu.Lock()
+		newest := c.recovery.note(address, p, int(event.GroupSlots))
+		c.mu.Unlock()
+		if newest != nil {
+			c.log.Info("takes the newest publication of a majority of logs", "revision", newest.Revision)
+			c.sink.Publication(newest.Revision, newest.Content)
+		}
+	}
 }
 
 const (
@@ -192,9 +218,9 @@
 
 // Place tells the other gateways where the prompt of a run is in memory. It does
 // not wait and may drop placements.
-func (c *Client) Place(subject, server, backup string) {
+func (c *Client) Place(p placement.Placement) {
 	select {
-	case c.placements <- &wire.Placement{Subject: subject, Server: server, Backup: backup}:
+	case c.placements <- &wire.Placement{Subject: p.Subject, Server: p.Server, Backup: p.Backup, Copied: p.Copied}:
 	default:
 	}
 }
--- /dev/null
+++ b/pkg/follow/recovery_test.go
@@ -0,0 +1,26 @@
+package follow
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+)
+
+// Guards against a publication that is taken back: every accepted one is in the
+// logs of a majority, so fewer answers than that may all lack it.
+func TestRecoveryNeedsAMajority(t *testing.T) {
+	var r recovery
+	old, newest := &wire.Publication{Revision: 3}, &wire.Publication{Revision: 4}
+	qt.Assert(t, r.note("a", old, 5), qt.IsNil)
+	qt.Assert(t, r.note("a", old, 5), qt.IsNil)
+	qt.Assert(t, r.note("b", newest, 5), qt.IsNil)
+	qt.Assert(t, r.note("c", old, 5), qt.Equals, newest)
+	var one recovery
+	qt.Assert(t, one.note("a", old, 1), qt.Equals, old)
+	var even recovery
+	qt.Assert(t, even.note("a", old, 4), qt.IsNil)
+	qt.Assert(t, even.note("b", old, 4), qt.IsNil)
+	qt.Assert(t, even.note("c", old, 4), qt.Equals, old)
+}
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -87,6 +87,7 @@
 	}
 	var ordered *runCopy
 	var refreshed time.Time
+	defer func() { s.reserveCopy(ordered, nil, run) }()
 	for pause(ctx, copyCheck) {
 		c := s.copies.get()
 		s.g.mu.Lock()
@@ -98,12 +99,30 @@
 		case lives && time.Since(refreshed) < copyRefresh:
 		default:
 			refreshed = time.Now()
+			present := ordered
 			ordered = s.orderCopy(ctx, engine, run, c, lives)
+			s.reserveCopy(present, ordered, run)
 			s.copies.set(ordered)
+			if ordered != nil && !lives {
+				s.announcePlacement(engine, &ordered.holder, true)
+			}
 		}
 	}
 }
 
+// reserveCopy notes the memory of an ordered copy in place of the one before.
+func (s *streaming) reserveCopy(before, now *runCopy, run placement.Run) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	pool := s.g.pool(s.j.service.Name)
+	if before != nil {
+		pool.Reserve(before.holder.ID, 0, -run.Tokens, 0)
+	}
+	if now != nil {
+		pool.Reserve(now.holder.ID, 0, run.Tokens, 0)
+	}
+}
+
 // releaseLimit bounds the order to free a copy; without it the copy expires.
 const releaseLimit = time.Second
 
@@ -142,36 +161,42 @@
 	} else if holder = s.chooseBackup(engine, run); holder == nil {
 		return nil
 	}
+	handle, status, err := s.sendCopyOrder(ctx, engine, holder, false)
+	made := err == nil && status == http.StatusOK
+	if !made || !lives {
+		s.logCopy(engine, holder, status, err)
+	}
+	if !made {
+		return nil
+	}
+	return &runCopy{holder: *holder, source: engine.Address, handle: handle, ordered: true}
+}
+
+// sendCopyOrder makes an engine copy the memory of the run to another one. With
+// stop, it ends the run first; the handle is then also valid if the copy failed.
+func (s *streaming) sendCopyOrder(
+	ctx context.Context, engine, holder *placement.Server, stop bool,
+) (handle string, status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, copyLimit)
 	defer cancel()
-	order := s.g.protocol.CopyOrder(s.j.fields.ID, holder.Address)
+	order := s.g.protocol.CopyOrder(s.j.fields.ID, holder.Address, stop)
 	response, err := s.g.client.Do(ctx, engine.Address, s.g.connectionLimit(s.j.service), &upstream.Request{
 		Method: order.Method, Target: order.Target, Host: engine.Address, Header: order.Header, Body: order.Body,
 	})
 	if err != nil {
-		s.logCopy(engine, holder, 0, err)
-		return nil
+		return "", 0, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response, answerBytes))
 	if err != nil {
 		response.Abort()
-		s.logCopy(engine, holder, response.StatusCode, err)
-		return nil
+		return "", response.StatusCode, err
 	}
 	response.Finish()
-	if response.StatusCode != http.StatusOK {
-		s.logCopy(engine, holder, response.StatusCode, nil)
-		return nil
+	if response.StatusCode != http.StatusOK && !stop {
+		return "", response.StatusCode, nil
 	}
-	handle, err := s.g.protocol.ParseCopy(body)
-	if err != nil {
-		s.logCopy(engine, holder, response.StatusCode, err)
-		return nil
-	}
-	if !lives {
-		s.logCopy(engine, holder, response.StatusCode, nil)
-	}
-	return &runCopy{holder: *holder, source: engine.Address, handle: handle, ordered: true}
+	handle, err = s.g.protocol.ParseCopy(body)
+	return handle, response.StatusCode, err
 }
 
 func (s *streaming) logCopy(engine, holder *placement.Server, status int, err error) {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -23,8 +23,9 @@
 	// ParseAnswer reads the headers of a backend server's answer.
 	ParseAnswer(status int, h http.Header) AnswerFields
 	// CopyOrder returns the order to an engine to copy the memory of a run to the
-	// engine at an address.
-	CopyOrder(run, to string) Order
+	// engine at an address. With stop, the engine ends the run first, and its
+	// stream breaks off.
+	CopyOrder(run, to string, stop bool) Order
 	// ReleaseOrder returns the order to the engine that made a copy to free it.
 	ReleaseOrder(handle string) Order
 	// ParseCopy reads the handle of the copy from the answer to an order.
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -236,10 +236,15 @@
 	now := time.Now()
 	changed := false
 	for _, s := range servers {
+		before, _ := g.servers.Lookup(s.ID)
 		effect, displaced := g.servers.Apply(s, now)
 		if effect == directory.Stale {
 			continue
 		}
+		if displaced != nil || before.StartedMS != s.StartedMS {
+			// Connections of the process that was there before would be reset.
+			g.client.Drop(s.Address)
+		}
 		if displaced != nil {
 			changed = g.pool(displaced.Service).Update(*displaced, now) || changed
 		}
@@ -255,17 +260,15 @@
 	}
 }
 
-// Placed implements follow.Sink. Own placements come back and are known already.
-func (g *Gateway) Placed(subject, server, backup string) {
+// Placed implements follow.Sink.
+func (g *Gateway) Placed(p placement.Placement) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if g.memory.Engine(subject, now) == server {
-		return
-	}
-	g.memory.Note(subject, server, now)
-	if s, known := g.servers.Lookup(server); known {
-		g.pool(s.Service).PlacedElsewhere(server, backup, now)
+	previous := g.memory.Current(p.Subject)
+	g.memory.Note(p.Subject, p.Server, p.Copied, now.Add(-p.Age))
+	if s, known := g.servers.Lookup(p.Server); known {
+		g.pool(s.Service).PlacedElsewhere(previous, p, now)
 	}
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -24,6 +24,8 @@
 func causeOf(err error) string {
 	var notSent *upstream.NotSentError
 	switch {
+	case errors.Is(err, errMoved):
+		return "moved"
 	case errors.Is(err, errSilent):
 		return "silent"
 	case errors.Is(err, errRefused):
@@ -71,7 +73,7 @@
 	s := &streaming{g: g, j: j, ctx: ctx, w: w, out: http.NewResponseController(w), last: j.fields.LastEvent}
 	if s.last != "" {
 		g.mu.Lock()
-		known := g.memory.Engine(j.fields.Subject, j.started)
+		known := g.memory.Engines(j.fields.Subject, j.started)
 		g.mu.Unlock()
 		g.log.Info("caller goes on with a stream", "request", j.fields.ID, "last_event", s.last, "prompt_at", known)
 	}
@@ -137,14 +139,20 @@
 		return errors.Join(eris.New("no engine takes work"), s.pauseForEngine())
 	}
 	run := s.demand()
-	backup := s.chooseBackup(engine, run)
+	var backup *placement.Server
+	moves := source == nil && s.movesOn(engine, run)
+	if !moves {
+		// A run that moves gets its backup then: before the prompt was read, there
+		// is nothing that a copy could save.
+		backup = s.chooseBackup(engine, run)
+	}
 	s.tries++
 	s.ran++
 	s.engine = engine.ID
 	if s.first == "" {
 		s.first = engine.ID
 	}
-	s.notePlacement(engine, backup)
+	s.notePlacement(engine, backup, source != nil)
 	s.reserve(engine, backup, run.Tokens, 1)
 	defer s.reserve(engine, backup, -run.Tokens, -1)
 
@@ -166,15 +174,24 @@
 	s.g.protocol.Prepare(header, fields)
 	response, err := s.g.client.Do(ctx, engine.Address, s.g.connectionLimit(s.j.service), s.g.request(s.j, header))
 	if err != nil {
-		return s.lost(engine, backup, watch, err)
+		return s.lost(engine, watch, err)
 	}
 	defer response.Abort()
 	if err := s.checkHead(engine, response); err != nil {
 		return err
 	}
 	s.copies.set(s.backupCopy(backup))
-	go s.protect(ctx, engine, run)
+	var r *relocation
+	if moves {
+		r = &relocation{done: make(chan struct{})}
+		watch.then = func() { go s.relocate(ctx, engine, run, r) }
+	} else {
+		go s.protect(ctx, engine, run)
+	}
 	err = s.pass(ctx, cancel, engine, response, watch)
+	if err != nil && !errors.Is(err, errCaller) && r != nil && watch.read && s.moved(r) {
+		err = errMoved
+	}
 	if err == nil {
 		response.Finish()
 		s.g.mu.Lock()
@@ -184,22 +201,26 @@
 	return err
 }
 
-// lost handles an attempt without an answer. The engine may have read a part of
-// the prompt and copied it to the backup.
-func (s *streaming) lost(engine, backup *placement.Server, watch *firstEventWatch, err error) error {
+// lost handles an attempt without an answer. There is no copy yet, as the prompt
+// was not read.
+func (s *streaming) lost(engine *placement.Server, watch *firstEventWatch, err error) error {
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		s.ran--
-	} else {
-		s.copies.set(s.backupCopy(backup))
 	}
 	if s.ctx.Err() != nil {
 		return err
 	}
-	s.exclude(engine, true)
 	if watch.fired() {
+		s.exclude(engine, true)
 		return errSilent
 	}
+	if notSent == nil && s.broke != engine.ID {
+		// It may be there and have a part of the prompt.
+		s.broke, s.again = engine.ID, engine.ID
+		return err
+	}
+	s.exclude(engine, true)
 	return err
 }
 
@@ -250,7 +271,7 @@
 		if err != nil {
 			return s.broken(ctx, engine, err)
 		}
-		watch.stop()
+		watch.firstEvent()
 		silent.Reset(s.silence())
 		if e.id != "" && !follows(e.id, s.last) {
 			continue
--- a/pkg/gateway/streamplan.go
+++ b/pkg/gateway/streamplan.go
@@ -9,19 +9,31 @@
 // notePlacement remembers, here and at the other gateways, which engine reads the
 // prompt. It comes before the run is sent, so that the others avoid the engine
 // while it reads.
-func (s *streaming) notePlacement(engine, backup *placement.Server) {
+func (s *streaming) notePlacement(engine, backup *placement.Server, copied bool) {
 	subject := s.j.fields.Subject
 	if subject == "" || !s.j.route.Resumable {
 		return
 	}
+	now := time.Now()
 	s.g.mu.Lock()
-	s.g.memory.Note(subject, engine.ID, time.Now())
+	s.g.memory.Note(subject, engine.ID, copied, now)
+	if !copied {
+		s.g.pool(s.j.service.Name).Reads(engine.ID, now)
+	}
 	s.g.mu.Unlock()
-	copyAt := ""
+	s.announcePlacement(engine, backup, copied)
+}
+
+// announcePlacement tells the other gateways where the run and its copy are.
+func (s *streaming) announcePlacement(engine, backup *placement.Server, copied bool) {
+	if s.j.fields.Subject == "" {
+		return
+	}
+	placed := placement.Placement{Subject: s.j.fields.Subject, Server: engine.ID, Copied: copied}
 	if backup != nil {
-		copyAt = backup.ID
+		placed.Backup = backup.ID
 	}
-	s.g.follow.Place(subject, engine.ID, copyAt)
+	s.g.follow.Place(placed)
 }
 
 // choose returns the engine for the next attempt, and the copy of the run's memory
@@ -41,9 +53,9 @@
 	run := s.demand()
 	switch {
 	case s.again != "":
-		run.Prefer, s.again = s.again, ""
+		run.Prefer, s.again = []string{s.again}, ""
 	case s.tries == 0 && s.j.fields.Subject != "":
-		run.Prefer = g.memory.Engine(s.j.fields.Subject, now)
+		run.Prefer = g.memory.Engines(s.j.fields.Subject, now)
 	}
 	chosen := pool.Engine(now, run)
 	if chosen == nil && len(s.excluded) > 0 {
@@ -75,6 +87,18 @@
 	return run
 }
 
+// movesOn tells whether the run is to go on at another engine once this one has
+// read its prompt.
+func (s *streaming) movesOn(engine *placement.Server, run placement.Run) bool {
+	e := s.j.service.Engine
+	if e == nil || !e.Moves || !s.j.route.Resumable {
+		return false
+	}
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	return s.g.pool(s.j.service.Name).Relocate(time.Now(), run, engine.ID) != nil
+}
+
 // chooseBackup returns the engine that keeps a copy of the run, nil if there is none.
 func (s *streaming) chooseBackup(engine *placement.Server, run placement.Run) *placement.Server {
 	if e := s.j.service.Engine; e == nil || !e.Backups || !s.j.route.Resumable {
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -49,6 +49,20 @@
 	gone   bool
 	s      *streaming
 	id     string
+	// read tells that the first event came; then is called at that moment.
+	read bool
+	then func()
+}
+
+// firstEvent notes the first event: the prompt was read.
+func (w *firstEventWatch) firstEvent() {
+	w.stop()
+	if !w.read {
+		w.read = true
+		if w.then != nil {
+			w.then()
+		}
+	}
 }
 
 // watchFirstEvent checks an engine until its first event and calls abort when it
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -44,8 +44,8 @@
 	Memory int
 	// Exclude lists the engines that must not be used.
 	Exclude []string
-	// Prefer is an engine that may have the prompt in its memory, empty if none is known.
-	Prefer string
+	// Prefer are the engines that may have the prompt in their memory, the likeliest first.
+	Prefer []string
 	// AwayFrom is the data centre of the engine, where a backup is of no use.
 	AwayFrom string
 }
@@ -55,9 +55,11 @@
 // of prompts, which would otherwise be read one after the other on one engine, and
 // returns nil if no engine takes work.
 func (p *Pool) Engine(now time.Time, r Run) *Server {
-	if s := p.servers[r.Prefer]; s != nil && s.State == directory.Ready && !now.Before(s.avoidUntil) &&
-		!p.inOutage(s, now) && !slices.Contains(r.Exclude, s.ID) && fitsOwn(s, r) {
-		return s
+	for _, id := range r.Prefer {
+		if s := p.servers[id]; s != nil && s.State == directory.Ready && !now.Before(s.avoidUntil) &&
+			!p.inOutage(s, now) && !slices.Contains(r.Exclude, id) && fitsOwn(s, r) {
+			return s
+		}
 	}
 	return p.cheapest(p.ready(now, r.Exclude), func(s *Server) float64 {
 		cost := p.engineCost(s, now, r)
@@ -90,18 +92,59 @@
 	})
 }
 
+// Placement tells on which engine a run is. Gateways tell each other.
+type Placement struct {
+	// Subject is the part of the prompt that belongs to the run or its session alone.
+	Subject string
+	// Server is the engine, Backup the one that receives a copy, empty if none does.
+	Server, Backup string
+	// Copied tells that the engine got the prompt as a copy and does not read it.
+	Copied bool
+	// Age is the time since the run was placed.
+	Age time.Duration
+}
+
 // elsewhere is a run that another gateway placed on an engine, or its copy.
 type elsewhere struct {
-	at   time.Time
-	copy bool
+	subject string
+	at      time.Time
+	// backup is the engine with the copy.
+	backup       string
+	copy, copied bool
 }
 
-// PlacedElsewhere notes a run that another gateway placed on an engine, and the
-// engine that receives its copy, if any. It answers bursts in which every gateway
-// would choose the same engines.
-func (p *Pool) PlacedElsewhere(id, backup string, now time.Time) {
-	p.noteElsewhere(id, elsewhere{at: now})
-	p.noteElsewhere(backup, elsewhere{at: now, copy: true})
+// PlacedElsewhere notes a run that another gateway placed on an engine, and that
+// it left the engine where it was before, empty if none is known. It answers
+// bursts in which every gateway would choose the same engines.
+func (p *Pool) PlacedElsewhere(previous string, pl Placement, now time.Time) {
+	at := now.Add(-pl.Age)
+	backup, found := p.forgetElsewhere(previous, pl.Subject)
+	if found {
+		p.forgetElsewhere(backup, pl.Subject)
+	} else if previous == pl.Server {
+		// A placement of this gateway comes back.
+		return
+	}
+	p.noteElsewhere(pl.Server, elsewhere{subject: pl.Subject, at: at, backup: pl.Backup, copied: pl.Copied})
+	p.noteElsewhere(pl.Backup, elsewhere{subject: pl.Subject, at: at, copy: true})
+	if s := p.servers[pl.Server]; s != nil && !pl.Copied {
+		s.noteReading(at)
+	}
+}
+
+// forgetElsewhere removes a run from an engine and returns where its copy is.
+func (p *Pool) forgetElsewhere(id, subject string) (backup string, found bool) {
+	s := p.servers[id]
+	if s == nil {
+		return "", false
+	}
+	for i, e := range s.elsewhere {
+		if e.subject == subject {
+			s.elsewhere = slices.Delete(s.elsewhere, i, i+1)
+			return e.backup, true
+		}
+	}
+	return "", false
 }
 
 func (p *Pool) noteElsewhere(id string, e elsewhere) {
@@ -124,7 +167,7 @@
 			copies++
 		default:
 			running++
-			if age < readingLife {
+			if age < readingLife && !e.copied {
 				reading++
 			}
 		}
--- a/pkg/placement/memory.go
+++ b/pkg/placement/memory.go
@@ -18,21 +18,30 @@
 }
 
 type memoryEntry struct {
-	server string
-	at     time.Time
+	// reader read the prompt at a time, current has the run.
+	reader, current string
+	at              time.Time
 }
 
-// Note remembers the engine of a prompt's own part.
-func (m *Memory) Note(subject, server string, now time.Time) {
+// Note remembers the engine of a prompt's own part, beside the one that read it if
+// this one got it as a copy.
+func (m *Memory) Note(subject, server string, copied bool, now time.Time) {
 	if m.entries == nil {
 		m.entries = map[string]memoryEntry{}
 	}
 	if len(m.entries) >= memoryEntries {
 		m.sweep(now)
 	}
-	m.entries[subject] = memoryEntry{server: server, at: now}
+	e := memoryEntry{reader: server, current: server, at: now}
+	if old, ok := m.entries[subject]; copied && ok && now.Sub(old.at) <= MemoryLife {
+		e.reader = old.reader
+	}
+	m.entries[subject] = e
 }
 
+// Current returns the engine that got the run last, empty if none is known.
+func (m *Memory) Current(subject string) string { return m.entries[subject].current }
+
 // sweep drops what has expired, and everything if that is not enough.
 func (m *Memory) sweep(now time.Time) {
 	for subject, e := range m.entries {
@@ -45,10 +54,14 @@
 	}
 }
 
-// Engine returns the engine that may have the prompt, empty if none is known.
-func (m *Memory) Engine(subject string, now time.Time) string {
-	if e, ok := m.entries[subject]; ok && now.Sub(e.at) <= MemoryLife {
-		return e.server
+// Engines returns the engines that may have the prompt, the likeliest first.
+func (m *Memory) Engines(subject string, now time.Time) []string {
+	e, ok := m.entries[subject]
+	switch {
+	case !ok || now.Sub(e.at) > MemoryLife:
+		return nil
+	case e.current == e.reader:
+		return []string{e.current}
 	}
-	return ""
+	return []string{e.current, e.reader}
 }
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -65,6 +65,8 @@
 	avoidUntil time.Time
 	// elsewhere are the runs that other gateways placed here, copies included.
 	elsewhere []elsewhere
+	// readings are the times at which prompts were placed here.
+	readings  []time.Time
 	firstSeen time.Time
 	// lastAnswer is when the server showed a sign of life, lostAt when it could
 	// not be reached last.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -287,6 +287,16 @@
 	c.pools[address].open--
 }
 
+// Idle returns the number of idle connections to a backend server.
+func (c *Client) Idle(address string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.pools[address]; p != nil {
+		return len(p.idle)
+	}
+	return 0
+}
+
 // Drop closes the idle connections to a backend server: when one connection is
 // silent, the others often are too.
 func (c *Client) Drop(address string) {
