placement: lost servers are probed; copies, resumes and returns after a power loss

An unannounced end counts as a loss and costs no pause. Copies keep away from a data centre that lost a server within 1 s, and for 1 s from an engine that refused one. A copy stays while its refresh fails. An engine that breaks off is tried twice more. Runs that go on are ahead of new ones of their rank. Connections between processes are given up after 200 ms.

TestUnreachableServersComeBack expected requests to find out by themselves; it now expects probes to. The file of the soft state has a new name; an old one is not read.

--- a/pkg/coordinator/coordinator_test.go
+++ b/pkg/coordinator/coordinator_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -420,41 +422,49 @@
 	g.eventually("the publication", r.holds(func(r *recorder) bool { return r.revision == 7 }))
 }
 
-// Replays the end of all processes at once: a gateway that starts after it learns
-// the backend servers and where recent prompts are; a torn or old file does no harm.
+// Replays the end of all processes and the loss of power: a gateway that starts
+// after it learns the backend servers and where recent prompts are; a torn or old
+// file does no harm.
 func TestSoftStateOutlivesTheProcess(t *testing.T) {
+	const life = 5 * time.Second
 	folder := t.TempDir()
-	file := filepath.Join(folder, softStateFile)
-	before := newHub(time.Second)
-	before.announce(directory.Server{ID: "s", Service: "p", Address: "a:1", StartedMS: 1, Sequence: 1})
-	before.place([]*wire.Placement{{Subject: "part", Server: "engine", Backup: "backup"}}, true)
+	before := newHub(life)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { before.keepState(ctx, folder, slog.New(slog.DiscardHandler)); close(done) }()
-	for limit := time.Now().Add(waitLimit); ; time.Sleep(10 * time.Millisecond) {
-		if _, err := os.Stat(file); err == nil {
-			break
+	note := func(server, subject, file string) {
+		before.announce(directory.Server{ID: server, Service: "p", Address: server, StartedMS: 1, Sequence: 1})
+		before.place([]*wire.Placement{{Subject: subject, Server: "engine", Backup: "backup"}}, true)
+		for limit := time.Now().Add(waitLimit); ; time.Sleep(10 * time.Millisecond) {
+			if data, err := os.ReadFile(filepath.Join(folder, file)); err == nil && strings.Contains(string(data), subject) && json.Valid(data) {
+				return
+			}
+			qt.Assert(t, time.Now().Before(limit), qt.IsTrue)
 		}
-		qt.Assert(t, time.Now().Before(limit), qt.IsTrue)
 	}
+	first, second := softStateFiles[1], softStateFiles[0]
+	note("s", "part", first)
+	note("s2", "other", second)
 	cancel()
 	<-done
-	restored := func(now time.Time) (servers, placements int) {
-		after := newHub(time.Second)
-		_ = after.restore(file, now)
-		s, p := after.subscribe(false).take()
-		return len(s), len(p)
-	}
 	check := func(now time.Time, wantServers, wantPlacements int) {
-		servers, placements := restored(now)
-		qt.Assert(t, servers, qt.Equals, wantServers)
-		qt.Assert(t, placements, qt.Equals, wantPlacements)
+		t.Helper()
+		after := newHub(life)
+		_, _ = after.restore(folder, now)
+		servers, placements := after.subscribe(false).take()
+		qt.Assert(t, servers, qt.HasLen, wantServers)
+		qt.Assert(t, placements, qt.HasLen, wantPlacements)
 	}
-	check(time.Now(), 1, 1)
-	check(time.Now().Add(5*time.Second), 0, 1)
+	check(time.Now(), 2, 2)
+	check(time.Now().Add(life+time.Second), 0, 2)
 	check(time.Now().Add(time.Minute), 0, 0)
 	check(time.Now().Add(-time.Minute), 0, 0)
-	qt.Assert(t, os.WriteFile(file, []byte("{\"servers\":["), 0o600), qt.IsNil)
+	// The file that was being written is torn, the one before counts.
+	qt.Assert(t, os.WriteFile(filepath.Join(folder, second), []byte("{\"written\":9,\"servers\":["), 0o600), qt.IsNil)
+	check(time.Now(), 1, 1)
+	_, err := newHub(life).restore(folder, time.Now())
+	qt.Assert(t, err, qt.ErrorMatches, "(?s).*soft-state-0.json.*")
+	qt.Assert(t, os.WriteFile(filepath.Join(folder, first), nil, 0o600), qt.IsNil)
 	check(time.Now(), 0, 0)
 }
 
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -319,9 +319,11 @@
 	if !known || s.State == directory.Gone {
 		return
 	}
+	now := time.Now()
 	s.State = directory.Gone
-	g.servers.Apply(s, time.Now())
-	g.pool(s.Service).Update(s, time.Now())
+	g.servers.Apply(s, now)
+	g.pool(s.Service).EndedUnannounced(id, now)
+	g.pool(s.Service).Update(s, now)
 	g.log.Info("backend server changed", "server", id, "service", s.Service, "state", directory.Gone.String(),
 		"address", s.Address, "cause", "another server has its address")
 }
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -166,12 +166,24 @@
 	if !made || !lives {
 		s.logCopy(engine, holder, status, err)
 	}
-	if !made {
+	switch {
+	case err != nil && lives:
+		// The engine did not answer; what the holder has may still serve.
+		return present
+	case !made:
+		s.copyRefused(holder)
 		return nil
 	}
 	return &runCopy{holder: *holder, source: engine.Address, handle: handle, ordered: true}
 }
 
+// copyRefused passes an engine over for copies.
+func (s *streaming) copyRefused(holder *placement.Server) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	s.g.pool(s.j.service.Name).CopyRefused(holder.ID, time.Now())
+}
+
 // sendCopyOrder makes an engine copy the memory of the run to another one. With
 // stop, it ends the run first; the handle is then also valid if the copy failed.
 func (s *streaming) sendCopyOrder(
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -223,7 +223,7 @@
 	qt.Assert(t, got.err, qt.IsNil)
 	qt.Assert(t, got.body, qt.Equals, wholeStream(1))
 	qt.Assert(t, got.took < 700*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", got.took))
-	qt.Assert(t, first.ran(), qt.HasLen, 2)
+	qt.Assert(t, first.ran(), qt.HasLen, 1+maxBreaks)
 	qt.Assert(t, second.ran(), qt.HasLen, 1)
 	qt.Assert(t, second.ran()[0].Get("X-Copy"), qt.Equals, "/")
 }
--- /dev/null
+++ b/pkg/gateway/probe_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+)
+
+// Replays the end of a cut: a lost server takes work again soon after it can be
+// reached, without a request that finds out, and the probe's connection is used.
+func TestLostServerIsProbed(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, testConfig())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := listener.Addr().String()
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	f.Announcements([]directory.Server{{
+		ID: "a1", Service: "app", Address: address, DataCentre: "here", StartedMS: 1, Sequence: 1, State: directory.Ready, Slots: 6,
+	}})
+	avoided := func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.pool("app").Starved(time.Now())
+	}
+	f.mu.Lock()
+	f.pool("app").Unreachable("a1", time.Now())
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.runProbes(ctx)
+	time.Sleep(300 * time.Millisecond)
+	qt.Assert(t, avoided(), qt.IsTrue)
+	listener, err = net.Listen("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	defer listener.Close()
+	for limit := time.Now().Add(2 * time.Second); avoided(); time.Sleep(10 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(limit), qt.IsTrue)
+	}
+	qt.Assert(t, f.client.Idle(address), qt.Equals, 1)
+}
--- a/pkg/gateway/relocate.go
+++ b/pkg/gateway/relocate.go
@@ -59,6 +59,7 @@
 	case status == http.StatusOK:
 		return &runCopy{holder: *target, source: engine.Address, handle: handle}
 	case status == http.StatusServiceUnavailable:
+		s.copyRefused(target)
 		return &runCopy{holder: *engine, source: engine.Address, handle: handle}
 	}
 	return nil
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -101,6 +101,7 @@
 		return err
 	}
 	go g.maintain(ctx)
+	go g.runProbes(ctx)
 	go g.follow.RunPlacements(ctx)
 	return nil
 }
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -58,6 +58,12 @@
 	stopMargin = 300 * time.Millisecond
 	// maxStreamTries bounds the engines that one stream is sent to, refusals included.
 	maxStreamTries = 16
+	// maxBreaks bounds the attempts at one engine that break off in a row.
+	maxBreaks = 2
+	// probeInterval is the interval at which lost servers are looked for.
+	probeInterval = 60 * time.Millisecond
+	// maxProbes bounds the probes under way.
+	maxProbes = 64
 	// connectionShare is the part of a server's connections that one gateway uses.
 	connectionShare = 4
 )
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -51,10 +51,11 @@
 	// last is the identifier of the last event that the caller has.
 	last string
 	// again is an engine that broke off and may still have the prompt, empty if
-	// there is none; it is tried once.
+	// there is none.
 	again string
-	// broke is the last engine that broke off and was tried again.
-	broke string
+	// broke is the last engine that broke off, breaks how often in a row.
+	broke  string
+	breaks int
 	// excluded lists the engines that failed or refused this run, newest last.
 	excluded []string
 	copies   copies
@@ -163,7 +164,7 @@
 	header := s.j.header.Clone()
 	fields := ServerFields{
 		Instance: engine.ID, Organisation: s.j.organisation, Patience: time.Until(s.j.deadline), LastEvent: s.last,
-		Rank: &s.j.rank,
+		Rank: s.urgency(),
 	}
 	if backup != nil {
 		fields.Backup = backup.Address
@@ -215,9 +216,7 @@
 		s.exclude(engine, true)
 		return errSilent
 	}
-	if notSent == nil && s.broke != engine.ID {
-		// It may be there and have a part of the prompt.
-		s.broke, s.again = engine.ID, engine.ID
+	if notSent == nil && s.tryAgainAt(engine) {
 		return err
 	}
 	s.exclude(engine, true)
@@ -242,7 +241,9 @@
 	if fields.NotRun {
 		s.ran--
 		s.exclude(engine, false)
-		pause(s.ctx, refusalPause)
+		if !fields.Misdirected {
+			pause(s.ctx, refusalPause)
+		}
 		return eris.Wrapf(errRefused, "status %d", response.StatusCode)
 	}
 	s.exclude(engine, false)
@@ -290,14 +291,26 @@
 		s.exclude(engine, true)
 		return errSilent
 	}
-	if s.broke == engine.ID {
+	if !s.tryAgainAt(engine) {
 		s.exclude(engine, false)
-	} else {
-		s.broke, s.again = engine.ID, engine.ID
 	}
 	return eris.Wrap(err, "read an event")
 }
 
+// tryAgainAt plans another attempt at an engine that broke off: it may be there
+// and have the prompt. It is false after a few of them.
+func (s *streaming) tryAgainAt(engine *placement.Server) bool {
+	if s.broke != engine.ID {
+		s.broke, s.breaks = engine.ID, 0
+	}
+	s.breaks++
+	if s.breaks > maxBreaks {
+		return false
+	}
+	s.again = engine.ID
+	return true
+}
+
 // send passes one event to the caller.
 func (s *streaming) send(response *upstream.Response, e event) error {
 	s.begin(response)
--- a/pkg/gateway/streamplan.go
+++ b/pkg/gateway/streamplan.go
@@ -51,11 +51,11 @@
 		return &c.holder, c
 	}
 	run := s.demand()
-	switch {
-	case s.again != "":
+	if s.again != "" {
 		run.Prefer, s.again = []string{s.again}, ""
-	case s.tries == 0 && s.j.fields.Subject != "":
-		run.Prefer = g.memory.Engines(s.j.fields.Subject, now)
+	}
+	if s.j.fields.Subject != "" {
+		run.Prefer = append(run.Prefer, g.memory.Engines(s.j.fields.Subject, now)...)
 	}
 	chosen := pool.Engine(now, run)
 	if chosen == nil && len(s.excluded) > 0 {
@@ -78,6 +78,17 @@
 	return ""
 }
 
+// urgency returns the place of the run in the queues of engines: ranks are spread,
+// so that a run that goes on is ahead of new ones of its rank. Its caller has a part
+// of the answer, and most of the work is done.
+func (s *streaming) urgency() *int {
+	urgency := 2*s.j.rank + 1
+	if s.last != "" {
+		urgency--
+	}
+	return &urgency
+}
+
 // demand describes what the run needs.
 func (s *streaming) demand() placement.Run {
 	run := placement.Run{Tokens: s.j.fields.PromptTokens + s.j.fields.OutputTokens, Exclude: s.excluded}
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -18,7 +18,7 @@
 // logServed tells how a complete stream went.
 func (s *streaming) logServed() {
 	s.g.metrics.stream(s.pauses)
-	s.g.log.Info("stream served", "request", s.j.fields.ID, "engine", s.engine, "tries", s.tries,
+	s.g.log.Info("stream served", "request", s.j.fields.ID, "route", s.j.route.Name, "engine", s.engine, "tries", s.tries,
 		"first_event_ms", s.pauses.first.Milliseconds(), "longest_pause_ms", s.pauses.longest.Milliseconds(),
 		"pause_cause", s.pauses.longestCause, "first_engine", s.first, "resumed_by_caller", s.j.fields.LastEvent != "",
 		"after_ms", time.Since(s.j.started).Milliseconds())
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -20,6 +20,12 @@
 	// farBackupCost is the price, in running streams, of a backup that a cut of
 	// this data centre would take along with the engine.
 	farBackupCost = 4.0
+	// lossyCentreCost is the price, in running streams, of a backup in a data centre
+	// of which an engine was lost just now.
+	lossyCentreCost = 6.0
+	// refusedCopyPause is how long an engine that had no room for a copy, or could
+	// not be reached by another engine, gets no copies.
+	refusedCopyPause = time.Second
 	// fullCost puts engines without room behind all others.
 	fullCost = 100.0
 	// memoryReserve is the share of an engine's memory that stays free of this
@@ -56,8 +62,8 @@
 // returns nil if no engine takes work.
 func (p *Pool) Engine(now time.Time, r Run) *Server {
 	for _, id := range r.Prefer {
-		if s := p.servers[id]; s != nil && s.State == directory.Ready && !now.Before(s.avoidUntil) &&
-			!p.inOutage(s, now) && !slices.Contains(r.Exclude, id) && fitsOwn(s, r) {
+		if s := p.servers[id]; s != nil && s.State == directory.Ready && !p.avoided(s, now) &&
+			!slices.Contains(r.Exclude, id) && fitsOwn(s, r) {
 			return s
 		}
 	}
@@ -79,7 +85,7 @@
 	candidates := p.ready(now, r.Exclude)
 	kept := candidates[:0]
 	for _, s := range candidates {
-		if s.DataCentre != r.AwayFrom && !now.Before(s.avoidUntil) && !p.inOutage(s, now) && fits(s, now, r) {
+		if s.DataCentre != r.AwayFrom && !p.avoided(s, now) && !now.Before(s.noCopiesUntil) && fits(s, now, r) {
 			kept = append(kept, s)
 		}
 	}
@@ -88,6 +94,9 @@
 		if r.AwayFrom != p.dataCentre && s.DataCentre != p.dataCentre {
 			cost += farBackupCost
 		}
+		if p.lossyCentre(s.DataCentre, now) {
+			cost += lossyCentreCost
+		}
 		return cost
 	})
 }
@@ -104,6 +113,13 @@
 	Age time.Duration
 }
 
+// CopyRefused notes that an engine took no copy.
+func (p *Pool) CopyRefused(id string, now time.Time) {
+	if s := p.servers[id]; s != nil {
+		s.noCopiesUntil = now.Add(refusedCopyPause)
+	}
+}
+
 // elsewhere is a run that another gateway placed on an engine, or its copy.
 type elsewhere struct {
 	subject string
--- a/pkg/placement/engine_test.go
+++ b/pkg/placement/engine_test.go
@@ -104,10 +104,30 @@
 	p.Reserve("here1", 0, 75000, 0)
 	p.Reserve("here2", 0, 75000, 0)
 	qt.Assert(t, backup("there", "there1"), qt.Equals, "far")
+	p.CopyRefused("far1", at(0))
+	qt.Assert(t, backup("there", "there1"), qt.Equals, "")
+	p.noCopiesAgain("far1")
 	p.Unreachable("far1", start)
 	qt.Assert(t, backup("there", "there1"), qt.Equals, "")
 }
 
+// noCopiesAgain ends the pause after a refused copy.
+func (p *Pool) noCopiesAgain(id string) { p.servers[id].noCopiesUntil = start }
+
+// Replays engines of one data centre that die together: after the first loss, copies
+// go where no engine was lost.
+func TestBackupAvoidsLosses(t *testing.T) {
+	p := newTestPool("here1", "there1", "there2", "far1")
+	r := run
+	r.AwayFrom = "here"
+	p.Unreachable("there1", at(0))
+	for range 20 {
+		qt.Assert(t, p.Backup(at(10), r).ID, qt.Equals, "far1")
+	}
+	p.Reserve("far1", 0, 80000, 0)
+	qt.Assert(t, p.Backup(at(10), r).ID, qt.Equals, "there2")
+}
+
 // Guards against runs that count where they are no more: a run that moved, and one
 // that was placed long ago.
 func TestRunsOfOtherGatewaysLeave(t *testing.T) {
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -19,10 +19,6 @@
 	// listener, the longest a partition, after which it must be found again.
 	firstPenalty   = 200 * time.Millisecond
 	longestPenalty = 1600 * time.Millisecond
-	// outageServers is the number of servers of one data centre that could not be
-	// reached within outageWindow from which on the others there are avoided too.
-	outageServers = 2
-	outageWindow  = 600 * time.Millisecond
 	// loadLife is how long a reported load is used; it is older than the
 	// requests that this gateway sent since.
 	loadLife = 400 * time.Millisecond
@@ -71,6 +67,10 @@
 	// lastAnswer is when the server showed a sign of life, lostAt when it could
 	// not be reached last.
 	lastAnswer, lostAt time.Time
+	// probeAt is when the server may be probed next.
+	probeAt time.Time
+	// noCopiesUntil is when a copy may be sent here again.
+	noCopiesUntil time.Time
 }
 
 // Pool holds the candidates of one service. It is not safe for concurrent use.
@@ -78,11 +78,15 @@
 	dataCentre string
 	rand       *rand.Rand
 	servers    map[string]*Server
+	// losses are the servers that were lost last, by data centre.
+	losses map[string][]time.Time
 }
 
 // NewPool returns an empty pool for a gateway in a data centre.
 func NewPool(dataCentre string, random *rand.Rand) *Pool {
-	return &Pool{dataCentre: dataCentre, rand: random, servers: map[string]*Server{}}
+	return &Pool{
+		dataCentre: dataCentre, rand: random, servers: map[string]*Server{}, losses: map[string][]time.Time{},
+	}
 }
 
 // Update takes an announcement. It returns true if the set of servers that take
@@ -125,21 +129,6 @@
 // Get returns a server, nil if it is unknown.
 func (p *Pool) Get(id string) *Server { return p.servers[id] }
 
-// starvedFor is how long the loss of a server counts without a sign of life. It
-// exceeds the longest penalty, so that each server is tried again within it.
-const starvedFor = 2 * longestPenalty
-
-// Starved tells whether work for this service fails here: all servers that take
-// work could not be reached when they were tried last, or there is none.
-func (p *Pool) Starved(now time.Time) bool {
-	for _, s := range p.servers {
-		if s.State == directory.Ready && (now.Sub(s.lostAt) > starvedFor || s.lastAnswer.After(s.lostAt)) {
-			return false
-		}
-	}
-	return true
-}
-
 // ready returns the servers that take work, but for the excluded ones. Servers
 // that could not be reached lately come back only if no other is left.
 func (p *Pool) ready(now time.Time, exclude []string) []*Server {
@@ -148,7 +137,7 @@
 		if s.State != directory.Ready || slices.Contains(exclude, s.ID) {
 			continue
 		}
-		if now.Before(s.avoidUntil) || p.inOutage(s, now) {
+		if p.avoided(s, now) {
 			avoided = append(avoided, s)
 		} else {
 			sound = append(sound, s)
@@ -160,24 +149,6 @@
 	return avoided
 }
 
-// inOutage tells whether a server is in a data centre of which several servers
-// were lost just now, and has shown no sign of life since. It answers a data
-// centre whose engines die together: without it, every request would find out
-// for each of them.
-func (p *Pool) inOutage(s *Server, now time.Time) bool {
-	lost := 0
-	var latest time.Time
-	for _, other := range p.servers {
-		if other.DataCentre == s.DataCentre && now.Sub(other.lostAt) < outageWindow {
-			lost++
-			if other.lostAt.After(latest) {
-				latest = other.lostAt
-			}
-		}
-	}
-	return lost >= outageServers && s.lastAnswer.Before(latest) && s.firstSeen.Before(latest)
-}
-
 // Call chooses the server for a call of a plain service: the least loaded one,
 // preferably in this data centre, away from servers that fail or are slow while
 // their health check is good. It returns nil if there is none.
@@ -290,17 +261,3 @@
 		s.failures += failureMemory * (1 - s.failures)
 	}
 }
-
-// Unreachable passes a server over for a while that doubles with each failure.
-func (p *Pool) Unreachable(id string, now time.Time) {
-	s := p.servers[id]
-	if s == nil {
-		return
-	}
-	s.lostAt = now
-	if now.Before(s.avoidUntil) {
-		return
-	}
-	s.penalty = min(longestPenalty, max(firstPenalty, 2*s.penalty))
-	s.avoidUntil = now.Add(s.penalty)
-}
--- a/pkg/placement/pool_test.go
+++ b/pkg/placement/pool_test.go
@@ -72,18 +72,55 @@
 }
 
 // Guards against a server that is never tried again after it could not be reached,
-// and against requests without any server while a lost one is left.
+// against requests that find out instead of probes, and against requests without any
+// server while a lost one is left.
 func TestUnreachableServersComeBack(t *testing.T) {
 	p := newTestPool("here1", "there1")
 	p.Unreachable("here1", at(0))
-	qt.Assert(t, share(p, at(50))["here1"], qt.Equals, 0)
-	qt.Assert(t, share(p, at(250))["here1"], qt.Equals, 100)
 	qt.Assert(t, share(p, at(50), "there1")["here1"], qt.Equals, 100)
-	// The pause doubles with each failure, up to its bound.
-	for _, ms := range []int{250, 700, 1600, 3300, 5000} {
+	qt.Assert(t, p.Probes(at(50)), qt.DeepEquals, []Probe{{"here1", "here1"}})
+	qt.Assert(t, p.Probes(at(60)), qt.HasLen, 0)
+	qt.Assert(t, p.Probed("here1", false, at(100)), qt.IsFalse)
+	qt.Assert(t, share(p, at(250))["here1"], qt.Equals, 0)
+	qt.Assert(t, p.Probes(at(250)), qt.HasLen, 1)
+	qt.Assert(t, p.Probed("here1", true, at(300)), qt.IsTrue)
+	qt.Assert(t, share(p, at(300))["here1"], qt.Equals, 100)
+	qt.Assert(t, p.Probes(at(500)), qt.HasLen, 0)
+	// A server that accepts connections and answers nothing is passed over for a
+	// pause that doubles with each failure, up to its bound.
+	for _, ms := range []int{1000, 2000, 4000, 8000, 16000} {
 		p.Unreachable("here1", at(ms))
+		p.Probed("here1", true, at(ms+1))
+		qt.Assert(t, share(p, at(ms+200))["here1"], qt.Equals, 0)
 	}
-	qt.Assert(t, share(p, at(5000+int(longestPenalty/time.Millisecond)+1))["here1"], qt.Equals, 100)
+	qt.Assert(t, share(p, at(16000+int(longestPenalty/time.Millisecond)+1))["here1"], qt.Equals, 100)
+	// Without any probe it is tried again after a while.
+	p.Unreachable("here1", at(30000))
+	qt.Assert(t, share(p, at(30000).Add(suspicion-time.Millisecond))["here1"], qt.Equals, 0)
+	qt.Assert(t, share(p, at(30000).Add(suspicion))["here1"], qt.Equals, 100)
+	qt.Assert(t, p.Probed("gone", true, at(0)), qt.IsFalse)
+}
+
+// Replays a cut: servers of the data centre that no request has tried are probed,
+// too, and come back one by one.
+func TestProbesOfAnOutage(t *testing.T) {
+	p := newTestPool("here1", "there1", "there2", "there3")
+	p.Unreachable("there1", at(0))
+	qt.Assert(t, p.Probes(at(1)), qt.HasLen, 1)
+	p.Unreachable("there2", at(10))
+	qt.Assert(t, p.Probes(at(200)), qt.HasLen, 3)
+	qt.Assert(t, p.Probed("there3", true, at(210)), qt.IsTrue)
+	qt.Assert(t, p.avoided(p.Get("there3"), at(220)), qt.IsFalse)
+	qt.Assert(t, p.avoided(p.Get("there1"), at(220)), qt.IsTrue)
+	// Servers that end without a word, such as restarted ones, count as lost.
+	q := newTestPool("there1", "there2", "there3")
+	q.EndedUnannounced("there1", at(0))
+	q.EndedUnannounced("there2", at(1))
+	qt.Assert(t, q.avoided(q.Get("there3"), at(2)), qt.IsTrue)
+	for i := range 10 * maxLosses {
+		q.Unreachable("there1", at(i*10000))
+	}
+	qt.Assert(t, len(q.losses["there"]) <= maxLosses, qt.IsTrue)
 }
 
 // Replays a data centre whose servers die together: without the outage rule every
--- a/pkg/placement/relocate.go
+++ b/pkg/placement/relocate.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 )
 
 const (
@@ -68,7 +66,7 @@
 	stay := p.slowness(current, now, current.streams(now))
 	var candidates []*Server
 	for _, s := range p.ready(now, append([]string{from}, r.Exclude...)) {
-		if s.State == directory.Ready && !now.Before(s.avoidUntil) && !p.inOutage(s, now) && fits(s, now, r) {
+		if !p.avoided(s, now) && !p.lossyCentre(s.DataCentre, now) && !now.Before(s.noCopiesUntil) && fits(s, now, r) {
 			candidates = append(candidates, s)
 		}
 	}
--- a/pkg/rpc/rpc.go
+++ b/pkg/rpc/rpc.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	// idleExpiry closes cached connections that were not used for this long.
 	idleExpiry = 60 * time.Second
 	// keyCapacity bounds the cached connections to one peer.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -338,6 +338,25 @@
 	}
 }
 
+// Reach tells whether a backend server accepts a connection, and keeps it.
+func (c *Client) Reach(ctx context.Context, address string) bool {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	cn := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readerBytes), expires: time.Now().Add(defaultIdle)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		p = &pool{}
+		c.pools[address] = p
+	}
+	p.open++
+	p.idle = append(p.idle, cn)
+	return true
+}
+
 // Silent tells whether a backend server does not answer a connection attempt at
 // all. One that refuses or resets it is there, and may only be busy.
 func (c *Client) Silent(ctx context.Context, address string) bool {
