gpctl: state of gateways and coordinators; versions; settings reference from the code

Cause: gpctl status knew only control instances, no program told its version, and no page listed the settings.

Change: gpctl status -metrics reads the metrics of gateways and coordinators, prints a line for each or JSON, and names what is wrong between them (exit status 1).

--- a/cmd/gp-entry/main.go
+++ b/cmd/gp-entry/main.go
@@ -12,11 +12,14 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/instance"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(instance.VersionCommand{}, "")
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&validateCommand{}, "")
 	subcommands.Register(&defaultsCommand{}, "")
--- a/cmd/gp-experiment/compare.go
+++ b/cmd/gp-experiment/compare.go
@@ -35,12 +35,12 @@
 func (*compareCommand) Usage() string {
 	return `gp-experiment compare [flags] LOAD...
 
-Plays each load file (JSON with comments, see examples/loads) against each policy in
+Plays each load file (JSON with comments, see loads) against each policy in
 virtual time and prints a table. With -plots, a plot of the length of streams by the
 time of their arrival is written for each load.
 
-  gp-experiment compare examples/loads/tabashir-burst.json
-  gp-experiment compare -policies apart,together -seeds 20 -plots plots examples/loads/*.json
+  gp-experiment compare loads/tabashir-burst.json
+  gp-experiment compare -policies apart,together -seeds 20 -plots plots loads/*.json
 
 Policies: apart lets runs leave the engines that read prompts, together does not, blind
 is together without telling other gateways where runs are.
--- a/cmd/gp-experiment/compare_test.go
+++ b/cmd/gp-experiment/compare_test.go
@@ -27,7 +27,7 @@
 // that looks like success.
 func TestCompare(t *testing.T) {
 	folder := t.TempDir()
-	load := filepath.Join("..", "..", "examples", "loads", "tabashir-burst.json")
+	load := filepath.Join("..", "..", "loads", "tabashir-burst.json")
 	status, out := execute(t, "-policies", "apart,together", "-seeds", "1", "-plots", folder, load)
 	qt.Assert(t, status, qt.Equals, subcommands.ExitSuccess)
 	qt.Assert(t, strings.Count(out, "\n| "), qt.Equals, 3, qt.Commentf("%s", out))
--- a/cmd/gp-experiment/main.go
+++ b/cmd/gp-experiment/main.go
@@ -7,11 +7,14 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/instance"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(instance.VersionCommand{}, "")
 	subcommands.Register(&compareCommand{out: os.Stdout}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/cmd/gpctl/commands.go
+++ b/cmd/gpctl/commands.go
@@ -12,11 +12,13 @@
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/fleetstatus"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 )
 
@@ -186,14 +188,51 @@
 	return printJSON(get(ctx, fmt.Sprintf("/v1/audit?after=%d&limit=%d", c.after, c.limit)))
 }
 
-type statusCommand struct{}
+type statusCommand struct {
+	metrics string
+	json    bool
+}
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "print the state of all instances" }
+func (*statusCommand) Usage() string {
+	return `status [-metrics HOST:PORT/PATH,...] [-json]: print the state of each instance
 
-func (*statusCommand) Name() string           { return "status" }
-func (*statusCommand) Synopsis() string       { return "print the state of all control instances" }
-func (*statusCommand) Usage() string          { return "status: print the state of each control instance\n" }
-func (*statusCommand) SetFlags(*flag.FlagSet) {}
+Without -metrics, the control instances of -control are asked. With it, the metrics of
+gateways and coordinators are read, and what is wrong between them is named: a process
+that does not answer, a revision that is behind, no leader. The exit status is 1 then.
+
+Example: gpctl status -metrics 10.1.0.19:9464/metrics,10.1.0.22:9464/metrics
+`
+}
 
-func (*statusCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (s *statusCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&s.metrics, "metrics", "", "metrics addresses of gateways and coordinators, separated by commas")
+	f.BoolVar(&s.json, "json", false, "with -metrics, print a JSON array")
+}
+
+// fleet prints the state of gateways and coordinators.
+func (s *statusCommand) fleet(ctx context.Context) subcommands.ExitStatus {
+	ctx, cancel := context.WithTimeout(ctx, min(*timeoutFlag, fleetstatus.Limit))
+	defer cancel()
+	processes := fleetstatus.Collect(ctx, strings.Split(s.metrics, ","))
+	status := subcommands.ExitSuccess
+	if s.json {
+		out, err := json.Marshal(processes)
+		status = printJSON(out, err)
+	} else if err := fleetstatus.Write(os.Stdout, processes); err != nil {
+		return report(err)
+	}
+	if status == subcommands.ExitSuccess && len(fleetstatus.Faults(processes)) > 0 {
+		return exitRefused
+	}
+	return status
+}
+
+func (s *statusCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s.metrics != "" {
+		return s.fleet(ctx)
+	}
 	c, err := newClient()
 	if err != nil {
 		return usage(err)
--- a/cmd/gpctl/main.go
+++ b/cmd/gpctl/main.go
@@ -17,6 +17,8 @@
 
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/instance"
 )
 
 // Exit statuses beyond those of subcommands.
@@ -36,6 +38,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(instance.VersionCommand{}, "")
 	for _, c := range []subcommands.Command{
 		&getCommand{}, &diffCommand{}, &applyCommand{}, &validateCommand{}, &auditCommand{}, &statusCommand{}, &hashKeyCommand{},
 		&explainCommand{},
--- a/pkg/instance/program.go
+++ b/pkg/instance/program.go
@@ -45,6 +45,7 @@
 	subcommands.Register(&command{
 		name: "defaults", synopsis: "print the default settings", usage: "defaults: print the default settings\n", run: p.defaults,
 	}, "")
+	subcommands.Register(VersionCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/pkg/loadmodel/model_test.go
+++ b/pkg/loadmodel/model_test.go
@@ -13,7 +13,7 @@
 
 func readExample(t *testing.T, name string) *Load {
 	t.Helper()
-	load, err := ReadLoad(filepath.Join("..", "..", "examples", "loads", name+".json"))
+	load, err := ReadLoad(filepath.Join("..", "..", "loads", name+".json"))
 	qt.Assert(t, err, qt.IsNil)
 	return load
 }
--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -4,6 +4,7 @@
 
 // Coordinator holds the settings of a coordinator.
 type Coordinator struct {
+	// Instance says who and where the process is.
 	Instance Instance `json:"instance"`
 	// OperatorAddress serves operators and backend servers.
 	OperatorAddress string `json:"operator_address"`
@@ -27,6 +28,7 @@
 
 // Gateway holds the settings of a gateway.
 type Gateway struct {
+	// Instance says who and where the process is.
 	Instance Instance `json:"instance"`
 	// CallerAddress serves callers.
 	CallerAddress string `json:"caller_address"`
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -19,13 +19,15 @@
 // Instance says who and where a process is.
 type Instance struct {
 	// ID is unique among all instances of one role.
-	ID         string `json:"id"`
+	ID string `json:"id"`
+	// Region and DataCentre are where the instance is.
 	Region     string `json:"region"`
 	DataCentre string `json:"data_centre"`
 }
 
 // Peer is another instance that is known from the settings.
 type Peer struct {
+	// ID and DataCentre are those of the other instance.
 	ID         string `json:"id"`
 	DataCentre string `json:"data_centre"`
 	// Address is an IP and a port.
@@ -35,6 +37,7 @@
 // TLS names the files for mutual TLS between our processes. All three are set,
 // or none, which is for trials only.
 type TLS struct {
+	// Certificate, Key and Authority are files in PEM format.
 	Certificate string `json:"certificate"`
 	Key         string `json:"key"`
 	Authority   string `json:"authority"`
@@ -42,6 +45,7 @@
 
 // Entry holds the settings of an entry instance.
 type Entry struct {
+	// Instance says who and where the process is.
 	Instance Instance `json:"instance"`
 	// CallerAddress serves callers and announcements of backend servers.
 	CallerAddress string `json:"caller_address"`
@@ -59,7 +63,8 @@
 	DataFolder string `json:"data_folder"`
 	// KeySecret authenticates one-time keys; the same at all entry instances.
 	KeySecret string `json:"key_secret"`
-	TLS       TLS    `json:"tls"`
+	// TLS protects the connections between our own processes.
+	TLS TLS `json:"tls"`
 	// Policy is "fair" or, as the baseline, "fifo".
 	Policy string `json:"policy"`
 	// BalancerDelayMS is how long new requests are served after readiness fails.
@@ -74,6 +79,7 @@
 
 // Control holds the settings of a control instance.
 type Control struct {
+	// Instance says who and where the process is.
 	Instance Instance `json:"instance"`
 	// PeerAddress serves our own processes.
 	PeerAddress string `json:"peer_address"`
@@ -85,7 +91,8 @@
 	DataFolder string `json:"data_folder"`
 	// Operators maps names to SHA-256 hashes of their keys, in hex.
 	Operators map[string]string `json:"operators"`
-	TLS       TLS               `json:"tls"`
+	// TLS protects the connections between our own processes.
+	TLS TLS `json:"tls"`
 	// HeartbeatMS is the interval of the leader's heartbeats.
 	HeartbeatMS int `json:"heartbeat_ms"`
 	// ElectionMS is the least time without a leader before an election.
