gateway: limits of headers and idle connections; Retry-After from the queue

Cause: a publication's limits for headers and idle time were not enforced, only outer bounds of 64 KB and 60 s; every refusal said to come back after 0.5 s, whether a place was free at once or after seconds.

Change: headers beyond the limit are answered 431; the read deadline of an idle connection follows the configuration in force. A refused caller comes back after the work in front of it at the server that is free first, from its reported queue and run time, between 50 ms and 2 s; 0.5 s if nothing is known.

Tests fail without the change: TestHeaderLimit, TestIdleLimit, TestComeBackFollowsTheQueue.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -145,7 +145,7 @@
 		}
 		return nil, unknown(http.StatusBadGateway, reason+" after an earlier one broke off")
 	}
-	return nil, refused(reason, comeBack)
+	return nil, refused(reason, c.g.comeBackFor(c.j))
 }
 
 // expired answers a call whose limit passed.
@@ -156,7 +156,7 @@
 	case c.runs > 0 || c.open > 0:
 		return nil, unknown(http.StatusGatewayTimeout, "no answer in time")
 	}
-	return nil, refused("no backend server in time", comeBack)
+	return nil, refused("no backend server in time", c.g.comeBackFor(c.j))
 }
 
 func (c *calling) hedgeDelay() time.Duration {
@@ -181,7 +181,7 @@
 func (c *calling) send() *outcome {
 	server := c.g.chooseForCall(c.ctx, c.j, c.tried, c.sends == 0)
 	if server == nil {
-		return refused("no backend server", comeBack)
+		return refused("no backend server", c.g.comeBackFor(c.j))
 	}
 	c.tried = append(c.tried, server.ID)
 	c.sends++
@@ -247,6 +247,13 @@
 	}
 }
 
+// comeBackFor returns when the caller of a refused request should come back.
+func (g *Gateway) comeBackFor(j *job) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool(j.service.Name).ComeBack(time.Now())
+}
+
 // sendCall makes one send and reads the answer.
 func (g *Gateway) sendCall(ctx context.Context, j *job, s *placement.Server) *result {
 	began := time.Now()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -94,6 +94,9 @@
 	if table == nil {
 		return nil, refused("no configuration yet", comeBack)
 	}
+	if limit := table.Config.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
+		return nil, unknown(http.StatusRequestHeaderFieldsTooLarge, "the headers are too large")
+	}
 	limit := table.Config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -128,7 +128,7 @@
 	}
 	g.http = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit,
-		MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug), ConnState: noteState,
 	}
 	r := chi.NewRouter()
 	r.Get("/*", g.serveReady)
@@ -138,7 +138,7 @@
 			g.log.Error("listener failed", "address", l.Addr().String(), "error", err)
 		}
 	}
-	go serve(g.http, callers)
+	go serve(g.http, &idleListener{Listener: callers, limit: g.idleTime})
 	go serve(g.ready, balancer)
 	return nil
 }
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -25,8 +25,8 @@
 	configShare = 0.4
 	// noServerWait is how long a request waits for a server to appear.
 	noServerWait = 300 * time.Millisecond
-	// comeBack is the time after which a refused caller should come back: a
-	// server's restart takes about that long.
+	// comeBack is the time after which a caller should come back that was refused
+	// for want of a configuration: gateways get one within that time of a start.
 	comeBack = 500 * time.Millisecond
 	// maxRefusals bounds the backend servers that may refuse a request before it
 	// is refused here.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -126,7 +126,7 @@
 	}
 	switch {
 	case s.ran == 0:
-		return refused("no engine: "+err.Error(), comeBack)
+		return refused("no engine: "+err.Error(), s.g.comeBackFor(s.j))
 	case s.ctx.Err() != nil:
 		return unknown(http.StatusGatewayTimeout, "no answer in time: "+err.Error())
 	}
