coordinator: renewals reach gateways every 8 s at most

Every renewal of every server went to every gateway.

Change: a gateway hears of a server that only renews itself every 8 s at most, and of changes at once; other coordinators still hear each renewal. A server counts at a gateway for 16 s longer without one. Probes of one server start 120 ms apart and end 1 s apart, since servers that ended for good are known longer.

TestFollow announces a changed address each time, as gateways no longer hear of every renewal; TestRenewalsAreThinned checks what they hear.

--- a/pkg/coordinator/coordinator_test.go
+++ b/pkg/coordinator/coordinator_test.go
@@ -325,8 +325,8 @@
 	server := directory.Server{ID: "s", Service: "p", Address: "a:1", DataCentre: "d", StartedMS: 1, Sequence: 1, Slots: 6, WarmingMS: 3}
 	for i := 1; i <= 3; i++ {
 		server.Sequence++
-		// A coordinator may have heard of the server from another one.
-		qt.Assert(t, g.nodes[i].Announce(server), qt.Not(qt.Equals), directory.Stale)
+		server.Address = fmt.Sprintf("a:%d", i)
+		qt.Assert(t, g.nodes[i].Announce(server), qt.Equals, directory.Changed)
 		g.eventually("the announcement", r.holds(func(r *recorder) bool { return r.servers["s"] == server }))
 	}
 	server.State, server.Sequence = directory.Leaving, 9
@@ -393,6 +393,33 @@
 	qt.Assert(t, announcements, qt.HasLen, 0)
 }
 
+// Guards against control traffic that grows with servers times gateways: a gateway
+// hears of a server that only renews itself every few seconds, a coordinator each time.
+func TestRenewalsAreThinned(t *testing.T) {
+	h := newHub(time.Minute)
+	gateway, peer := h.subscribe(false), h.subscribe(true)
+	server := directory.Server{ID: "s", Service: "p", Address: "a:1", StartedMS: 1}
+	heard := func(f *follower) int {
+		announcements, _ := f.take()
+		return len(announcements)
+	}
+	for i, wanted := range []int{1, 0, 0} {
+		server.Sequence++
+		h.announce(server)
+		qt.Assert(t, heard(gateway), qt.Equals, wanted, qt.Commentf("announcement %d", i))
+		qt.Assert(t, heard(peer), qt.Equals, 1)
+	}
+	server.State, server.Sequence = directory.Leaving, 9
+	h.announce(server)
+	qt.Assert(t, heard(gateway), qt.Equals, 1)
+	h.renewed["s"] = time.Now().Add(-follow.RenewalPause)
+	server.Sequence++
+	h.announce(server)
+	qt.Assert(t, heard(gateway), qt.Equals, 1)
+	// A gateway that starts learns all at once.
+	qt.Assert(t, heard(h.subscribe(false)), qt.Equals, 1)
+}
+
 // Replays the end of all processes at once: gateways get the newest publication
 // before there is a leader, from a majority of the logs and from no fewer.
 func TestPublicationBeforeThereIsALeader(t *testing.T) {
--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -22,6 +22,8 @@
 	recent []recentPlacement
 	// noted counts announcements and placements.
 	noted int
+	// renewed is when gateways were told last that a server is still there.
+	renewed map[string]time.Time
 }
 
 // recentPlacement is a placement and when it came. It is also kept in a file.
@@ -43,7 +45,7 @@
 }
 
 func newHub(life time.Duration) *hub {
-	return &hub{servers: directory.New(life), followers: map[*follower]bool{}}
+	return &hub{servers: directory.New(life), followers: map[*follower]bool{}, renewed: map[string]time.Time{}}
 }
 
 func (h *hub) announce(s directory.Server) directory.Effect {
@@ -80,8 +82,13 @@
 // queue puts the state of a server into the queues of the followers; h.mu is held.
 func (h *hub) queue(id string, effect directory.Effect, heardElsewhere bool) {
 	current, _ := h.servers.Lookup(id)
+	now := time.Now()
+	due := effect == directory.Changed || now.Sub(h.renewed[id]) >= follow.RenewalPause
+	if due {
+		h.renewed[id] = now
+	}
 	for f := range h.followers {
-		if heardElsewhere && f.peer {
+		if f.peer && heardElsewhere || !f.peer && !due {
 			continue
 		}
 		f.pending[id] = current
@@ -183,7 +190,9 @@
 func (h *hub) run(ctx context.Context) {
 	for sleep(ctx, follow.Beat) {
 		h.mu.Lock()
-		h.servers.Expire(time.Now())
+		for _, s := range h.servers.Expire(time.Now()) {
+			delete(h.renewed, s.ID)
+		}
 		for f := range h.followers {
 			wake(f.beat)
 		}
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -18,6 +18,10 @@
 const (
 	// Beat is the interval at which a coordinator sends at least an empty event.
 	Beat = 400 * time.Millisecond
+	// RenewalPause is the least time between two renewals of one backend server to a
+	// gateway. Renewals grow with servers times gateways, and were nearly all bytes of
+	// control at 1,000 servers; changes are told at once.
+	RenewalPause = 8 * time.Second
 	// silence ends a stream after three missed beats: a connection can go silent
 	// for good while new ones work.
 	silence = 3*Beat + 100*time.Millisecond
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -79,10 +79,11 @@
 }
 
 // serverLife exceeds the time that coordinators allow, since announcements reach
-// a gateway over them.
+// a gateway over them, and two renewals from them. A server that has ended before
+// is found out by requests and probes.
 func serverLife(s settings.Gateway) time.Duration {
 	const missed = 6
-	return missed * time.Duration(s.AnnounceMS) * time.Millisecond
+	return missed*time.Duration(s.AnnounceMS)*time.Millisecond + 2*follow.RenewalPause
 }
 
 // ServiceName implements kernel.Service.
--- a/pkg/placement/outage.go
+++ b/pkg/placement/outage.go
@@ -15,9 +15,11 @@
 	// suspicion is how long a server is avoided without a sign of life after it, or
 	// its data centre, was lost. Probes end it sooner, and renew it as they fail.
 	suspicion = 3 * time.Second
-	// probePause is the wait between two probes of one server: a tenth of the
-	// usual time that engines need to start again.
-	probePause = 120 * time.Millisecond
+	// probePause is the wait between the first two probes of one server: a tenth of
+	// the usual time that engines need to start again. It doubles up to
+	// longestProbePause, as servers that ended for good are known for a while.
+	probePause        = 120 * time.Millisecond
+	longestProbePause = time.Second
 	// maxLosses bounds the losses that are remembered for one data centre.
 	maxLosses = 8
 	// lossMemory is how long one lost server makes its data centre a bad place for
@@ -98,7 +100,8 @@
 	var probes []Probe
 	for _, s := range p.servers {
 		if s.State == directory.Ready && !now.Before(s.probeAt) && (down(s, now) || p.inOutage(s, now)) {
-			s.probeAt = now.Add(probePause)
+			s.probeWait = min(longestProbePause, max(probePause, 2*s.probeWait))
+			s.probeAt = now.Add(s.probeWait)
 			probes = append(probes, Probe{s.ID, s.Address})
 		}
 	}
@@ -114,7 +117,7 @@
 	}
 	if reached {
 		avoided := p.avoided(s, now)
-		s.lastAnswer = now
+		s.lastAnswer, s.probeWait = now, 0
 		return avoided && !p.avoided(s, now)
 	}
 	s.lostAt, p.lastLoss = now, now
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -67,8 +67,9 @@
 	// lastAnswer is when the server showed a sign of life, lostAt when it could
 	// not be reached last.
 	lastAnswer, lostAt time.Time
-	// probeAt is when the server may be probed next.
-	probeAt time.Time
+	// probeAt is when the server may be probed next, probeWait the wait before it.
+	probeAt   time.Time
+	probeWait time.Duration
 	// inAll and inLocal are the places in the lists of the pool.
 	inAll, inLocal int
 	// noCopiesUntil is when a copy may be sent here again.
--- a/pkg/placement/pool_test.go
+++ b/pkg/placement/pool_test.go
@@ -86,6 +86,16 @@
 	qt.Assert(t, p.Probed("here1", true, at(300)), qt.IsTrue)
 	qt.Assert(t, share(p, at(300))["here1"], qt.Equals, 100)
 	qt.Assert(t, p.Probes(at(500)), qt.HasLen, 0)
+	// The pause between probes grows while they fail, up to its bound.
+	q, probes := newTestPool("here1"), 0
+	q.Unreachable("here1", at(0))
+	for ms := 0; ms < 10000; ms += 20 {
+		for range q.Probes(at(ms)) {
+			probes++
+			q.Probed("here1", false, at(ms))
+		}
+	}
+	qt.Assert(t, probes >= 10 && probes <= 14, qt.IsTrue, qt.Commentf("%d probes in 10 s", probes))
 	// A server that accepts connections and answers nothing is passed over for a
 	// pause that doubles with each failure, up to its bound.
 	for _, ms := range []int{1000, 2000, 4000, 8000, 16000} {
