--- a/pkg/generation/attempt.go
+++ b/pkg/generation/attempt.go
@@ -12,7 +12,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
 	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
-	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
+	"github.com/geraniumpitch/geraniumpitch/pkg/streamrecord"
 )
 
 // adopt tries to resume the engine stream of the owner before.
@@ -144,11 +144,11 @@
 	record, ok := g.st.Record()
 	if !ok {
 		g.release(broker.Cancelled)
-		return replica.ErrTakenOver
+		return streamrecord.ErrTakenOver
 	}
 	g.state.Begin()
 	g.engine = g.service.connect(address)
-	g.at = replica.Engine{
+	g.at = streamrecord.Engine{
 		Address: address, Attempt: g.state.Attempt(),
 		Stream: g.st.Name() + "." + strconv.FormatUint(g.st.Epoch(), 10) + "." +
 			strconv.FormatUint(uint64(g.state.Attempt()), 10),
--- a/pkg/generation/harness_test.go
+++ b/pkg/generation/harness_test.go
@@ -19,9 +19,9 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
 	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
-	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/standin"
+	"github.com/geraniumpitch/geraniumpitch/pkg/streamrecord"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -131,7 +131,7 @@
 // node is one entry instance.
 type node struct {
 	id      string
-	store   *replica.Service
+	store   *streamrecord.Service
 	service *Service
 	cancel  context.CancelFunc
 }
@@ -216,7 +216,7 @@
 	counters := &rpc.Counters{}
 	v := view{table: c.table, self: m.ID, links: c.links}
 	n := &node{id: m.ID, cancel: cancel}
-	n.store = replica.New(v, rpc.NewDialer(nil, counters), limit, nil, quiet)
+	n.store = streamrecord.New(v, rpc.NewDialer(nil, counters), limit, nil, quiet)
 	server := rpc.NewServer(nil, counters, quiet)
 	c.Assert(n.store.Register(server.Mux()), quicktest.IsNil)
 	c.Assert(server.Listen(ctx, m.PeerAddress), quicktest.IsNil)
--- a/pkg/generation/measure_test.go
+++ b/pkg/generation/measure_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/frankban/quicktest"
 	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
-	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
+	"github.com/geraniumpitch/geraniumpitch/pkg/streamrecord"
 )
 
 // report prints percentiles of a set of times, in milliseconds.
@@ -145,12 +145,12 @@
 	}
 }
 
-func (c *cluster) own(stream string, request []byte) *replica.Stream {
-	st, err := c.nodes[0].store.Own(replica.Record{
-		Stream: stream, Organisation: "o", Request: request, Term: replica.Term{Epoch: 1, Owner: "n1"},
+func (c *cluster) own(stream string, request []byte) *streamrecord.Stream {
+	st, err := c.nodes[0].store.Own(streamrecord.Record{
+		Stream: stream, Organisation: "o", Request: request, Term: streamrecord.Term{Epoch: 1, Owner: "n1"},
 	})
 	c.Assert(err, quicktest.IsNil)
-	c.Assert(st.SetEngine(replica.Engine{Address: "192.0.2.10:8000", Stream: stream + ".1.1", Attempt: 1}), quicktest.IsNil)
+	c.Assert(st.SetEngine(streamrecord.Engine{Address: "192.0.2.10:8000", Stream: stream + ".1.1", Attempt: 1}), quicktest.IsNil)
 	return st
 }
 
@@ -160,7 +160,7 @@
 	for _, streams := range []int{1, 20, 200} {
 		b.Run(fmt.Sprint(streams, "-streams"), func(b *testing.B) {
 			c := newCluster(b, clusterOptions{dataCentres: []string{"a", "b"}})
-			var list []*replica.Stream
+			var list []*streamrecord.Stream
 			for i := range streams {
 				list = append(list, c.own(fmt.Sprintf("s%024d-n1", i), []byte("{}")))
 			}
--- a/pkg/generation/running.go
+++ b/pkg/generation/running.go
@@ -8,7 +8,7 @@
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
 	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
-	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
+	"github.com/geraniumpitch/geraniumpitch/pkg/streamrecord"
 )
 
 // prefixBytes is the length of the start of a prompt that chooses a backend
@@ -37,7 +37,7 @@
 // below state.
 type running struct {
 	service *Service
-	st      *replica.Stream
+	st      *streamrecord.Stream
 	request Request
 	// admitted is closed when the first attempt runs or the request is refused.
 	admitted chan struct{}
@@ -56,7 +56,7 @@
 	events  chan event
 	lease   broker.Lease
 	engine  engine.Engine
-	at      replica.Engine
+	at      streamrecord.Engine
 	stream  engine.Stream
 	exclude []excluded
 	lostAt  time.Time
@@ -83,7 +83,7 @@
 	stream engine.Stream
 }
 
-func newRunning(s *Service, st *replica.Stream, r Request, state State, last replica.Engine) *running {
+func newRunning(s *Service, st *streamrecord.Stream, r Request, state State, last streamrecord.Engine) *running {
 	g := &running{
 		service: s, st: st, request: r, admitted: make(chan struct{}),
 		state: state, at: last, events: make(chan event, 16),
@@ -293,7 +293,7 @@
 // accept adds the next token to the record. It reports false when the record
 // has no room for it.
 func (g *running) accept(e event) bool {
-	if errors.Is(g.st.Append(e.Position, e.Text), replica.ErrTooLarge) {
+	if errors.Is(g.st.Append(e.Position, e.Text), streamrecord.ErrTooLarge) {
 		g.cancelEngine()
 		return false
 	}
--- a/pkg/generation/service.go
+++ b/pkg/generation/service.go
@@ -16,7 +16,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
 	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
-	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
+	"github.com/geraniumpitch/geraniumpitch/pkg/streamrecord"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 	"golang.org/x/sync/singleflight"
@@ -72,7 +72,7 @@
 	view    membership.View
 	config  configwatch.Source
 	slots   broker.Acquirer
-	store   *replica.Service
+	store   *streamrecord.Service
 	log     *slog.Logger
 	meter   metric.Meter
 	metrics metrics
@@ -93,7 +93,7 @@
 
 // New returns a service without generations.
 func New(
-	view membership.View, config configwatch.Source, slots broker.Acquirer, store *replica.Service,
+	view membership.View, config configwatch.Source, slots broker.Acquirer, store *streamrecord.Service,
 	log *slog.Logger, options ...Option,
 ) *Service {
 	client := engine.NewClient(nil)
@@ -239,14 +239,14 @@
 	if err != nil {
 		return nil, err
 	}
-	st, err := s.store.Own(replica.Record{
+	st, err := s.store.Own(streamrecord.Record{
 		Stream: stream, Organisation: r.Organisation, Request: body,
-		Term: replica.Term{Epoch: 1, Owner: s.view.Self().ID},
+		Term: streamrecord.Term{Epoch: 1, Owner: s.view.Self().ID},
 	})
-	if errors.Is(err, replica.ErrFull) {
+	if errors.Is(err, streamrecord.ErrFull) {
 		return nil, &broker.Refusal{Reason: "queue_full", RetryAfter: time.Second}
 	}
-	if errors.Is(err, replica.ErrTooLarge) {
+	if errors.Is(err, streamrecord.ErrTooLarge) {
 		return nil, ErrTooLarge
 	}
 	if err != nil {
@@ -256,7 +256,7 @@
 		st.Drop()
 		return nil, ErrTakenOver
 	}
-	g := s.start(st, r, NewState(r.MaxTokens, 0, 0), replica.Engine{})
+	g := s.start(st, r, NewState(r.MaxTokens, 0, 0), streamrecord.Engine{})
 	return g.wait(ctx, 0)
 }
 
@@ -303,11 +303,11 @@
 func (s *Service) takeOver(ctx context.Context, organisation, stream string, after int) error {
 	st, err := s.store.TakeOver(ctx, stream, organisation, after+1)
 	switch {
-	case errors.Is(err, replica.ErrNotFound):
+	case errors.Is(err, streamrecord.ErrNotFound):
 		return ErrNotFound
-	case errors.Is(err, replica.ErrStaleCopy), errors.Is(err, replica.ErrFull):
+	case errors.Is(err, streamrecord.ErrStaleCopy), errors.Is(err, streamrecord.ErrFull):
 		return ErrLost
-	case errors.Is(err, replica.ErrTakenOver):
+	case errors.Is(err, streamrecord.ErrTakenOver):
 		return ErrTakenOver
 	case err != nil:
 		return err
@@ -350,7 +350,7 @@
 }
 
 // attach returns a session of a stream that this instance owns.
-func (s *Service) attach(ctx context.Context, st *replica.Stream, after int) (Session, error) {
+func (s *Service) attach(ctx context.Context, st *streamrecord.Stream, after int) (Session, error) {
 	s.mu.Lock()
 	g := s.running[st.Name()]
 	s.mu.Unlock()
@@ -365,7 +365,7 @@
 }
 
 // start runs a generation in the background.
-func (s *Service) start(st *replica.Stream, r Request, state State, last replica.Engine) *running {
+func (s *Service) start(st *streamrecord.Stream, r Request, state State, last streamrecord.Engine) *running {
 	g := newRunning(s, st, r, state, last)
 	s.mu.Lock()
 	s.running[st.Name()] = g
--- a/pkg/generation/service_test.go
+++ b/pkg/generation/service_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/frankban/quicktest"
 	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
-	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
 	"github.com/geraniumpitch/geraniumpitch/pkg/standin"
+	"github.com/geraniumpitch/geraniumpitch/pkg/streamrecord"
 )
 
 var threeCentres = []string{"a", "b", "c"}
@@ -225,7 +225,7 @@
 	for _, b := range c.backends {
 		c.Assert(b.Counts().Started, quicktest.Equals, 0)
 	}
-	c.Assert(c.nodes[0].store.Stats(), quicktest.Equals, replica.Stats{})
+	c.Assert(c.nodes[0].store.Stats(), quicktest.Equals, streamrecord.Stats{})
 	c.slots.setRefuse(false)
 	s, err := c.nodes[0].service.Open(context.Background(), request(100))
 	c.Assert(err, quicktest.IsNil)
--- a/pkg/generation/session.go
+++ b/pkg/generation/session.go
@@ -6,13 +6,13 @@
 	"io"
 	"sync"
 
-	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
+	"github.com/geraniumpitch/geraniumpitch/pkg/streamrecord"
 )
 
 // session reads the answer for one caller.
 type session struct {
 	running  *running
-	st       *replica.Stream
+	st       *streamrecord.Stream
 	request  Request
 	watch    chan struct{}
 	position int
@@ -22,7 +22,7 @@
 
 // newSession returns a session from a position on. The generation is nil when
 // it has ended.
-func newSession(g *running, st *replica.Stream, r Request, position int) *session {
+func newSession(g *running, st *streamrecord.Stream, r Request, position int) *session {
 	return &session{running: g, st: st, request: r, watch: st.Watch(), position: position}
 }
 
@@ -39,9 +39,9 @@
 	}
 	token, err := s.st.Read(ctx, s.watch, s.position)
 	switch {
-	case errors.Is(err, replica.ErrTakenOver):
+	case errors.Is(err, streamrecord.ErrTakenOver):
 		return Event{}, ErrTakenOver
-	case errors.Is(err, replica.ErrGone):
+	case errors.Is(err, streamrecord.ErrGone):
 		return Event{}, ErrLost
 	case err != nil:
 		return Event{}, err
--- a/pkg/instance/entry.go
+++ b/pkg/instance/entry.go
@@ -23,9 +23,9 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
 	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
 	"github.com/geraniumpitch/geraniumpitch/pkg/once"
-	"github.com/geraniumpitch/geraniumpitch/pkg/replica"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/streamrecord"
 	"github.com/geraniumpitch/geraniumpitch/pkg/telemetry"
 )
 
@@ -147,7 +147,7 @@
 }
 
 func (e *Entry) replica() (kernel.Service, error) {
-	return replica.New(e.view(), e.dialer, e.settings.RecordBytes, e.telemetry.Meter("replica"), e.log), nil
+	return streamrecord.New(e.view(), e.dialer, e.settings.RecordBytes, e.telemetry.Meter(streamrecord.ServiceName), e.log), nil
 }
 
 func (e *Entry) generation() (kernel.Service, error) {
@@ -157,7 +157,7 @@
 	}
 	client := engine.NewClient(source)
 	return generation.New(e.view(), e.config(), must[broker.Acquirer](e.kernel, "broker"),
-		must[*replica.Service](e.kernel, "replica"), e.log,
+		must[*streamrecord.Service](e.kernel, streamrecord.ServiceName), e.log,
 		generation.WithMeter(e.telemetry.Meter("generation")),
 		generation.WithEngines(func(address string) engine.Engine { return engine.NewHTTP(address, client) })), nil
 }
--- a/pkg/replica/service.go
+++ b/pkg/streamrecord/service.go
@@ -1,4 +1,4 @@
-package replica
+package streamrecord
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 )
 
 // ServiceName is the name of the service in the kernel.
-const ServiceName = "replica"
+const ServiceName = "streamrecord"
 
 // Timing of replication.
 const (
--- a/pkg/replica/session.go
+++ b/pkg/streamrecord/session.go
@@ -1,4 +1,4 @@
-package replica
+package streamrecord
 
 import (
 	"context"
--- a/pkg/replica/store.go
+++ b/pkg/streamrecord/store.go
@@ -1,7 +1,7 @@
-// Package replica keeps stream records: the copy at the owner and the copy at a
+// Package streamrecord keeps stream records: the copy at the owner and the copy at a
 // second entry instance, the holder, from which another instance can continue
 // the stream.
-package replica
+package streamrecord
 
 import (
 	"slices"
