--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -185,7 +185,7 @@
 	var r *relocation
 	if moves {
 		r = &relocation{done: make(chan struct{})}
-		watch.then = func() { go s.relocate(ctx, engine, run, r) }
+		watch.onFirstEvent = func() { go s.relocate(ctx, engine, run, r) }
 	} else {
 		go s.protect(ctx, engine, run)
 	}
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -49,9 +49,9 @@
 	gone   bool
 	s      *streaming
 	id     string
-	// read tells that the first event came; then is called at that moment.
-	read bool
-	then func()
+	// read tells that the first event came; onFirstEvent, if set, is called then.
+	read         bool
+	onFirstEvent func()
 }
 
 // firstEvent notes the first event: the prompt was read.
@@ -59,8 +59,8 @@
 	w.stop()
 	if !w.read {
 		w.read = true
-		if w.then != nil {
-			w.then()
+		if w.onFirstEvent != nil {
+			w.onFirstEvent()
 		}
 	}
 }
