coordinator: only logs that have not grown since the start are offered to gateways

Change: the offer needs a member whose log ends where it ended at the start. A gateway forgets an offer when the stream that brought it ends.

Test: TestLogThatGrewIsNotOffered fails without the comparison.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -209,6 +209,25 @@
 	g.eventually("the publication", r.holds(func(r *recorder) bool { return r.revision == 7 }))
 }
 
+// Guards against an old publication: a member whose leader added to its log and was
+// lost then does not know what was accepted last, and may not count for a majority.
+func TestLogThatGrewIsNotOffered(t *testing.T) {
+	g := newTestGroup(t, 3)
+	g.publish(1, 7, "seven")
+	for i := 1; i <= 3; i++ {
+		g.stop(i)
+	}
+	for i := 1; i <= 3; i++ {
+		g.start(i, false)
+	}
+	g.publish(1, 8, "eight")
+	g.stop(2)
+	g.stop(3)
+	g.eventually("the loss of the leader", func() bool { return !g.nodes[1].group.current().InTouch() })
+	_, _, ok := g.nodes[1].group.unconfirmed()
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
 // Replays the end of all processes and the loss of power: a gateway that starts
 // after it learns the backend servers and where recent prompts are; a torn or old
 // file does no harm.
--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -34,8 +34,10 @@
 	node  *control.Node
 	place place
 	disk  consensus.DiskID
-	// stored is the newest publication that the log had when the node started.
-	stored control.Publication
+	// stored is the newest publication that the log had when the node started, and
+	// storedLast the index of its last entry.
+	stored     control.Publication
+	storedLast uint64
 	// heard is when a slot's disk sent a message last.
 	heard map[string]time.Time
 	// reserved slots were promised to a disk until a time.
@@ -64,19 +66,17 @@
 	return g.node
 }
 
-// unconfirmed returns the newest publication in the log of a member that knows no
-// leader, and the number of slots; it is false otherwise.
+// unconfirmed returns the newest publication in the log of a member that has known
+// no leader since it started, and the number of slots; it is false otherwise. Once a
+// leader has added to the log, what was read at the start is no longer the newest,
+// and a disk that is still catching up is in no majority.
 func (g *group) unconfirmed() (p control.Publication, slots int, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.node == nil || g.node.InTouch() {
+	if g.node == nil || g.node.InTouch() || !g.node.Up() || g.node.Status().Last != g.storedLast {
 		return control.Publication{}, 0, false
 	}
-	p = g.stored
-	if applied := g.node.Publication(); applied.Revision > p.Revision {
-		p = applied
-	}
-	return p, len(g.place.Slots), p.Revision > 0
+	return g.stored, len(g.place.Slots), g.stored.Revision > 0
 }
 
 // run takes part in the group until ctx ends.
@@ -118,7 +118,8 @@
 		return errors.Join(err, store.Close())
 	}
 	g.mu.Lock()
-	g.node, g.place, g.disk, g.stored, g.since = node, p, disk, newest, time.Now()
+	g.node, g.place, g.disk, g.since = node, p, disk, time.Now()
+	g.stored, g.storedLast = newest, stored.Snapshot.Index+uint64(len(stored.Entries))
 	g.mu.Unlock()
 	g.log.Info("takes part in the control group", "slot", p.Slot, "disk", disk, "stored_entries", len(stored.Entries),
 		"stored_snapshot", stored.Snapshot.Index)
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -121,6 +121,7 @@
 		err := c.follow(ctx, address, s)
 		c.dialer.Drop(address)
 		c.mu.Lock()
+		c.recovery.forget(address)
 		wasUp, expired := s.up, time.Since(s.named) > forgetAfter
 		s.up = false
 		if expired {
--- a/pkg/follow/recovery.go
+++ b/pkg/follow/recovery.go
@@ -29,3 +29,7 @@
 	}
 	return newest
 }
+
+// forget drops the answer of a coordinator whose stream ended: its log may grow
+// without this gateway hearing of it.
+func (r *recovery) forget(address string) { delete(r.answers, address) }
--- a/pkg/follow/recovery_test.go
+++ b/pkg/follow/recovery_test.go
@@ -17,6 +17,12 @@
 	qt.Assert(t, r.note("a", old, 5), qt.IsNil)
 	qt.Assert(t, r.note("b", newest, 5), qt.IsNil)
 	qt.Assert(t, r.note("c", old, 5), qt.Equals, newest)
+	// An answer counts while its stream is open.
+	var ended recovery
+	qt.Assert(t, ended.note("a", old, 3), qt.IsNil)
+	ended.forget("a")
+	qt.Assert(t, ended.note("b", old, 3), qt.IsNil)
+	qt.Assert(t, ended.note("c", old, 3), qt.Equals, old)
 	var one recovery
 	qt.Assert(t, one.note("a", old, 1), qt.Equals, old)
 	var even recovery
