control: the test group knows all its members before one of them runs

On a busy machine the first message was faster. No fault of the code under test.

Change: all members are made first, then started; a message to one that has not started is lost, as on a network. No test was changed.

--- a/pkg/control/group_test.go
+++ b/pkg/control/group_test.go
@@ -131,6 +131,9 @@
 	}
 	for _, id := range g.ids {
 		g.members[id] = &member{group: g, id: id, store: &memoryStore{}, disk: consensus.DiskID("disk-" + string(id))}
+	}
+	// Members that run send to all others, so all must be known first.
+	for _, id := range g.ids {
 		g.start(id, seed)
 	}
 	t.Cleanup(func() {
@@ -208,8 +211,13 @@
 			g.t.Error(err)
 			return
 		}
+		n := g.node(message.To)
+		if n == nil {
+			// A member that has not started yet hears nothing.
+			return
+		}
 		select {
-		case g.node(message.To).messages <- decoded:
+		case n.messages <- decoded:
 		default:
 		}
 	})
