consensus: let a group grow by one member at a time

Change: an AddMember entry adds a member and its disk to the member table. The leader admits one learner at a time (AdmitMember) and proposes the entry once it has caught up. Commits, elections and reads need a majority of the committed and of the latest table. A member that does not know yet that it was added votes; an empty member learns from the answers to its Hello which members its group has got since. Result: TestRandomGrowth adds members at any moment of the faults of TestRandomFaults.

--- a/pkg/consensus/cluster_test.go
+++ b/pkg/consensus/cluster_test.go
@@ -67,9 +67,10 @@
 func (d *disk) isInTable(id MemberID) bool {
 	tableDisk := d.stored.Snapshot.Members[id]
 	for _, e := range d.stored.Entries {
-		var r replacement
-		if e.Kind == ReplaceDisk && e.Index <= d.stored.HardState.Commit && json.Unmarshal(e.Data, &r) == nil && r.Member == id {
-			tableDisk = r.Disk
+		var change tableChange
+		if (e.Kind == ReplaceDisk || e.Kind == AddMember) && e.Index <= d.stored.HardState.Commit &&
+			json.Unmarshal(e.Data, &change) == nil && change.Member == id {
+			tableDisk = change.Disk
 		}
 	}
 	return tableDisk == d.id
@@ -96,9 +97,11 @@
 // cluster simulates members, disks and the network, and checks the safety properties of
 // the protocol at each step.
 type cluster struct {
-	t          fataler
-	rand       *rand.Rand
-	ids        []MemberID
+	t    fataler
+	rand *rand.Rand
+	ids  []MemberID
+	// founders is the number of members, the first of ids, that found the group.
+	founders   int
 	members    map[MemberID]*member
 	inFlight   []inFlightMessage
 	tick       int
@@ -133,6 +136,7 @@
 	for i := range size {
 		c.ids = append(c.ids, MemberID(rune('a'+i)))
 	}
+	c.founders = size
 	for _, id := range c.ids {
 		c.members[id] = &member{id: id}
 		c.newDisk(c.members[id])
@@ -141,6 +145,26 @@
 	return c
 }
 
+// addMember starts a member that is not in the member table. The group must be founded.
+func (c *cluster) addMember() {
+	id := MemberID(rune('a' + len(c.ids)))
+	c.ids = append(c.ids, id)
+	c.members[id] = &member{id: id}
+	c.newDisk(c.members[id])
+	c.start(c.members[id])
+}
+
+// admitMembers makes the running members admit the members that did not found the group.
+func (c *cluster) admitMembers() {
+	for _, id := range c.ids {
+		for _, added := range c.ids[c.founders:] {
+			if m := c.members[id]; m.node != nil && !m.frozen {
+				m.node.AdmitMember(added)
+			}
+		}
+	}
+}
+
 // setMaxEntries restarts all members with a new limit of entries per message. It is
 // called while they are still empty.
 func (c *cluster) setMaxEntries(entries int) {
@@ -160,8 +184,12 @@
 	if m.node != nil {
 		return
 	}
+	known := c.ids
+	if c.hasOriginalDisk(m) {
+		known = c.ids[:c.founders]
+	}
 	cfg := Config{
-		ID: m.id, Disk: m.disk.id, Members: c.ids, HeartbeatTicks: 2, ElectionTicks: 8, MaxEntries: c.maxEntries,
+		ID: m.id, Disk: m.disk.id, Members: known, HeartbeatTicks: 2, ElectionTicks: 8, MaxEntries: c.maxEntries,
 		// Half of the starts have a short first election.
 		FirstElectionTicks: 2 * int(c.rand.Uint64()%2),
 		Rand:               rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
@@ -201,15 +229,16 @@
 	return outsideTable <= len(c.ids)-(len(c.ids)/2+1)
 }
 
-// hasOriginalDisk reports whether a member still has the disk that it started with.
+// hasOriginalDisk reports whether a founder still has the disk that it started with.
 func (c *cluster) hasOriginalDisk(m *member) bool {
-	return m.disk.id == DiskID(fmt.Sprintf("%s%d", m.id, slices.Index(c.ids, m.id)+1))
+	return slices.Index(c.ids, m.id) < c.founders && m.disk.id == DiskID(fmt.Sprintf("%s%d", m.id, slices.Index(c.ids, m.id)+1))
 }
 
 // run simulates a number of ticks.
 func (c *cluster) run(ticks int) {
 	for range ticks {
 		c.tick++
+		c.admitMembers()
 		for _, i := range c.rand.Perm(len(c.ids)) {
 			m := c.members[c.ids[i]]
 			if m.node != nil && !m.frozen {
@@ -399,7 +428,9 @@
 func (c *cluster) converge() {
 	c.heal()
 	target := uint64(0)
-	for range 600 {
+	// Members join one after the other.
+	const ticksPerJoin = 600
+	for range ticksPerJoin * (1 + len(c.ids) - c.founders) {
 		c.run(1)
 		if target == 0 && c.propose(1) > 0 {
 			target = c.commitIndex + 2
@@ -413,6 +444,9 @@
 	}
 	for _, id := range c.ids {
 		m := c.members[id]
+		if m.node == nil {
+			continue
+		}
 		fmt.Fprintf(os.Stderr, "%s disk %s applied %d %+v group %x\n", id, m.disk.id, m.appliedIndex, m.node.Status(), m.node.snap.Group)
 	}
 	c.t.Fatalf("the healed cluster does not converge: target index %d, committed index %d", target, c.commitIndex)
--- a/pkg/consensus/codec.go
+++ b/pkg/consensus/codec.go
@@ -37,7 +37,7 @@
 	}
 	term := m.LogTerm
 	for i, e := range m.Entries {
-		if e.Index != m.Index+uint64(i)+1 || e.Term < term || e.Term > m.Term || e.Kind > ReplaceDisk {
+		if e.Index != m.Index+uint64(i)+1 || e.Term < term || e.Term > m.Term || e.Kind > lastEntryKind {
 			return eris.Errorf("consensus message from %q of kind %d: entry %d at index %d is malformed", m.From, m.Kind, i, e.Index)
 		}
 		term = e.Term
--- a/pkg/consensus/election.go
+++ b/pkg/consensus/election.go
@@ -6,7 +6,7 @@
 func (n *Node) startElection(preVote bool) {
 	n.role, n.leader, n.preVote = Candidate, "", preVote
 	n.votes = map[MemberID]bool{}
-	n.peers = nil
+	n.dropPeers()
 	n.pendingReads = nil
 	n.resetTimer()
 	kind, term := PreVote, n.term+1
@@ -35,7 +35,10 @@
 func (n *Node) handleVote(m Message) {
 	last := n.lastIndex()
 	upToDate := m.LogTerm > n.termAt(last) || m.LogTerm == n.termAt(last) && m.Index >= last
-	grant := n.isVoter() && upToDate && !n.hasActiveLeader()
+	// A member that does not know yet that it was added votes too: the candidate decides
+	// whether its vote counts.
+	_, known := n.latestTable[n.cfg.ID]
+	grant := (n.isVoter() || !known) && upToDate && !n.hasActiveLeader()
 	if m.Kind == PreVote {
 		reply := Message{To: m.From, Kind: PreVoteReply, Granted: grant && m.Term > n.term}
 		if reply.Granted {
@@ -68,7 +71,7 @@
 	}
 	n.votes[member] = true
 	switch {
-	case len(n.votes) < n.quorum():
+	case !n.isQuorum(func(m MemberID) bool { return n.votes[m] }):
 	case n.preVote:
 		n.startElection(false)
 	default:
@@ -100,10 +103,20 @@
 		n.resetTimer()
 	}
 	n.role, n.leader = Follower, leader
-	n.peers, n.votes, n.pendingReads = nil, nil, nil
+	n.votes, n.pendingReads = nil, nil
+	n.dropPeers()
 	n.roundRequested = false
 }
 
+// dropPeers drops the state that only a leader keeps of other members.
+func (n *Node) dropPeers() {
+	n.peers = nil
+	if n.admitted != nil {
+		n.admitted = nil
+		n.refreshTables()
+	}
+}
+
 // acceptLeader makes this member follow the sender of a message from the leader of the
 // current term. It reports whether the message is accepted: it is not if this member
 // is itself the leader, since a term has only one and the message must be faulty.
--- a/pkg/consensus/fuzz_test.go
+++ b/pkg/consensus/fuzz_test.go
@@ -78,6 +78,24 @@
 	}
 }
 
+// Guards against two leaders, changed entries and stale reads while a group grows: members
+// join at any moment of the same faults as in TestRandomFaults.
+func TestRandomGrowth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, rapid.SampledFrom([]int{3, 3, 1, 4}).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
+		c.setMaxEntries(rapid.SampledFrom([]int{64, 1, 2}).Draw(t, "entries per message"))
+		c.run(rapid.SampledFrom([]int{0, 80}).Draw(t, "quiet ticks"))
+		for range rapid.IntRange(1, 60).Draw(t, "rounds") {
+			if c.commitIndex > 0 && len(c.ids) < 7 && rapid.IntRange(0, 5).Draw(t, "join") == 0 {
+				c.addMember()
+			}
+			randomFault(t, c)
+			c.run(rapid.SampledFrom([]int{0, 1, 2, 3, 5, 12, 30}).Draw(t, "ticks"))
+		}
+		c.converge()
+	})
+}
+
 // Guards against a new disk that counts towards a quorum too early. Entries are committed
 // without some members, a member that has them loses its disk and catches up only in
 // part, and then it is alone with the members that lack those entries.
@@ -232,8 +250,8 @@
 	}
 	for i := range rapid.IntRange(0, 3).Draw(t, "entries") {
 		m.Entries = append(m.Entries, Entry{
-			Term: number("entry term"), Index: m.Index + uint64(i) + 1, Kind: EntryKind(rapid.IntRange(0, 3).Draw(t, "entry kind")),
-			Data: []byte(rapid.SampledFrom([]string{"", "{", `{"member":"a","disk":"x"}`, `{"member":"z"}`}).Draw(t, "data")),
+			Term: number("entry term"), Index: m.Index + uint64(i) + 1, Kind: EntryKind(rapid.IntRange(0, 4).Draw(t, "entry kind")),
+			Data: []byte(rapid.SampledFrom([]string{"", "{", `{"member":"a","disk":"x"}`, `{"member":"z"}`, `{"member":"z","disk":"x"}`}).Draw(t, "data")),
 		})
 	}
 	if rapid.Bool().Draw(t, "with snapshot") {
--- a/pkg/consensus/log.go
+++ b/pkg/consensus/log.go
@@ -31,7 +31,7 @@
 func (n *Node) appendLocal(kind EntryKind, data []byte) uint64 {
 	e := Entry{Term: n.term, Index: n.lastIndex() + 1, Kind: kind, Data: data}
 	n.log = append(n.log, e)
-	n.trackReplacement(e)
+	n.trackTableChange(e)
 	return e.Index
 }
 
@@ -43,9 +43,9 @@
 	}
 	n.log = n.log[: index-n.snap.Index-1 : index-n.snap.Index-1]
 	n.issuedIndex, n.durableIndex = min(n.issuedIndex, index-1), min(n.durableIndex, index-1)
-	for i, r := range n.replacements {
-		if r.index >= index {
-			n.replacements = n.replacements[:i:i]
+	for i, c := range n.tableChanges {
+		if c.index >= index {
+			n.tableChanges = n.tableChanges[:i:i]
 			break
 		}
 	}
@@ -71,9 +71,9 @@
 	n.snapPending = true
 	n.commitIndex = max(n.commitIndex, s.Index)
 	n.issuedIndex, n.durableIndex = max(n.issuedIndex, s.Index), max(n.durableIndex, s.Index)
-	n.replacements = nil
+	n.tableChanges = nil
 	for _, e := range n.log {
-		n.trackReplacement(e)
+		n.trackTableChange(e)
 	}
 	n.refreshTables()
 }
--- a/pkg/consensus/membertable.go
+++ b/pkg/consensus/membertable.go
@@ -8,9 +8,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// replacement is the decoded content of a ReplaceDisk entry.
-type replacement struct {
+// tableChange is the decoded content of a ReplaceDisk or an AddMember entry.
+type tableChange struct {
 	index  uint64
+	kind   EntryKind
 	Member MemberID `json:"member"`
 	Disk   DiskID   `json:"disk"`
 }
@@ -27,35 +28,82 @@
 // tableAt returns the member table at index, which must not be below the snapshot.
 func (n *Node) tableAt(index uint64) map[MemberID]DiskID {
 	table := maps.Clone(n.snap.Members)
-	for _, r := range n.replacements {
-		if _, ok := table[r.Member]; ok && r.index <= index {
-			table[r.Member] = r.Disk
+	for _, c := range n.tableChanges {
+		if _, ok := table[c.Member]; ok == (c.kind == ReplaceDisk) && c.index <= index {
+			table[c.Member] = c.Disk
 		}
 	}
 	return table
 }
 
-// refreshTables recomputes the committed and the latest member table.
+// refreshTables recomputes the committed and the latest member table, and who is sent
+// messages: the members of both tables and those that the leader admits.
 func (n *Node) refreshTables() {
 	n.committedTable = n.tableAt(n.commitIndex)
 	n.latestTable = n.tableAt(n.lastIndex())
-	n.memberIDs = slices.Sorted(maps.Keys(n.committedTable))
+	ids := maps.Clone(n.admitted)
+	if ids == nil {
+		ids = map[MemberID]bool{}
+	}
+	// No entry removes a member, so the latest table has all members of the committed one.
+	for m := range n.latestTable {
+		ids[m] = true
+	}
+	n.memberIDs = slices.Sorted(maps.Keys(ids))
+}
+
+// AdmitMember lets a new member join: the leader sends it a snapshot and the log, and adds
+// it to the member table once it has caught up. Only the leader admits members, one at a
+// time, and forgets them when it steps down. AdmitMember reports whether the member is
+// admitted or in the table.
+func (n *Node) AdmitMember(id MemberID) bool {
+	if _, ok := n.latestTable[id]; ok {
+		return true
+	}
+	if n.role != Leader || len(n.admitted) > 0 && !n.admitted[id] {
+		return false
+	}
+	if n.peers[id] == nil {
+		n.admitted = map[MemberID]bool{id: true}
+		n.peers[id] = &peerProgress{nextIndex: n.lastIndex() + 1}
+		n.refreshTables()
+	}
+	return true
 }
 
 // isVotingDisk reports whether votes and acknowledgements from a disk count towards a
 // quorum. While a replacement is in the log and not known to be committed, neither the
 // old nor the new disk counts: the new disk may lack entries that the old one
 // acknowledged, and an old disk that returns may lack entries that were committed with
-// the new one.
+// the new one. A new member counts from the entry on that adds it.
 func (n *Node) isVotingDisk(member MemberID, disk DiskID) bool {
-	return disk != "" && n.committedTable[member] == disk && n.latestTable[member] == disk
+	if disk == "" || n.latestTable[member] != disk {
+		return false
+	}
+	committedDisk, ok := n.committedTable[member]
+	return !ok || committedDisk == disk
 }
 
 // isVoter reports whether the disk of this member counts towards a quorum.
 func (n *Node) isVoter() bool { return n.isVotingDisk(n.cfg.ID, n.cfg.Disk) }
 
-// quorum returns the number of members in a majority.
-func (n *Node) quorum() int { return len(n.committedTable)/2 + 1 }
+// isQuorum reports whether the members that meet a condition are a majority of the
+// committed and of the latest member table. The condition must not hold for a member whose
+// disk does not vote.
+func (n *Node) isQuorum(condition func(MemberID) bool) bool {
+	for _, table := range []map[MemberID]DiskID{n.committedTable, n.latestTable} {
+		count := 0
+		for m := range table {
+			if condition(m) {
+				count++
+			}
+		}
+		if 2*count <= len(table) {
+			return false
+		}
+	}
+	return true
+}
 
 // isEmpty reports whether this member has never been part of a group.
 func (n *Node) isEmpty() bool { return n.snap.Members == nil }
@@ -72,7 +120,7 @@
 // round received from the receiver.
 func (n *Node) broadcastHello() {
 	n.helloRound++
-	for _, m := range n.cfg.Members {
+	for _, m := range n.knownMembers {
 		if m != n.cfg.ID {
 			n.send(Message{
 				To: m, Kind: Hello, Granted: true, Members: maps.Clone(n.discoveredDisks), Round: n.helloRound, Hint: n.receivedRounds[m],
@@ -131,10 +179,20 @@
 }
 
 // adoptFirstTable stores the first member table reported by a member of a group if it
-// names the disk of this member. Any later table is ignored, because a snapshot follows.
+// names the disk of this member. Of any later table it only learns the members, because a
+// snapshot follows, from a leader that may have joined after this member was configured.
 func (n *Node) adoptFirstTable(m Message) {
-	if n.acceptHelloReply(m) && m.Members[n.cfg.ID] == n.cfg.Disk && tableHash(m.Members) == m.Group {
+	if !n.acceptHelloReply(m) {
+		return
+	}
+	if m.Members[n.cfg.ID] == n.cfg.Disk && tableHash(m.Members) == m.Group {
 		n.storeFirstTable(maps.Clone(m.Members))
+		return
+	}
+	for _, member := range slices.Sorted(maps.Keys(m.Members)) {
+		if !slices.Contains(n.knownMembers, member) {
+			n.knownMembers = append(n.knownMembers, member)
+		}
 	}
 }
 
@@ -176,33 +234,40 @@
 	n.send(Message{To: m.From, Kind: InstallSnapshot, Snapshot: &s, Granted: true, Hint: m.Round})
 }
 
-// maybeProposeReplacement proposes a ReplaceDisk entry for a member that has caught up on
-// a disk that is not in the member table. Only one replacement is in progress at a time.
-func (n *Node) maybeProposeReplacement(member MemberID, p *peerProgress) {
+// maybeProposeTableChange proposes a ReplaceDisk or an AddMember entry for a member that has
+// caught up on a disk that is not in the member table. Only one change is in progress at a
+// time.
+func (n *Node) maybeProposeTableChange(member MemberID, p *peerProgress) {
 	if n.committedTable[member] == p.disk || n.termAt(n.commitIndex) != n.term || p.matchIndex < n.commitIndex {
 		return
 	}
 	if !maps.Equal(n.committedTable, n.latestTable) {
 		return
 	}
-	data, err := json.Marshal(replacement{Member: member, Disk: p.disk})
+	data, err := json.Marshal(tableChange{Member: member, Disk: p.disk})
 	if err != nil {
 		panic(err)
 	}
-	n.appendLocal(ReplaceDisk, data)
+	kind := ReplaceDisk
+	if _, ok := n.committedTable[member]; !ok {
+		kind = AddMember
+		// The entry makes it a member, so the next one may be admitted.
+		n.admitted = nil
+	}
+	n.appendLocal(kind, data)
 }
 
-// trackReplacement applies an appended entry to the latest member table if it is a
-// ReplaceDisk entry. An entry that does not decode has no effect at any member.
-func (n *Node) trackReplacement(e Entry) {
-	if e.Kind != ReplaceDisk {
+// trackTableChange applies an appended entry to the latest member table if it is a
+// ReplaceDisk or an AddMember entry. An entry that does not decode has no effect at any
+// member.
+func (n *Node) trackTableChange(e Entry) {
+	if e.Kind != ReplaceDisk && e.Kind != AddMember {
 		return
 	}
-	r := replacement{}
-	if json.Unmarshal(e.Data, &r) != nil || r.Disk == "" {
+	c := tableChange{kind: e.Kind, index: e.Index}
+	if json.Unmarshal(e.Data, &c) != nil || c.Disk == "" || c.Member == "" {
 		return
 	}
-	r.index = e.Index
-	n.replacements = append(n.replacements, r)
+	n.tableChanges = append(n.tableChanges, c)
 	n.refreshTables()
 }
--- a/pkg/consensus/node.go
+++ b/pkg/consensus/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 )
 
 const (
@@ -37,11 +38,13 @@
 	// entry known to be on disk.
 	issuedIndex, durableIndex uint64
 
-	// replacements are the ReplaceDisk entries in log, in order.
-	replacements []replacement
+	// tableChanges are the ReplaceDisk and AddMember entries in log, in order.
+	tableChanges []tableChange
 	// committedTable is the member table at the commit index; latestTable also
-	// includes replacements that are not committed yet.
+	// includes changes that are not committed yet.
 	committedTable, latestTable map[MemberID]DiskID
+	// admitted holds the member that the leader lets join and that is in neither table yet.
+	admitted map[MemberID]bool
 	// memberIDs is sorted, so that iteration is deterministic.
 	memberIDs []MemberID
 
@@ -63,14 +66,16 @@
 	confirmedReads []ReadState
 
 	// The following fields are used only while the member is empty, to agree on the
-	// first member table.
+	// first member table or to find the leader of a group that it joins.
 	//
+	// knownMembers holds the configured members and those that a group reported.
 	// discoveredDisks holds the disk of each empty member, reportedTables the disks
 	// that each of them reported as discovered. helloRound numbers the Hello broadcasts
 	// of this member; its upper 32 bits are random and identify the process run, so that
 	// answers to an earlier run are recognised. receivedRounds holds the last round
 	// received from each member, and answeredRounds the last round of this member that
 	// each one answered.
+	knownMembers                   []MemberID
 	discoveredDisks                map[MemberID]DiskID
 	reportedTables                 map[MemberID]map[MemberID]DiskID
 	helloRound                     uint64
@@ -101,7 +106,7 @@
 	n := &Node{
 		cfg: cfg, term: stored.HardState.Term, votedFor: stored.HardState.VotedFor, issuedHardState: stored.HardState,
 		commitIndex: max(stored.HardState.Commit, stored.Snapshot.Index), appliedIndex: stored.Snapshot.Index,
-		snap: stored.Snapshot, log: append([]Entry(nil), stored.Entries...), role: Follower,
+		knownMembers: slices.Clone(cfg.Members), snap: stored.Snapshot, log: append([]Entry(nil), stored.Entries...), role: Follower,
 		discoveredDisks: map[MemberID]DiskID{cfg.ID: cfg.Disk},
 		reportedTables:  map[MemberID]map[MemberID]DiskID{}, helloRound: uint64(cfg.Rand.Uint32()) << 32,
 		receivedRounds: map[MemberID]uint64{}, answeredRounds: map[MemberID]uint64{},
@@ -111,7 +116,7 @@
 		if e.Index != n.snap.Index+uint64(i)+1 {
 			panic(fmt.Sprintf("consensus: stored entry %d has index %d after a snapshot at %d", i, e.Index, n.snap.Index))
 		}
-		n.trackReplacement(e)
+		n.trackTableChange(e)
 	}
 	if n.commitIndex > n.lastIndex() {
 		panic(fmt.Sprintf("consensus: stored commit index %d is above the last entry %d", n.commitIndex, n.lastIndex()))
@@ -154,10 +159,14 @@
 	}
 }
 
-// Step processes a message from another member. It ignores messages that are
-// malformed, addressed to another member or sent by an unknown member.
+// Step processes a message from another member. It ignores messages that are malformed,
+// addressed to another member, or sent by an unknown member of no or another group. One of
+// the same group may have been added by an entry that this member does not have yet.
 func (n *Node) Step(m Message) {
-	if m.To != n.cfg.ID || m.From == n.cfg.ID || m.validate() != nil || !n.isMember(m.From) {
+	if m.To != n.cfg.ID || m.From == n.cfg.ID || m.validate() != nil {
+		return
+	}
+	if !n.isMember(m.From) && (n.isEmpty() || m.Group != n.snap.Group) {
 		return
 	}
 	switch {
@@ -239,17 +248,9 @@
 	}
 }
 
-// isMember reports whether id is in the committed member table or in the configuration.
+// isMember reports whether id is in a member table, admitted or in the configuration.
 func (n *Node) isMember(id MemberID) bool {
-	if _, ok := n.committedTable[id]; ok {
-		return true
-	}
-	for _, m := range n.cfg.Members {
-		if m == id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(n.memberIDs, id) || slices.Contains(n.knownMembers, id)
 }
 
 // Propose appends a command to the log of the leader. It returns false if this member
--- a/pkg/consensus/replicate.go
+++ b/pkg/consensus/replicate.go
@@ -1,7 +1,5 @@
 package consensus
 
-import "slices"
-
 // peerProgress is the leader's replication state of another member.
 type peerProgress struct {
 	// disk is the disk of the member that this state belongs to.
@@ -61,19 +59,16 @@
 	}
 }
 
-// hasQuorum reports whether a majority of the members meets a condition. The leader
-// itself counts as meeting it.
+// hasQuorum reports whether a quorum of the members meets a condition. The leader itself
+// counts as meeting it.
 func (n *Node) hasQuorum(condition func(*peerProgress) bool) bool {
-	count := 0
-	if n.isVoter() {
-		count++
-	}
-	for m, p := range n.peers {
-		if n.isVotingDisk(m, p.disk) && condition(p) {
-			count++
+	return n.isQuorum(func(m MemberID) bool {
+		if m == n.cfg.ID {
+			return n.isVoter()
 		}
-	}
-	return count >= n.quorum()
+		p := n.peers[m]
+		return p != nil && n.isVotingDisk(m, p.disk) && condition(p)
+	})
 }
 
 func (n *Node) broadcastHeartbeat() {
@@ -198,7 +193,7 @@
 		}
 		for _, e := range entries[i:] {
 			n.log = append(n.log, e)
-			n.trackReplacement(e)
+			n.trackTableChange(e)
 		}
 		return
 	}
@@ -287,7 +282,7 @@
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
 	n.advanceCommit()
 	if n.role == Leader {
-		n.maybeProposeReplacement(m.From, p)
+		n.maybeProposeTableChange(m.From, p)
 	}
 }
 
@@ -298,7 +293,7 @@
 	p := n.markActive(m)
 	p.ackedRound = max(p.ackedRound, min(m.Round, n.heartbeatRound))
 	n.resendLost(m.From, p)
-	n.maybeProposeReplacement(m.From, p)
+	n.maybeProposeTableChange(m.From, p)
 	n.confirmReads()
 }
 
@@ -315,24 +310,25 @@
 }
 
 // advanceCommit commits the entries of the current term that a quorum has made durable.
-// It repeats until nothing changes, because committing a disk replacement changes which
-// acknowledgements count.
+// It repeats until nothing changes, because committing a change of the member table changes
+// which acknowledgements count.
 func (n *Node) advanceCommit() {
 	for {
-		ackedIndexes := []uint64{}
+		acked := map[MemberID]uint64{}
 		if n.isVoter() {
-			ackedIndexes = append(ackedIndexes, n.durableIndex)
+			acked[n.cfg.ID] = n.durableIndex
 		}
 		for m, p := range n.peers {
 			if n.isVotingDisk(m, p.disk) {
-				ackedIndexes = append(ackedIndexes, p.matchIndex)
+				acked[m] = p.matchIndex
 			}
 		}
-		if len(ackedIndexes) < n.quorum() {
-			return
+		index := uint64(0)
+		for _, candidate := range acked {
+			if candidate > index && n.isQuorum(func(m MemberID) bool { return acked[m] >= candidate }) {
+				index = candidate
+			}
 		}
-		slices.Sort(ackedIndexes)
-		index := ackedIndexes[len(ackedIndexes)-n.quorum()]
 		if index <= n.commitIndex || n.termAt(index) != n.term {
 			return
 		}
--- a/pkg/consensus/types.go
+++ b/pkg/consensus/types.go
@@ -3,11 +3,11 @@
 // machine without I/O, clocks or goroutines. The caller drives it with Tick and Step and
 // processes the work that Ready returns.
 //
-// The identifiers of the members are fixed by the configuration. Their disks are not: the
-// member table maps each member to the disk whose votes and acknowledgements count. A
-// member with a new disk first catches up as a learner; a ReplaceDisk entry then puts the
-// disk into the table. A member that never was in a group is called empty. Empty members
-// agree on the first member table by exchanging Hello messages.
+// The member table maps each member to the disk whose votes and acknowledgements count. A
+// member that never was in a group is called empty. Empty members agree on the first member
+// table by exchanging Hello messages; its members are fixed by the configuration. A member
+// with a new disk, or a new member that the leader admits, first catches up as a learner; a
+// ReplaceDisk or an AddMember entry then puts its disk into the table.
 package consensus
 
 import "math/rand/v2"
@@ -33,6 +33,9 @@
 	Noop
 	// ReplaceDisk entries change the disk of a member in the member table.
 	ReplaceDisk
+	// AddMember entries add a member with its disk to the member table.
+	AddMember
+	lastEntryKind = AddMember
 )
 
 // Entry is one entry of the replicated log. The first Index is 1.
@@ -67,7 +70,8 @@
 type Config struct {
 	ID   MemberID
 	Disk DiskID
-	// Members lists all configured members of the group, including this one.
+	// Members lists the members that this one knows before it has a member table, including
+	// this one: those that found the group, or those of a group that admits it.
 	Members []MemberID
 	// HeartbeatTicks and ElectionTicks are numbers of calls to Tick. The election
 	// timeout is random between ElectionTicks and twice that.
