coordinator: give the control group as many members as lost disks need

An acknowledgement rested on two disks, and both could be lost. The remaining disk of three can never elect a leader. Change: a setting tolerated_disks; the leader admits coordinators without a slot until the group has twice that number and one more, those in data centres with few slots first. Publications wait while the group can still grow, 6 s after a start at most. The log line of a decided publication and a metric tell the number of members. Why it works: an accepted publication is on a majority of 2f+1 disks, so f lost disks leave one that has it, and the f+1 that remain are a majority that elects it.

--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -31,6 +31,7 @@
 	Ready() consensus.Ready
 	Advance()
 	Compact(index uint64, data []byte)
+	AdmitMember(id consensus.MemberID) bool
 	Status() consensus.Status
 }
 
@@ -96,7 +97,9 @@
 	messages  chan consensus.Message
 	proposals chan *proposal
 	reads     chan *readRequest
-	stopped   chan struct{}
+	// admissions holds the members that may join; see AdmitMember.
+	admissions chan consensus.MemberID
+	stopped    chan struct{}
 
 	// appliedIndex and compactedIndex are log indices. These and the fields up to
 	// pendingReadTerm are accessed only by the event loop.
@@ -139,7 +142,7 @@
 	return &Node{
 		deps: deps, log: log, state: state, status: deps.core.Status(),
 		messages: make(chan consensus.Message, queueCapacity), proposals: make(chan *proposal, queueCapacity),
-		reads: make(chan *readRequest, queueCapacity), stopped: make(chan struct{}), changed: make(chan struct{}),
+		reads: make(chan *readRequest, queueCapacity), admissions: make(chan consensus.MemberID, 1), stopped: make(chan struct{}), changed: make(chan struct{}),
 		appliedIndex: snapshot.Index, compactedIndex: snapshot.Index,
 		pendingProposals: map[uint64]*proposal{}, pendingReads: map[uint64]*readRequest{},
 	}, nil
@@ -165,6 +168,8 @@
 			n.propose(p)
 		case r := <-n.reads:
 			n.startRead(r)
+		case id := <-n.admissions:
+			n.deps.core.AdmitMember(id)
 		}
 		n.processQueued()
 		if err := n.processReady(); err != nil {
--- a/pkg/control/publication.go
+++ b/pkg/control/publication.go
@@ -142,6 +142,15 @@
 	}
 }
 
+// AdmitMember lets a new member join the group if this instance is the leader. The caller
+// repeats the call until the member is in the member table of Status.
+func (n *Node) AdmitMember(id consensus.MemberID) {
+	select {
+	case n.admissions <- id:
+	default:
+	}
+}
+
 // Run drives the node until ctx ends, or until its log or audit file cannot be written or
 // a snapshot cannot be encoded or decoded.
 func (n *Node) Run(ctx context.Context) error { return n.run(ctx) }
--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -45,7 +45,11 @@
 	// coordinatorLastSeenAt maps the peer address of each other coordinator to the time when
 	// it last sent a message or request, or was named by another coordinator.
 	coordinatorLastSeenAt map[string]time.Time
-	startedAt             time.Time
+	// dataCentres maps the peer address of each coordinator that has called this one to its
+	// data centre, and candidates those without a slot to the time of their last join request.
+	dataCentres map[string]string
+	candidates  map[string]time.Time
+	startedAt   time.Time
 }
 
 // reservation keeps a slot for a new disk until it expires.
@@ -57,7 +61,8 @@
 func newGroup(s settings.Coordinator, t *transport, log *slog.Logger) *group {
 	return &group{
 		settings: s, transport: t, log: log, holderLastMessageAt: map[string]time.Time{}, reservations: map[string]reservation{},
-		coordinatorLastSeenAt: map[string]time.Time{},
+		coordinatorLastSeenAt: map[string]time.Time{}, candidates: map[string]time.Time{},
+		dataCentres: map[string]string{s.PeerAddress: s.Instance.DataCentre},
 	}
 }
 
@@ -79,7 +84,7 @@
 	if g.node == nil || g.node.HasLeader() || !g.node.HasGroupState() || g.node.Status().LastIndex != g.storedLastIndex {
 		return control.Publication{}, 0, false
 	}
-	return g.storedPublication, len(g.assignment.Slots), g.storedPublication.Revision > 0
+	return g.storedPublication, len(g.node.Status().Members), g.storedPublication.Revision > 0
 }
 
 // run keeps this instance in the group until ctx ends and rejoins after failures.
@@ -179,11 +184,14 @@
 	if err := store.Close(); err != nil {
 		return slotAssignment{}, err
 	}
-	request := &wire.JoinRequest{Address: g.settings.PeerAddress, Disk: string(diskIDAt(disk, g.settings.PeerAddress))}
+	request := g.joinRequest(string(diskIDAt(disk, g.settings.PeerAddress)), "")
 	g.log.Info("requesting a slot in the control group", "disk", request.Disk)
 	for {
 		if response := g.sendJoin(ctx, request); response != nil && response.Status == wire.JoinStatus_JOIN_GRANTED {
 			assignment = slotAssignment{Slot: response.Slot, Slots: response.Slots}
+			for slot, address := range response.Holders {
+				g.transport.setRoute(consensus.MemberID(slot), address)
+			}
 			return assignment, writeAssignment(g.settings.DataFolder, assignment)
 		}
 		if !sleepContext(ctx, joinInterval) {
@@ -192,6 +200,11 @@
 	}
 }
 
+// joinRequest returns the request of this coordinator for a disk and the slot that it holds.
+func (g *group) joinRequest(disk, slot string) *wire.JoinRequest {
+	return &wire.JoinRequest{Address: g.settings.PeerAddress, Disk: disk, Slot: slot, DataCentre: g.settings.Instance.DataCentre}
+}
+
 // sendJoin sends a join request to one coordinator after the other until one decides it.
 // It returns nil if none does.
 func (g *group) sendJoin(ctx context.Context, r *wire.JoinRequest) *wire.JoinResponse {
@@ -220,7 +233,7 @@
 		if time.Since(lastCheckAt) < slotCheckInterval {
 			continue
 		}
-		response := g.sendJoin(ctx, &wire.JoinRequest{Address: g.settings.PeerAddress, Disk: string(disk), Slot: assignment.Slot})
+		response := g.sendJoin(ctx, g.joinRequest(string(disk), assignment.Slot))
 		if response != nil && response.Status == wire.JoinStatus_JOIN_REPLACED {
 			replaced()
 			return
@@ -290,15 +303,28 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.coordinatorLastSeenAt[r.Address] = now
+	g.dataCentres[r.Address] = r.DataCentre
+	switch r.Slot {
+	case "":
+		g.candidates[r.Address] = now
+	case presenceSlot:
+	default:
+		delete(g.candidates, r.Address)
+	}
 	response := &wire.JoinResponse{Coordinators: g.listedCoordinatorsLocked(now)}
 	if g.node == nil {
 		return response
 	}
-	response.Slots = g.assignment.Slots
 	status := g.node.Status()
 	disk := consensus.DiskID(r.Disk)
+	response.Holders = map[string]string{}
+	for slot, holderDisk := range status.Members {
+		response.Slots = append(response.Slots, string(slot))
+		response.Holders[string(slot)] = peerAddressOf(holderDisk)
+	}
 	if len(status.Members) == 0 {
 		// The first member table is not agreed on yet.
+		response.Slots = g.assignment.Slots
 		if slices.Contains(g.assignment.Slots, r.Address) {
 			response.Status, response.Slot = wire.JoinStatus_JOIN_GRANTED, r.Address
 		}
@@ -331,7 +357,11 @@
 		return now.Sub(lastMessage) > holderTimeout && (!ok || reserved.disk == disk || now.After(reserved.expiresAt))
 	})
 	if slot == "" {
-		return response
+		if slot = g.newSlotLocked(status, r, now); slot == "" {
+			return response
+		}
+		response.Slots = append(response.Slots, slot)
+		g.node.AdmitMember(consensus.MemberID(slot))
 	}
 	g.reservations[slot] = reservation{disk: disk, expiresAt: now.Add(reservationTTL)}
 	g.transport.setRoute(consensus.MemberID(slot), r.Address)
@@ -361,6 +391,63 @@
 	return ""
 }
 
+// newSlotLocked returns the slot by which the control group grows for an instance without a
+// slot. It returns an empty string if the group has all its members, if another instance is
+// joining, or if an instance in a data centre with fewer slots waits as well: the loss of one
+// data centre should take as few members as possible. g.mu is held.
+func (g *group) newSlotLocked(status consensus.Status, r *wire.JoinRequest, now time.Time) string {
+	if len(status.Members) >= g.settings.GroupSize() {
+		return ""
+	}
+	slot := newSlotName(len(status.Members) + 1)
+	if reserved, ok := g.reservations[slot]; ok && reserved.disk != consensus.DiskID(r.Disk) && now.Before(reserved.expiresAt) {
+		return ""
+	}
+	slots := map[string]int{}
+	for _, disk := range status.Members {
+		slots[g.dataCentres[peerAddressOf(disk)]]++
+	}
+	for address, seenAt := range g.candidates {
+		if now.Sub(seenAt) < candidateTTL && slots[g.dataCentres[address]] < slots[r.DataCentre] {
+			return ""
+		}
+	}
+	return slot
+}
+
+// memberCount returns the number of members of the control group, 0 if it is unknown here.
+func (g *group) memberCount() int {
+	if node := g.currentNode(); node != nil {
+		return len(node.Status().Members)
+	}
+	return 0
+}
+
+// isGrowing reports whether this instance leads a control group that lacks members and whose
+// next member is expected soon. A publication that is accepted before would be lost with the
+// disks whose loss the complete group tolerates.
+func (g *group) isGrowing(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	age := now.Sub(g.startedAt)
+	if g.node == nil || age > growthTimeout {
+		return false
+	}
+	status := g.node.Status()
+	if status.Role != consensus.Leader || len(status.Members) >= g.settings.GroupSize() {
+		return false
+	}
+	if g.settings.FirstStart && age < firstGrowthWait {
+		return true
+	}
+	for _, seenAt := range g.candidates {
+		if now.Sub(seenAt) < candidateTTL {
+			return true
+		}
+	}
+	return false
+}
+
 // addCoordinators records the peer addresses of other coordinators as seen now.
 func (g *group) addCoordinators(addresses []string) {
 	g.mu.Lock()
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -22,19 +22,25 @@
 // testGroup is a group of coordinators in this process, each with its own loopback
 // address. Coordinators are numbered from 1.
 type testGroup struct {
-	t            *testing.T
-	port         int
-	seeds        []string
-	coordinators map[int]*Service
-	folders      map[int]string
-	dialers      map[int]*rpc.Dialer
+	t     *testing.T
+	port  int
+	seeds []string
+	// toleratedDisks is the setting of all coordinators.
+	toleratedDisks int
+	coordinators   map[int]*Service
+	folders        map[int]string
+	dialers        map[int]*rpc.Dialer
 }
 
-func newTestGroup(t *testing.T, size int) *testGroup {
+func newTestGroup(t *testing.T, size int) *testGroup { return newGrowingTestGroup(t, size, size, 1) }
+
+// newGrowingTestGroup starts coordinators for the first time, of which the first ones are the
+// seeds.
+func newGrowingTestGroup(t *testing.T, size, seeds, toleratedDisks int) *testGroup {
 	g := &testGroup{
-		t: t, port: 20000 + rand.IntN(20000), coordinators: map[int]*Service{}, folders: map[int]string{}, dialers: map[int]*rpc.Dialer{},
+		t: t, port: 20000 + rand.IntN(20000), toleratedDisks: toleratedDisks, coordinators: map[int]*Service{}, folders: map[int]string{}, dialers: map[int]*rpc.Dialer{},
 	}
-	for i := 1; i <= size; i++ {
+	for i := 1; i <= seeds; i++ {
 		g.seeds = append(g.seeds, fmt.Sprintf("127.0.3.%d:1", i))
 	}
 	for i := 1; i <= size; i++ {
@@ -59,6 +65,7 @@
 	s.Instance = settings.Instance{ID: fmt.Sprint(i), Region: "r", DataCentre: "d"}
 	s.OperatorAddress, s.PeerAddress = fmt.Sprintf("127.0.3.%d:1", i), g.address(i)
 	s.Seeds, s.FirstStart, s.DataFolder = g.seeds, firstStart, g.folders[i]
+	s.ToleratedDisks = g.toleratedDisks
 	counters, log := &rpc.Counters{}, slog.New(slog.DiscardHandler)
 	dialer := rpc.NewDialer(nil, counters)
 	qt.Assert(g.t, dialer.BindSource(s.PeerAddress), qt.IsNil)
--- /dev/null
+++ b/pkg/coordinator/lostdisks_test.go
@@ -0,0 +1,50 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against losing an accepted publication, and the ability to elect a leader, when as
+// many disks are lost at once as the deployment tolerates.
+func TestTwoDisksLostAfterAcceptance(t *testing.T) {
+	for _, lost := range [][2]int{{1, 2}, {3, 5}, {4, 6}} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			g := newGrowingTestGroup(t, 6, 3, 2)
+			// It is accepted at the moment at which the group is large enough.
+			g.publish(1, 7, "seven")
+			for i := 1; i <= 6; i++ {
+				g.stop(i)
+			}
+			for _, i := range lost {
+				g.loseDisk(i)
+			}
+			for i := 1; i <= 6; i++ {
+				g.start(i, false)
+			}
+			g.expectPublication(g.leader(), 7, "seven")
+			g.publish(lost[0], 8, "eight")
+		})
+	}
+}
+
+// Guards against a publication that is accepted on fewer disks than the deployment may lose
+// at once, because the group has not grown yet.
+func TestPublicationWaitsForTheGroupToGrow(t *testing.T) {
+	g := newGrowingTestGroup(t, 6, 3, 2)
+	g.publish(6, 1, "one")
+	leader := g.leader()
+	qt.Assert(t, g.holders(leader), qt.HasLen, 5)
+	qt.Assert(t, g.coordinators[leader].group.memberCount(), qt.Equals, 5)
+}
+
+// Guards against a group that never accepts a publication because fewer coordinators exist
+// than it has room for.
+func TestGroupWithoutFurtherCoordinators(t *testing.T) {
+	g := newGrowingTestGroup(t, 4, 3, 2)
+	g.publish(4, 1, "one")
+	g.eventually("four members", func() bool { return g.coordinators[g.leader()].group.memberCount() == 4 })
+	g.publish(1, 2, "two")
+}
--- a/pkg/coordinator/metrics.go
+++ b/pkg/coordinator/metrics.go
@@ -52,6 +52,7 @@
 	gauge("gp_coordinator_role", "0 learner, 1 follower, 2 candidate, 3 leader.", func(n *control.Node) int64 {
 		return int64(n.Status().Role)
 	})
+	gauge("gp_coordinator_members", "Members of the control group.", func(n *control.Node) int64 { return int64(len(n.Status().Members)) })
 	gauge("gp_coordinator_term", "Consensus term.", func(n *control.Node) int64 { return int64(n.Status().Term) })
 	gauge("gp_coordinator_leader", "1 while this coordinator leads.", func(n *control.Node) int64 {
 		if n.Status().Role == consensus.Leader {
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -101,14 +101,17 @@
 // Revision implements follow.Sink.
 func (peerSink) Revision() uint64 { return 0 }
 
+// presenceSlot is the slot and the disk in requests that only announce a coordinator. It
+// belongs to no member, so the receiver assigns no slot.
+const presenceSlot = "none"
+
 // announcePresence periodically sends the address of this coordinator to the others, so
 // that they list it to gateways even if it is not a group member: backend servers may
-// already announce themselves here. The disk and slot "none" belong to no member, so the
-// receiver assigns no slot.
+// already announce themselves here.
 func (s *Service) announcePresence(ctx context.Context) {
 	for {
 		for _, address := range s.group.otherCoordinators() {
-			response, err := s.callJoin(ctx, address, &wire.JoinRequest{Address: s.settings.PeerAddress, Disk: "none", Slot: "none"})
+			response, err := s.callJoin(ctx, address, s.group.joinRequest(presenceSlot, presenceSlot))
 			if err == nil {
 				s.group.addCoordinators(response.Coordinators)
 			}
@@ -158,17 +161,14 @@
 	}
 	s.metrics.recordPublication(outcome, time.Since(startedAt))
 	s.log.Info("publication decided", "revision", p.Revision, "bytes", len(p.Content), "outcome", outcome,
-		"after_ms", time.Since(startedAt).Milliseconds())
+		"after_ms", time.Since(startedAt).Milliseconds(), "members", s.group.memberCount(), "wanted_members", s.settings.GroupSize())
 	return outcome
 }
 
 // tryPublish proposes a publication locally or at the leader, once.
 func (s *Service) tryPublish(ctx context.Context, p control.Publication) control.Outcome {
-	node := s.group.currentNode()
-	if node != nil {
-		if outcome := node.Publish(ctx, p); outcome != control.Unavailable {
-			return outcome
-		}
+	if outcome := s.publishAtLeader(ctx, p); outcome != control.Unavailable {
+		return outcome
 	}
 	for _, address := range s.leaderCandidates() {
 		response, err := rpc.Call(ctx, s.dialer, address, callTimeout,
@@ -187,6 +187,19 @@
 	return control.Unavailable
 }
 
+// publishAtLeader proposes a publication at this instance. The outcome is Unavailable if it
+// is not the leader, or if the group is still growing.
+func (s *Service) publishAtLeader(ctx context.Context, p control.Publication) control.Outcome {
+	node := s.group.currentNode()
+	if node == nil {
+		return control.Unavailable
+	}
+	if s.group.isGrowing(time.Now()) {
+		return control.Unavailable
+	}
+	return node.Publish(ctx, p)
+}
+
 // leaderCandidates returns the peer addresses to which a request for the leader is sent.
 func (s *Service) leaderCandidates() []string {
 	if leader := s.group.leaderAddress(); leader != "" {
@@ -272,12 +285,8 @@
 
 // Publish implements wire.DRPCCoordinatorServer.
 func (r *rpcServer) Publish(ctx context.Context, request *wire.PublishRequest) (*wire.PublishResponse, error) {
-	node := r.service.group.currentNode()
-	if node == nil {
-		return &wire.PublishResponse{Status: wire.PublishStatus_PUBLISH_UNAVAILABLE}, nil
-	}
 	status := wire.PublishStatus_PUBLISH_UNKNOWN
-	switch node.Publish(ctx, control.Publication{Revision: request.Revision, Content: request.Content}) {
+	switch r.service.publishAtLeader(ctx, control.Publication{Revision: request.Revision, Content: request.Content}) {
 	case control.Accepted:
 		status = wire.PublishStatus_PUBLISH_ACCEPTED
 	case control.Unavailable:
--- a/pkg/coordinator/settings.go
+++ b/pkg/coordinator/settings.go
@@ -25,6 +25,14 @@
 	// reservationTTL is how long a slot is reserved for the instance that requested it;
 	// it covers the transfer of a snapshot.
 	reservationTTL = 3 * time.Second
+	// candidateTTL is the time after its last join request for which an instance is taken for
+	// one that waits for a slot; it covers several requests that one slow coordinator delays.
+	candidateTTL = 3 * time.Second
+	// firstGrowthWait is the time after the first start in which instances without a slot are
+	// expected to ask for one, and growthTimeout the time after the start of a member in which
+	// publications wait for them to join.
+	firstGrowthWait = 2 * time.Second
+	growthTimeout   = 6 * time.Second
 	// joinInterval is the interval between join requests, and the interval at which a
 	// member checks whether it has a leader.
 	joinInterval = 200 * time.Millisecond
--- a/pkg/coordinator/slotassignment.go
+++ b/pkg/coordinator/slotassignment.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -15,14 +16,17 @@
 // assignmentFile stores the slot of a disk. It is written before the log.
 const assignmentFile = "place.json"
 
-// slotAssignment is the slot of a disk and all slots of its group. Slots are named after
-// the peer addresses of the founding members and never change; the instance that holds a
-// slot may change.
+// slotAssignment is the slot of a disk and all slots that its group had when it was assigned.
+// The slots of the founding members are named after their peer addresses, later ones are
+// numbered (see newSlotName). The instance that holds a slot may change.
 type slotAssignment struct {
 	Slot  string   `json:"slot"`
 	Slots []string `json:"slots"`
 }
 
+// newSlotName returns the name of the slot by which the control group grows to a size.
+func newSlotName(size int) string { return "slot-" + strconv.Itoa(size) }
+
 // diskIDAt returns the disk identity of a log on an instance with this peer address. The
 // member table thereby tells the address of each holder.
 func diskIDAt(disk consensus.DiskID, address string) consensus.DiskID {
--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -16,6 +16,9 @@
 	// FirstStart is set when the whole deployment starts for the first time. The seeds are then the
 	// initial members of the control group.
 	FirstStart bool `json:"first_start"`
+	// ToleratedDisks is the number of coordinators that may lose their disks at the same time. The
+	// control group has room for twice as many members and one more.
+	ToleratedDisks int `json:"tolerated_disks"`
 	// DataFolder is the directory of the consensus log and its snapshots.
 	DataFolder string `json:"data_folder"`
 	// AnnounceIntervalMS is the interval at which backend servers announce themselves, in
@@ -60,7 +63,9 @@
 }
 
 // DefaultCoordinator returns the default settings of a coordinator.
-func DefaultCoordinator() Coordinator { return Coordinator{AnnounceIntervalMS: 1000} }
+func DefaultCoordinator() Coordinator {
+	return Coordinator{AnnounceIntervalMS: 1000, ToleratedDisks: 1}
+}
 
 // DefaultGateway returns the default settings of a gateway.
 func DefaultGateway() Gateway {
@@ -91,6 +96,7 @@
 	f.checkAddress("operator_address", s.OperatorAddress)
 	f.checkAddress("peer_address", s.PeerAddress)
 	f.checkSeeds(s.Seeds)
+	f.checkAtLeast("tolerated_disks", int64(s.ToleratedDisks), 0)
 	f.checkRequired("data_folder", s.DataFolder)
 	f.checkAtLeast("announce_ms", int64(s.AnnounceIntervalMS), 1)
 	f.checkOptionalAddress("metrics_address", s.MetricsAddress)
@@ -149,6 +155,10 @@
 	return peerAddresses
 }
 
+// GroupSize returns the number of members of the control group of which ToleratedDisks may lose
+// their disks while a majority remains.
+func (s *Coordinator) GroupSize() int { return 2*s.ToleratedDisks + 1 }
+
 // PeerSeeds returns the peer addresses of the seeds.
 func (s *Coordinator) PeerSeeds() []string {
 	addrPort, err := netip.ParseAddrPort(s.PeerAddress)
