coordinator: send to the slot holders of the stored member table after a start

Cause: a member learned the address of another slot's holder only from its messages, and sent to the founding member before. Two holders that are not founders never heard of each other after a restart of all. Evidence: TestHoldersFindEachOtherAfterARestart: timeout after 10 s waiting for a confirmed read without this change, with two of three holders up. Change: at its start a member takes the addresses from the member table in its log.

--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -127,6 +127,10 @@
 	if err != nil {
 		return errors.Join(err, store.Close())
 	}
+	// The holders of the other slots may not know this instance and its address.
+	for slot, holderDisk := range node.Status().Members {
+		g.transport.setRoute(slot, peerAddressOf(holderDisk))
+	}
 	g.mu.Lock()
 	g.node, g.assignment, g.disk, g.startedAt = node, assignment, disk, time.Now()
 	g.storedPublication, g.storedLastIndex = publication, stored.Snapshot.Index+uint64(len(stored.Entries))
--- a/pkg/coordinator/lostdisks_test.go
+++ b/pkg/coordinator/lostdisks_test.go
@@ -48,3 +48,23 @@
 	g.eventually("four members", func() bool { return g.coordinators[g.leader()].group.memberCount() == 4 })
 	g.publish(1, 2, "two")
 }
+
+// Guards against slot holders that cannot elect a leader after a restart of all, because they
+// send to the addresses of the founding members, which are gone.
+func TestHoldersFindEachOtherAfterARestart(t *testing.T) {
+	g := newTestGroup(t, 3)
+	g.publish(1, 1, "one")
+	for former, successor := range map[int]int{2: 4, 3: 5} {
+		g.stop(former)
+		g.start(successor, false)
+		g.eventually("the successor holds the slot", func() bool { return g.holders(1)[g.address(successor)] && !g.holders(1)[g.address(former)] })
+	}
+	g.publish(4, 2, "two")
+	g.expectPublication(5, 2, "two")
+	for _, i := range []int{1, 4, 5} {
+		g.stop(i)
+	}
+	g.start(4, false)
+	g.start(5, false)
+	g.expectPublication(4, 2, "two")
+}
