consensus: replace a disk only where the other members can commit it

Cause: while a ReplaceDisk entry is uncommitted neither the old nor the new disk of the member votes. With two of five disks lost, replacing the slot of a live third holder leaves two voters: no leader until a lost disk's machine is back, which has no disk. Change: the leader proposes a change of the table only if the other members that it has heard lately are a majority. Evidence: TestReplacementWithoutAMajorityOfOthers fails without the change (2 entries instead of 1) and passes with it, as do the random tests of the package.

--- a/pkg/consensus/membertable.go
+++ b/pkg/consensus/membertable.go
@@ -236,12 +236,13 @@
 
 // maybeProposeTableChange proposes a ReplaceDisk or an AddMember entry for a member that has
 // caught up on a disk that is not in the member table. Only one change is in progress at a
-// time.
+// time. The old disk of the member may be alive, but votes no more from the entry on, so the
+// other members must be able to commit the entry without it.
 func (n *Node) maybeProposeTableChange(member MemberID, p *peerProgress) {
 	if n.committedTable[member] == p.disk || n.termAt(n.commitIndex) != n.term || p.matchIndex < n.commitIndex {
 		return
 	}
-	if !maps.Equal(n.committedTable, n.latestTable) {
+	if !maps.Equal(n.committedTable, n.latestTable) || !n.hasQuorum(func(other *peerProgress) bool { return other != p && other.active }) {
 		return
 	}
 	data, err := json.Marshal(tableChange{Member: member, Disk: p.disk})
--- a/pkg/consensus/node_test.go
+++ b/pkg/consensus/node_test.go
@@ -75,6 +75,36 @@
 	qt.Assert(t, n.Status().Commit, qt.Equals, uint64(2))
 }
 
+// Guards against a leader that takes a live member's vote for a new disk while only that vote
+// makes a majority: the replacement could never be committed.
+func TestReplacementWithoutAMajorityOfOthers(t *testing.T) {
+	for _, others := range []string{"b", "bc"} {
+		table := map[MemberID]DiskID{"a": "a1", "b": "b1", "c": "c1", "d": "d1", "e": "e1"}
+		group := tableHash(table)
+		n := New(Config{ID: "a", Disk: "a1", HeartbeatTicks: 1, ElectionTicks: 5, Rand: rand.New(rand.NewPCG(1, 1))}, StoredState{
+			HardState: HardState{Term: 1}, Snapshot: Snapshot{Members: table, Group: group},
+		})
+		reply := func(from MemberID, disk DiskID, kind MessageKind, index uint64) {
+			n.Step(Message{From: from, To: "a", Disk: disk, Group: group, Kind: kind, Term: 2, Index: index, Granted: true})
+			n.Ready()
+			n.Advance()
+		}
+		for range 10 {
+			n.Tick()
+		}
+		for _, kind := range []MessageKind{PreVoteReply, VoteReply, AppendReply} {
+			reply("b", "b1", kind, 1)
+			reply("d", "d1", kind, 1)
+		}
+		qt.Assert(t, n.Status().Commit, qt.Equals, uint64(1))
+		for _, id := range others {
+			reply(MemberID(id), table[MemberID(id)], HeartbeatReply, 0)
+		}
+		reply("d", "d2", AppendReply, 1)
+		qt.Assert(t, n.Status().LastIndex, qt.Equals, uint64(len(others)))
+	}
+}
+
 // Guards against a member that never rejoins because it stored a first member table with a
 // lost disk while the other members stored a later table.
 func TestOtherFirstTable(t *testing.T) {
