coordinator: count a holder's silence from the leader's election

Cause: followers send messages to the leader only. A leader just elected took the time since its own start for the silence of every holder that it had not heard yet, so it gave the slot of a live holder to a coordinator without one; the holder then cleared its disk. Change: silence counts from the election, and the log line has its true length. Result: TestSilenceCountsFromTheElection; pkg/coordinator passes.

--- a/pkg/coordinator/coordinator_test.go
+++ b/pkg/coordinator/coordinator_test.go
@@ -166,3 +166,15 @@
 	qt.Assert(t, freeSlot(status, "9.9.9.9:1", silent("b", "c")), qt.Equals, "b")
 	qt.Assert(t, freeSlot(status, "9.9.9.9:1", silent("a")), qt.Equals, "")
 }
+
+// Guards against a new leader that takes the silence before its election for the silence of a
+// holder, and gives away the slot of a live one.
+func TestSilenceCountsFromTheElection(t *testing.T) {
+	now := time.Now()
+	g := &group{leadsSince: now.Add(-time.Second), holderLastMessageAt: map[string]time.Time{
+		"old": now.Add(-time.Minute), "recent": now.Add(-time.Millisecond),
+	}}
+	for slot, want := range map[string]time.Duration{"never": time.Second, "old": time.Second, "recent": time.Millisecond} {
+		qt.Assert(t, g.holderSilenceLocked(slot, now), qt.Equals, want, qt.Commentf(slot))
+	}
+}
--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -50,6 +50,9 @@
 	dataCentres map[string]string
 	candidates  map[string]time.Time
 	startedAt   time.Time
+	// leadsSince is the time since which this instance knows that it leads in ledTerm.
+	leadsSince time.Time
+	ledTerm    uint64
 }
 
 // reservation keeps a slot for a new disk until it expires.
@@ -352,13 +355,12 @@
 		}
 		return response
 	}
+	if g.ledTerm != status.Term {
+		g.ledTerm, g.leadsSince = status.Term, now
+	}
 	slot := freeSlot(status, r.Address, func(slot string) bool {
-		lastMessage := g.holderLastMessageAt[slot]
-		if lastMessage.IsZero() {
-			lastMessage = g.startedAt
-		}
 		reserved, ok := g.reservations[slot]
-		return now.Sub(lastMessage) > holderTimeout && (!ok || reserved.disk == disk || now.After(reserved.expiresAt))
+		return g.holderSilenceLocked(slot, now) > holderTimeout && (!ok || reserved.disk == disk || now.After(reserved.expiresAt))
 	})
 	if slot == "" {
 		if slot = g.newSlotLocked(status, r, now); slot == "" {
@@ -370,11 +372,22 @@
 	g.reservations[slot] = reservation{disk: disk, expiresAt: now.Add(reservationTTL)}
 	g.transport.setRoute(consensus.MemberID(slot), r.Address)
 	g.log.Info("assigned a slot of the control group to a new disk", "slot", slot, "disk", disk,
-		"holder", status.Members[consensus.MemberID(slot)], "silent_ms", now.Sub(g.holderLastMessageAt[slot]).Milliseconds())
+		"holder", status.Members[consensus.MemberID(slot)], "silent_ms", g.holderSilenceLocked(slot, now).Milliseconds())
 	response.Status, response.Slot = wire.JoinStatus_JOIN_GRANTED, slot
 	return response
 }
 
+// holderSilenceLocked returns the time for which the leader has heard nothing from the holder
+// of a slot. Holders send messages to the leader only, so it does not count the time before
+// this instance led. g.mu is held.
+func (g *group) holderSilenceLocked(slot string, now time.Time) time.Duration {
+	since := g.leadsSince
+	if at := g.holderLastMessageAt[slot]; at.After(since) {
+		since = at
+	}
+	return now.Sub(since)
+}
+
 // freeSlot returns the slot for an instance with an empty disk: the slot whose holder has
 // the same address or else the first slot whose holder is silent, but never the leader's.
 // It returns an empty string if there is none.
