follow: take no unconfirmed publication while most coordinators are in reach

Cause: a coordinator that finds no leader within 400 ms sends what it has applied, and a gateway that has just started took it as the publication in force. The event says whether the coordinator has a leader, but no gateway looked. Change: an event says whether a leader has confirmed the coordinator's publications since the stream was opened. Why it works: within the tolerated losses a leader comes up and confirms; beyond them the gateway answers 503 instead of serving an older configuration as current. A partitioned data centre still goes on.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -211,6 +211,38 @@
 	g.eventually("the publication", r.satisfies(func(r *recorder) bool { return r.revision == 7 }))
 }
 
+// Guards against a gateway that starts after too many disks were lost and takes the publication
+// of the last log for the one in force, although a newer one was accepted; and against one in a
+// partitioned data centre that gets no publication at all.
+func TestGatewayTakesNoUnconfirmedPublication(t *testing.T) {
+	g := newTestGroup(t, 3)
+	g.publish(1, 7, "seven")
+	g.eventually("the publication in all logs", func() bool {
+		for _, s := range g.coordinators {
+			if s.group.currentNode().Publication().Revision != 7 {
+				return false
+			}
+		}
+		return true
+	})
+	for i := 1; i <= 3; i++ {
+		g.stop(i)
+	}
+	g.loseDisk(2)
+	g.loseDisk(3)
+	for i := 1; i <= 3; i++ {
+		g.start(i, false)
+	}
+	r, c := g.followAt(g.address(1))
+	g.eventually("all streams", func() bool { recent, _ := c.CountCoordinators(time.Now(), time.Second); return recent == 3 })
+	time.Sleep(2 * time.Second)
+	qt.Assert(t, r.Revision(), qt.Equals, uint64(0))
+	g.stop(2)
+	g.stop(3)
+	partitioned, _ := g.followAt(g.address(1))
+	g.eventually("the unconfirmed publication", partitioned.satisfies(func(r *recorder) bool { return r.revision == 7 }))
+}
+
 // Guards against an outdated publication: a member whose leader appended to its log and
 // then stopped does not know what was accepted last, so it must not count towards a
 // majority of logs.
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -314,11 +314,11 @@
 // is applied here, so that gateways in a partitioned data centre still get one.
 const leaderWaitTimeout = 400 * time.Millisecond
 
-// sendInitial waits for a leader, so that the first publication a gateway gets is the
-// newest. If this member has had no leader since its start, it first sends the publication
+// sendInitial waits for a leader, so that the first publication a gateway gets is the newest,
+// and reports whether one has confirmed it. If this member has had no leader since its start, it first sends the publication
 // in its log as Stored: the gateway selects the newest of them once a majority of the slots
 // has sent theirs.
-func (s *Service) sendInitial(request *wire.FollowRequest, sub *subscriber, stream wire.DRPCCoordinator_FollowStream) error {
+func (s *Service) sendInitial(request *wire.FollowRequest, sub *subscriber, stream wire.DRPCCoordinator_FollowStream) (confirmed bool, err error) {
 	if p, slots, ok := s.group.unconfirmedPublication(); ok {
 		event := &wire.FollowEvent{
 			Coordinators: s.group.listedCoordinators(), GroupSlots: uint32(slots),
@@ -326,15 +326,23 @@
 		}
 		event.Announcements, event.Placements = sub.drain()
 		if err := stream.Send(event); err != nil {
-			return err
+			return false, err
 		}
 	}
-	ctx, cancel := context.WithTimeout(stream.Context(), leaderWaitTimeout)
-	defer cancel()
-	if _, err := s.Read(ctx); err != nil {
-		s.log.Info("no leader confirmed in time; sending the local state to a gateway", "gateway", request.Instance, "reason", err.Error())
+	if s.isConfirmed(stream.Context()) {
+		return true, nil
 	}
-	return nil
+	s.log.Info("no leader confirmed in time; sending the local state to a gateway as unconfirmed", "gateway", request.Instance)
+	return false, nil
+}
+
+// isConfirmed reports whether a leader confirms the publication applied here within
+// leaderWaitTimeout.
+func (s *Service) isConfirmed(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
+	defer cancel()
+	_, err := s.Read(ctx)
+	return err == nil
 }
 
 // Follow implements wire.DRPCCoordinatorServer.
@@ -342,9 +350,11 @@
 	s := r.service
 	sub := s.hub.subscribe(request.AnnouncementsOnly)
 	defer s.hub.unsubscribe(sub)
+	confirmed := false
 	if !request.AnnouncementsOnly {
 		s.log.Info("gateway connected", "gateway", request.Instance, "revision", request.Revision)
-		if err := s.sendInitial(request, sub, stream); err != nil {
+		var err error
+		if confirmed, err = s.sendInitial(request, sub, stream); err != nil {
 			return err
 		}
 	}
@@ -354,13 +364,14 @@
 		event.Announcements, event.Placements = sub.drain()
 		var publicationChanged <-chan struct{}
 		if node := s.group.currentNode(); node != nil && node.HasGroupState() && !request.AnnouncementsOnly {
+			confirmed = confirmed || node.HasLeader() && s.isConfirmed(stream.Context())
+			event.Confirmed = confirmed
 			var p control.Publication
 			p, publicationChanged = node.PublicationAndChange()
 			if p.Revision > sentRevision {
 				event.Publication = &wire.Publication{Revision: p.Revision, Content: p.Content}
 				sentRevision = p.Revision
 			}
-			event.InTouch = node.HasLeader()
 		}
 		if err := stream.Send(event); err != nil {
 			return err
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -62,10 +62,12 @@
 	sink        Sink
 	log         *slog.Logger
 
-	// mu guards recovery, and coordinators and their states. The keys are peer addresses.
+	// mu guards recovery, unconfirmed, and coordinators and their states. The keys are peer
+	// addresses.
 	mu           sync.Mutex
 	coordinators map[string]*coordinatorState
 	recovery     recovery
+	unconfirmed  unconfirmedPublications
 
 	placements chan *wire.Placement
 }
@@ -135,6 +137,7 @@
 		c.dialer.Invalidate(address)
 		c.mu.Lock()
 		c.recovery.remove(address)
+		c.unconfirmed.remove(address)
 		wasConnected, expired := s.connected, time.Since(s.renewedAt) > coordinatorTTL
 		s.connected = false
 		if expired {
@@ -212,7 +215,7 @@
 	}
 	// The publication is passed on last: requests that wait for it need the backend
 	// servers and placements of the same event.
-	if p := event.Publication; p != nil {
+	if p := c.publicationToAdopt(address, event, time.Now()); p != nil {
 		c.sink.HandlePublication(p.Revision, p.Content)
 	}
 	if p := event.Stored; p != nil && c.sink.Revision() == 0 {
@@ -226,6 +229,39 @@
 	}
 }
 
+// publicationToAdopt returns the publication to pass on after an event, nil if there is none. A
+// gateway without a configuration does not take an unconfirmed publication as long as it reaches
+// most coordinators: a leader among them will confirm one, and if there is none because too many
+// disks are lost, an accepted one may be missing.
+func (c *Client) publicationToAdopt(address string, event *wire.FollowEvent, now time.Time) *wire.Publication {
+	if c.sink.Revision() > 0 {
+		return event.Publication
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := event.Publication; p != nil {
+		c.unconfirmed.add(address, p, now)
+	}
+	if event.Confirmed {
+		return c.unconfirmed.of(address)
+	}
+	connected := 0
+	for _, s := range c.coordinators {
+		if s.connected {
+			connected++
+		}
+	}
+	if 2*connected > len(c.coordinators) {
+		return nil
+	}
+	p := c.unconfirmed.newest(now)
+	if p != nil {
+		c.log.Warn("most coordinators are out of reach; taking an unconfirmed publication", "revision", p.Revision,
+			"connected", connected, "known", len(c.coordinators))
+	}
+	return p
+}
+
 const (
 	// placementBatchInterval is the time over which placements are collected for one call.
 	// A caller whose gateway failed takes longer than this to reconnect.
