follow: recover a publication from the disks that vote, not from addresses

Cause: a gateway that starts without a leader counted logs by the address of their coordinator against the number of slots. A coordinator whose slot was given away while it was offline still counted, so its log and that of one lagging member passed for a majority without the accepted publication. With slots that move among six coordinators this is no longer rare. Change: a coordinator describes its log with its disk, its last entry and the disks of the member table at its end. The gateway applies the rule of an election: the most recent log names the disks; once a majority of these is recorded, that log's publication is taken.

--- a/pkg/consensus/membertable.go
+++ b/pkg/consensus/membertable.go
@@ -16,6 +16,23 @@
 	Disk   DiskID   `json:"disk"`
 }
 
+// parseTableChange returns the change of the member table that an entry makes. An entry that
+// does not decode changes nothing at any member.
+func parseTableChange(e Entry) (c tableChange, ok bool) {
+	if e.Kind != ReplaceDisk && e.Kind != AddMember {
+		return c, false
+	}
+	c = tableChange{kind: e.Kind, index: e.Index}
+	return c, json.Unmarshal(e.Data, &c) == nil && c.Disk != "" && c.Member != ""
+}
+
+// apply changes a member table.
+func (c tableChange) apply(table map[MemberID]DiskID) {
+	if _, ok := table[c.Member]; ok == (c.kind == ReplaceDisk) {
+		table[c.Member] = c.Disk
+	}
+}
+
 // tableHash returns a hash that identifies a member table.
 func tableHash(table map[MemberID]DiskID) uint64 {
 	h := xxhash.New()
@@ -29,8 +46,8 @@
 func (n *Node) tableAt(index uint64) map[MemberID]DiskID {
 	table := maps.Clone(n.snap.Members)
 	for _, c := range n.tableChanges {
-		if _, ok := table[c.Member]; ok == (c.kind == ReplaceDisk) && c.index <= index {
-			table[c.Member] = c.Disk
+		if c.index <= index {
+			c.apply(table)
 		}
 	}
 	return table
@@ -258,17 +275,10 @@
 	n.appendLocal(kind, data)
 }
 
-// trackTableChange applies an appended entry to the latest member table if it is a
-// ReplaceDisk or an AddMember entry. An entry that does not decode has no effect at any
-// member.
+// trackTableChange applies an appended entry to the latest member table if it changes it.
 func (n *Node) trackTableChange(e Entry) {
-	if e.Kind != ReplaceDisk && e.Kind != AddMember {
-		return
-	}
-	c := tableChange{kind: e.Kind, index: e.Index}
-	if json.Unmarshal(e.Data, &c) != nil || c.Disk == "" || c.Member == "" {
-		return
+	if c, ok := parseTableChange(e); ok {
+		n.tableChanges = append(n.tableChanges, c)
+		n.refreshTables()
 	}
-	n.tableChanges = append(n.tableChanges, c)
-	n.refreshTables()
 }
--- a/pkg/consensus/types.go
+++ b/pkg/consensus/types.go
@@ -10,7 +10,11 @@
 // ReplaceDisk or an AddMember entry then puts its disk into the table.
 package consensus
 
-import "math/rand/v2"
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+)
 
 // MemberID identifies a member of the group: a control instance or, among coordinators, a
 // slot of the control group, whose holder may change.
@@ -95,6 +99,33 @@
 	Entries []Entry
 }
 
+// LastEntry returns the term and the index of the last entry of the log.
+func (s StoredState) LastEntry() (term, index uint64) {
+	if len(s.Entries) == 0 {
+		return s.Snapshot.Term, s.Snapshot.Index
+	}
+	last := s.Entries[len(s.Entries)-1]
+	return last.Term, last.Index
+}
+
+// VotingDisks returns the disks of the member table at the end of the log, in no order. It
+// returns nil if a change of the table is not known to be committed: which disks vote is then
+// uncertain.
+func (s StoredState) VotingDisks() []DiskID {
+	table := maps.Clone(s.Snapshot.Members)
+	for _, e := range s.Entries {
+		change, ok := parseTableChange(e)
+		if !ok {
+			continue
+		}
+		if e.Index > s.HardState.Commit {
+			return nil
+		}
+		change.apply(table)
+	}
+	return slices.Collect(maps.Values(table))
+}
+
 // Ready is the work that the caller must process in the order of the fields: write the
 // snapshot, append the entries (after truncating the log before the first of them),
 // write the hard state, sync, then send the messages and apply the committed entries.
--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -201,8 +201,8 @@
 	// One member of three cannot elect a leader.
 	g.start(1, false)
 	g.eventually("the log of the first", func() bool {
-		p, slots, ok := g.coordinators[1].group.unconfirmedPublication()
-		return ok && p.Revision == 7 && string(p.Content) == "seven" && slots == 3
+		log := g.coordinators[1].group.unconfirmedLog()
+		return log != nil && log.Publication.Revision == 7 && string(log.Publication.Content) == "seven" && len(log.Disks) == 3
 	})
 	r, c := g.followAt(g.address(1))
 	g.eventually("the stream of the first", func() bool { recent, _ := c.CountCoordinators(time.Now(), time.Second); return recent == 1 })
@@ -259,8 +259,7 @@
 	g.stop(2)
 	g.stop(3)
 	g.eventually("the loss of the leader", func() bool { return !g.coordinators[1].group.currentNode().HasLeader() })
-	_, _, ok := g.coordinators[1].group.unconfirmedPublication()
-	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, g.coordinators[1].group.unconfirmedLog(), qt.IsNil)
 }
 
 // Guards against losing backend servers and recent placements when all processes stop or
--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -34,10 +34,8 @@
 	node       *control.Node
 	assignment slotAssignment
 	disk       consensus.DiskID
-	// storedPublication is the newest publication that was in the log when the node
-	// started, and storedLastIndex the index of the last log entry at that time.
-	storedPublication control.Publication
-	storedLastIndex   uint64
+	// storedLog describes the log at the start of the node, nil if it has no publication.
+	storedLog *wire.StoredLog
 	// holderLastMessageAt holds the time of the last message from the holder of each slot.
 	holderLastMessageAt map[string]time.Time
 	// reservations holds the slots that are reserved for a new disk.
@@ -77,17 +75,34 @@
 	return g.node
 }
 
-// unconfirmedPublication returns the newest publication in the local log and the number of
-// slots while this member has not had a leader since its start; otherwise it returns false.
-// Once a leader has appended to the log, the publication read at the start may be outdated.
-// A disk that is still catching up does not count towards a majority either.
-func (g *group) unconfirmedPublication() (p control.Publication, slots int, ok bool) {
+// unconfirmedLog returns the log as it was at the start of the node while this member has not
+// had a leader since; otherwise it returns nil. Once a leader has appended to the log, what was
+// read at the start may be outdated.
+func (g *group) unconfirmedLog() *wire.StoredLog {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.node == nil || g.node.HasLeader() || !g.node.HasGroupState() || g.node.Status().LastIndex != g.storedLastIndex {
-		return control.Publication{}, 0, false
+	if g.node == nil || g.storedLog == nil || g.node.HasLeader() || !g.node.HasGroupState() ||
+		g.node.Status().LastIndex != g.storedLog.LastIndex {
+		return nil
+	}
+	return g.storedLog
+}
+
+// describeLog returns what gateways need to know of a log in order to recover the publication in
+// force without a leader, nil if the log has no publication.
+func describeLog(stored consensus.StoredState, disk consensus.DiskID) (*wire.StoredLog, error) {
+	publication, err := control.StoredPublication(stored)
+	if err != nil || publication.Revision == 0 {
+		return nil, err
+	}
+	description := &wire.StoredLog{
+		Publication: &wire.Publication{Revision: publication.Revision, Content: publication.Content}, Disk: string(disk),
 	}
-	return g.storedPublication, len(g.node.Status().Members), g.storedPublication.Revision > 0
+	description.LastTerm, description.LastIndex = stored.LastEntry()
+	for _, d := range stored.VotingDisks() {
+		description.Disks = append(description.Disks, string(d))
+	}
+	return description, nil
 }
 
 // run keeps this instance in the group until ctx ends and rejoins after failures.
@@ -119,7 +134,7 @@
 		return err
 	}
 	disk = diskIDAt(disk, g.settings.PeerAddress)
-	publication, err := control.StoredPublication(stored)
+	storedLog, err := describeLog(stored, disk)
 	if err != nil {
 		return errors.Join(err, store.Close())
 	}
@@ -136,7 +151,7 @@
 	}
 	g.mu.Lock()
 	g.node, g.assignment, g.disk, g.startedAt = node, assignment, disk, time.Now()
-	g.storedPublication, g.storedLastIndex = publication, stored.Snapshot.Index+uint64(len(stored.Entries))
+	g.storedLog = storedLog
 	g.mu.Unlock()
 	g.log.Info("joined the control group", "slot", assignment.Slot, "disk", disk, "stored_entries", len(stored.Entries),
 		"stored_snapshot", stored.Snapshot.Index)
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -315,15 +315,12 @@
 const leaderWaitTimeout = 400 * time.Millisecond
 
 // sendInitial waits for a leader, so that the first publication a gateway gets is the newest,
-// and reports whether one has confirmed it. If this member has had no leader since its start, it first sends the publication
-// in its log as Stored: the gateway selects the newest of them once a majority of the slots
-// has sent theirs.
+// and reports whether one has confirmed it. If this member has had no leader since its start,
+// it first sends the description of its log: a gateway that has those of a majority knows the
+// publication in force.
 func (s *Service) sendInitial(request *wire.FollowRequest, sub *subscriber, stream wire.DRPCCoordinator_FollowStream) (confirmed bool, err error) {
-	if p, slots, ok := s.group.unconfirmedPublication(); ok {
-		event := &wire.FollowEvent{
-			Coordinators: s.group.listedCoordinators(), GroupSlots: uint32(slots),
-			Stored: &wire.Publication{Revision: p.Revision, Content: p.Content},
-		}
+	if log := s.group.unconfirmedLog(); log != nil {
+		event := &wire.FollowEvent{Coordinators: s.group.listedCoordinators(), Stored: log}
 		event.Announcements, event.Placements = sub.drain()
 		if err := stream.Send(event); err != nil {
 			return false, err
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -218,12 +218,12 @@
 	if p := c.publicationToAdopt(address, event, time.Now()); p != nil {
 		c.sink.HandlePublication(p.Revision, p.Content)
 	}
-	if p := event.Stored; p != nil && c.sink.Revision() == 0 {
+	if log := event.Stored; log != nil && c.sink.Revision() == 0 {
 		c.mu.Lock()
-		newest := c.recovery.record(address, p, int(event.GroupSlots))
+		newest := c.recovery.record(address, log)
 		c.mu.Unlock()
 		if newest != nil {
-			c.log.Info("recovered the newest publication of a majority of logs", "revision", newest.Revision)
+			c.log.Info("recovered the newest publication of a majority of logs", "revision", newest.Revision, "coordinator", address)
 			c.sink.HandlePublication(newest.Revision, newest.Content)
 		}
 	}
--- a/pkg/follow/recovery.go
+++ b/pkg/follow/recovery.go
@@ -1,40 +1,46 @@
 package follow
 
-import "github.com/geraniumpitch/geraniumpitch/pkg/wire"
+import (
+	"slices"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+)
 
 // recovery determines the publication in force while there is no leader. After a
 // simultaneous failure of all processes, callers reconnect before the coordinators have
-// elected a leader. An accepted publication is in a majority of the logs, and two majorities
-// have a log in common. The newest publication in any majority of the logs is therefore the
-// last accepted one or a newer one. A coordinator may be counted although its slot of the
-// control group was given to another instance while it was offline; the publication that
-// the leader sends later corrects this.
+// elected a leader. The rule is that of an election: the most recent log among the disks of
+// a majority has every accepted publication, and it names the disks of the group. A disk that
+// was replaced while its coordinator was offline does not count.
 type recovery struct {
-	// newestLogged holds the newest publication in the log of each coordinator, by its
-	// address.
-	newestLogged map[string]*wire.Publication
+	// logs holds the log of each coordinator, by its address.
+	logs map[string]*wire.StoredLog
 }
 
-// record records the newest publication in the log of a coordinator. groupSlots is the
-// number of slots of the control group. Once the publications of a majority of them are
-// recorded, record returns the newest one, and nil before that.
-func (r *recovery) record(address string, p *wire.Publication, groupSlots int) *wire.Publication {
-	if r.newestLogged == nil {
-		r.newestLogged = map[string]*wire.Publication{}
+// record records the log of a coordinator. Once the logs of a majority of the disks of the
+// group are recorded, record returns the newest publication, and nil before that.
+func (r *recovery) record(address string, log *wire.StoredLog) *wire.Publication {
+	if r.logs == nil {
+		r.logs = map[string]*wire.StoredLog{}
 	}
-	r.newestLogged[address] = p
-	if 2*len(r.newestLogged) <= groupSlots {
-		return nil
+	r.logs[address] = log
+	latest := log
+	for _, l := range r.logs {
+		if l.LastTerm > latest.LastTerm || l.LastTerm == latest.LastTerm && l.LastIndex > latest.LastIndex {
+			latest = l
+		}
 	}
-	newest := p
-	for _, candidate := range r.newestLogged {
-		if candidate.Revision > newest.Revision {
-			newest = candidate
+	count := 0
+	for _, l := range r.logs {
+		if slices.Contains(latest.Disks, l.Disk) {
+			count++
 		}
 	}
-	return newest
+	if 2*count <= len(latest.Disks) {
+		return nil
+	}
+	return latest.Publication
 }
 
-// remove removes the publication of a coordinator whose stream ended: its log may grow
-// without notice to this gateway.
-func (r *recovery) remove(address string) { delete(r.newestLogged, address) }
+// remove removes the log of a coordinator whose stream ended: it may grow without notice to
+// this gateway.
+func (r *recovery) remove(address string) { delete(r.logs, address) }
