gateway: log how far a broken attempt got, and the shared parts of its prompt

When an engine ends, the gateways log each attempt that it broke off, but not whether the engine had begun to answer, nor what the prompts have in common. The hypotheses (the engine is ill, the request is, a part of the prompt is) look the same. Change: "stream attempt ended, resuming" has has_head, writing_ms and shared_parts.

--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -51,6 +51,8 @@
 	// SessionPart is the part of the prompt that is specific to this request or its
 	// session, empty if it is unknown.
 	SessionPart string
+	// SharedParts are the other parts of the prompt in order, which other requests may have too.
+	SharedParts []string
 	// PromptTokens and OutputTokens are the sizes of a generation, 0 if unknown.
 	PromptTokens, OutputTokens int
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -69,6 +69,10 @@
 	pauseStats   pauseStats
 	// errorResult is the last error response of an engine.
 	errorResult *result
+	// headReceived is set when the last engine has sent the head of a response, and
+	// firstEventAt when it has sent an event.
+	headReceived bool
+	firstEventAt time.Time
 }
 
 // serveStream serves a request whose response is a stream of events.
@@ -97,10 +101,19 @@
 		}
 		g.metrics.countResume(causeLabel(err))
 		g.log.Info("stream attempt ended, resuming", "request", req.fields.ID, "last_event", s.lastEventID, "cause", err.Error(),
-			"engine", s.engineID, "tries", s.attempts, "copy_at", s.copyHolderID())
+			"engine", s.engineID, "tries", s.attempts, "copy_at", s.copyHolderID(), "has_head", s.headReceived,
+			"writing_ms", s.writingTime().Milliseconds(), "shared_parts", req.fields.SharedParts)
 	}
 }
 
+// writingTime returns how long the last engine had been writing when the attempt ended.
+func (s *streamState) writingTime() time.Duration {
+	if s.firstEventAt.IsZero() {
+		return 0
+	}
+	return time.Since(s.firstEventAt)
+}
+
 // canContinue reports whether another attempt may be made.
 func (s *streamState) canContinue() bool {
 	if s.ctx.Err() != nil || s.attempts >= maxStreamAttempts {
@@ -153,6 +166,7 @@
 	s.attempts++
 	s.possibleRuns++
 	s.engineID = engine.ID
+	s.headReceived, s.firstEventAt = false, time.Time{}
 	if s.firstEngineID == "" {
 		s.firstEngineID = engine.ID
 	}
@@ -180,6 +194,7 @@
 	if err != nil {
 		return s.handleNoResponse(engine, watch, err)
 	}
+	s.headReceived = true
 	defer response.Abort()
 	if err := s.checkResponseHead(engine, response); err != nil {
 		return err
@@ -278,6 +293,9 @@
 			return s.handleBrokenStream(ctx, engine, err)
 		}
 		watch.recordFirstEvent()
+		if s.firstEventAt.IsZero() {
+			s.firstEventAt = time.Now()
+		}
 		silenceTimer.Reset(s.eventTimeout())
 		if e.id != "" && !isAfter(e.id, s.lastEventID) {
 			continue
