gateway: keep prompts from the engines whose parts end them

Cause: no two of these requests are alike, and they come at any gateway. Nothing recognised what they have in common. Change: pkg/quarantine derives suspicions from two kinds of reports: an engine process ended as it began a prompt with these parts; a run with these parts went on writing. Three engines under one part that has not been sound since make a suspicion; a request is kept back only if it has all parts that the reports have in common, so that sound requests with some of them go on and clear them. Gateways exchange the reports through the coordinators, which keep them for gateways that connect later and in their synced file. Runs that still wait for their engine's first event are aborted. After a minute and longer, one request tests whether the suspicion still holds; the log tells when one begins and ends. Memory is bounded. Evidence: 135 of 136 attempts with a head and without an event had the same two parts.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
@@ -27,6 +29,7 @@
 	revision  uint64
 	servers   map[string]directory.Server
 	placement map[string]string
+	reports   []quarantine.Report
 }
 
 func (r *recorder) HandlePublication(revision uint64, _ []byte) {
@@ -49,6 +52,12 @@
 	r.placement[p.Subject] = p.Server + " " + p.Backup
 }
 
+func (r *recorder) HandlePromptReport(report quarantine.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reports = append(r.reports, report)
+}
+
 func (r *recorder) Revision() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -72,6 +81,7 @@
 	c := follow.NewClient("g", dialer, r, slog.New(slog.DiscardHandler))
 	c.Add(g.t.Context(), []string{seed})
 	go c.RunPlacements(g.t.Context())
+	go c.RunPromptReports(g.t.Context())
 	return r, c
 }
 
@@ -154,6 +164,64 @@
 	qt.Assert(t, announcements, qt.HasLen, 0)
 }
 
+// Guards against a gateway that is not told under which parts of prompts engines end: all gateways
+// get the reports of each, also those that connect later and after a restart of all processes.
+func TestPromptReportsReachAllGateways(t *testing.T) {
+	g := newTestGroup(t, 3)
+	other, _ := g.followAt(g.address(1))
+	_, c := g.followAt(g.address(3))
+	g.eventually("streams of all coordinators", func() bool { recent, _ := c.CountCoordinators(time.Now(), time.Second); return recent == 3 })
+	report := quarantine.Report{Parts: []string{"first", "bad"}, Engine: "e1", StartedMS: 4}
+	c.ReportPrompt(report)
+	has := func(r *recorder) bool {
+		for _, got := range r.reports {
+			if slices.Equal(got.Parts, report.Parts) && got.Engine == "e1" && got.StartedMS == 4 && got.Age < time.Minute {
+				return true
+			}
+		}
+		return false
+	}
+	g.eventually("the report", other.satisfies(has))
+	late, _ := g.followAt(g.address(2))
+	g.eventually("the report at a late gateway", late.satisfies(has))
+	g.eventually("the report in a file", func() bool {
+		for _, name := range softStateFiles {
+			if data, err := os.ReadFile(filepath.Join(g.folders[2], name)); err == nil && strings.Contains(string(data), `"e1"`) {
+				return true
+			}
+		}
+		return false
+	})
+	for i := 1; i <= 3; i++ {
+		g.stop(i)
+	}
+	g.start(2, false)
+	restarted, _ := g.followAt(g.address(2))
+	g.eventually("the report after a restart", restarted.satisfies(has))
+}
+
+// Guards against prompt reports that pile up at a coordinator or for a gateway that does not read,
+// and against repeated ones that displace others.
+func TestPromptReportsAreBounded(t *testing.T) {
+	h := newHub(time.Minute)
+	sub := h.subscribe(false)
+	now := time.Now()
+	h.addPromptReports([]*wire.PromptReport{{Parts: []string{"old"}, Engine: "old", AgeMs: uint32(reportTTL.Milliseconds())}}, now)
+	for i := range 2 * maxReports {
+		h.addPromptReports([]*wire.PromptReport{{Parts: []string{"sound"}}, {Parts: []string{"bad"}, Engine: fmt.Sprint(i / 2)}}, now.Add(time.Second))
+	}
+	qt.Assert(t, h.recentReports, qt.HasLen, maxReports)
+	sound := 0
+	for _, r := range h.recentReports {
+		if r.Report.Engine == "" {
+			sound++
+		}
+	}
+	qt.Assert(t, sound, qt.Equals, 1)
+	qt.Assert(t, sub.drainPromptReports(), qt.HasLen, maxReports)
+	qt.Assert(t, sub.drainPromptReports(), qt.HasLen, 0)
+}
+
 // Guards against control traffic proportional to servers times gateways: renewals go to
 // gateways only every few seconds, but to other coordinators each time.
 func TestRenewalsAreThinned(t *testing.T) {
--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -21,7 +21,9 @@
 	subscribers map[*subscriber]bool
 	// recentPlacements are sent to gateways that connect.
 	recentPlacements []recentPlacement
-	// updates counts the received announcements and placements.
+	// recentReports are sent to gateways that connect.
+	recentReports []recentReport
+	// updates counts the received announcements, placements and prompt reports.
 	updates int
 	// lastAnnouncedAt holds the time at which each server was last announced to gateways.
 	lastAnnouncedAt map[string]time.Time
@@ -43,7 +45,9 @@
 	pending map[string]directory.Server
 	// placements are the unsent placements, at most maxPlacements.
 	placements []*wire.Placement
-	// changed wakes the sender for changes and placements, periodic for renewals.
+	// promptReports are the unsent prompt reports, at most maxReports.
+	promptReports []*wire.PromptReport
+	// changed wakes the sender for changes, placements and prompt reports, periodic for renewals.
 	changed, periodic chan struct{}
 }
 
@@ -120,6 +124,9 @@
 		return sub
 	}
 	now := time.Now()
+	for _, r := range h.recentReports {
+		sub.promptReports = append(sub.promptReports, r.withAge(now))
+	}
 	for _, r := range h.recentPlacements {
 		if age := now.Sub(r.ReceivedAt); age < placement.PromptLocationTTL {
 			p := r.Placement
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -16,6 +16,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
@@ -98,6 +99,10 @@
 // each coordinator themselves.
 func (peerSink) HandlePlacement(placement.Placement) {}
 
+// HandlePromptReport implements follow.Sink. It does nothing, because gateways send reports to
+// several coordinators themselves.
+func (peerSink) HandlePromptReport(quarantine.Report) {}
+
 // Revision implements follow.Sink.
 func (peerSink) Revision() uint64 { return 0 }
 
@@ -310,6 +315,12 @@
 	return &wire.PlaceResponse{}, nil
 }
 
+// ReportPrompts implements wire.DRPCCoordinatorServer.
+func (r *rpcServer) ReportPrompts(_ context.Context, request *wire.ReportPromptsRequest) (*wire.ReportPromptsResponse, error) {
+	r.service.hub.addPromptReports(request.Reports, time.Now())
+	return &wire.ReportPromptsResponse{}, nil
+}
+
 // leaderWaitTimeout limits the wait for a leader before a gateway gets the publication that
 // is applied here, so that gateways in a partitioned data centre still get one.
 const leaderWaitTimeout = 400 * time.Millisecond
@@ -320,7 +331,7 @@
 // publication in force.
 func (s *Service) sendInitial(request *wire.FollowRequest, sub *subscriber, stream wire.DRPCCoordinator_FollowStream) (confirmed bool, err error) {
 	if log := s.group.unconfirmedLog(); log != nil {
-		event := &wire.FollowEvent{Coordinators: s.group.listedCoordinators(), Stored: log}
+		event := &wire.FollowEvent{Coordinators: s.group.listedCoordinators(), Stored: log, PromptReports: sub.drainPromptReports()}
 		event.Announcements, event.Placements = sub.drain()
 		if err := stream.Send(event); err != nil {
 			return false, err
@@ -357,7 +368,7 @@
 	}
 	sentRevision := request.Revision
 	for {
-		event := &wire.FollowEvent{Coordinators: s.group.listedCoordinators()}
+		event := &wire.FollowEvent{Coordinators: s.group.listedCoordinators(), PromptReports: sub.drainPromptReports()}
 		event.Announcements, event.Placements = sub.drain()
 		var publicationChanged <-chan struct{}
 		if node := s.group.currentNode(); node != nil && node.HasGroupState() && !request.AnnouncementsOnly {
--- a/pkg/coordinator/softstate.go
+++ b/pkg/coordinator/softstate.go
@@ -32,12 +32,13 @@
 	Sequence   uint64            `json:"written"`
 	Servers    []directory.Entry `json:"servers"`
 	Placements []recentPlacement `json:"placements"`
+	Reports    []recentReport    `json:"reports"`
 }
 
 // persistState restores the state of the previous process and then writes changes until
 // ctx ends. It matters when all gateways and coordinators fail at once: callers reconnect
 // before all backend servers have announced themselves again, and would overload the few
-// that have. If a file cannot be read or written, only this protection is lost.
+// that have, and gateways would send prompts that end engines to them again. If a file cannot be read or written, only this protection is lost.
 func (h *hub) persistState(ctx context.Context, folder string, log *slog.Logger) {
 	sequence, err := h.restore(folder, time.Now())
 	if err != nil {
@@ -48,7 +49,7 @@
 		sequence++
 		h.mu.Lock()
 		updates := h.updates
-		data, err := json.Marshal(softState{Sequence: sequence, Servers: h.servers.Entries(), Placements: h.recentPlacements})
+		data, err := json.Marshal(softState{Sequence: sequence, Servers: h.servers.Entries(), Placements: h.recentPlacements, Reports: h.recentReports})
 		h.mu.Unlock()
 		if updates == writtenUpdates {
 			continue
@@ -101,5 +102,10 @@
 			h.recentPlacements = append(h.recentPlacements, r)
 		}
 	}
+	for _, r := range newest.Reports {
+		if age := now.Sub(r.At); r.Report != nil && age >= 0 && age < reportTTL {
+			h.recentReports = append(h.recentReports, r)
+		}
+	}
 	return newest.Sequence, errors.Join(errs...)
 }
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
@@ -48,6 +49,8 @@
 	HandleAnnouncements(servers []directory.Server)
 	// HandlePlacement receives the placement of a run: which engine has its prompt cached.
 	HandlePlacement(p placement.Placement)
+	// HandlePromptReport receives what became of an engine as it began to answer a prompt.
+	HandlePromptReport(r quarantine.Report)
 	// Revision returns the revision in force, 0 if there is none.
 	Revision() uint64
 }
@@ -69,7 +72,8 @@
 	recovery     recovery
 	unconfirmed  unconfirmedPublications
 
-	placements chan *wire.Placement
+	placements    chan *wire.Placement
+	promptReports chan *wire.PromptReport
 }
 
 // coordinatorState is the state of one followed coordinator.
@@ -86,7 +90,7 @@
 func NewClient(instance string, dialer *rpc.Dialer, sink Sink, log *slog.Logger) *Client {
 	return &Client{
 		instance: instance, dialer: dialer, sink: sink, log: log, coordinators: map[string]*coordinatorState{},
-		placements: make(chan *wire.Placement, maxQueuedPlacements),
+		placements: make(chan *wire.Placement, maxQueuedPlacements), promptReports: make(chan *wire.PromptReport, maxQueuedPromptReports),
 	}
 }
 
@@ -210,6 +214,9 @@
 			Age: time.Duration(p.AgeMs) * time.Millisecond,
 		})
 	}
+	for _, r := range event.PromptReports {
+		c.sink.HandlePromptReport(decodePromptReport(r))
+	}
 	if len(event.Coordinators) > 0 {
 		c.Add(ctx, event.Coordinators)
 	}
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -33,6 +33,7 @@
 	return RequestFields{
 		ID: h.Get("X-Id"), Key: h.Get("X-Key"), Timeout: time.Duration(timeoutMS) * time.Millisecond,
 		LastEventID: h.Get("X-Last"), SessionPart: h.Get("X-Subject"), PromptTokens: prompt,
+		SharedParts: strings.Fields(h.Get("X-Shared")),
 	}
 }
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -15,6 +15,7 @@
 // kinds of routes, outcomes and causes have fixed names.
 type metrics struct {
 	requests, retries, resumes, copyRequests       metric.Int64Counter
+	quarantined                                    metric.Int64Counter
 	requestDuration, firstEventDelay, longestPause metric.Float64Histogram
 }
 
@@ -39,6 +40,7 @@
 	m.requests = counter("gp_gateway_requests", "Callers' requests by kind of route and outcome.")
 	m.retries = counter("gp_gateway_repeats", "Sends beyond the first of a request, by cause.")
 	m.resumes = counter("gp_gateway_stream_resumes", "Streams that went on at another engine, by cause.")
+	m.quarantined = counter("gp_gateway_quarantined", "Streams kept from engines because parts of their prompts are suspected.")
 	m.copyRequests = counter("gp_gateway_copy_orders", "Copies of runs ordered from engines, by outcome.")
 	m.requestDuration = histogram("gp_gateway_request_duration", "Time to the end of an answer, by kind of route.")
 	m.firstEventDelay = histogram("gp_gateway_first_event", "Time to the first event of a stream.")
@@ -160,3 +162,10 @@
 	}
 	return req.route.Kind.String()
 }
+
+// countQuarantined counts a stream that is kept from the engines.
+func (m *metrics) countQuarantined() {
+	if m != nil {
+		m.quarantined.Add(context.Background(), 1)
+	}
+}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -28,6 +28,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
@@ -63,6 +64,10 @@
 	budgets         map[string]*placement.RetryBudget
 	rand            *mathrand.Rand
 	promptLocations placement.PromptLocations
+	quarantine      *quarantine.Tracker
+	// unstarted holds the streams that wait for the first event of their engine, with the function
+	// that aborts the attempt.
+	unstarted map[*streamState]func()
 	// serversChanged is closed and replaced when servers join, leave or recover.
 	serversChanged chan struct{}
 
@@ -76,8 +81,9 @@
 		settings: s, protocol: p, client: client, log: log,
 		servers: directory.New(serverTTL(s)), pools: map[string]*placement.Pool{},
 		budgets: map[string]*placement.RetryBudget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
-		serversChanged: make(chan struct{}), configured: make(chan struct{}),
+		serversChanged: make(chan struct{}), configured: make(chan struct{}), unstarted: map[*streamState]func(){},
 	}
+	g.quarantine = quarantine.NewTracker(g.rand)
 	g.coordinators = follow.NewClient(s.Instance.ID, dialer, g, log)
 	return g
 }
@@ -114,6 +120,7 @@
 	go g.maintain(ctx)
 	go g.runProbes(ctx)
 	go g.coordinators.RunPlacements(ctx)
+	go g.coordinators.RunPromptReports(ctx)
 	return nil
 }
 
@@ -336,6 +343,7 @@
 				g.log.Info("backend server expired", "server", s.ID, "service", s.Service, "state", s.State)
 				g.pool(s.Service).Remove(s.ID)
 			}
+			g.logSuspicions(g.quarantine.Expire(now))
 			g.mu.Unlock()
 		}
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -73,6 +74,14 @@
 	// firstEventAt when it has sent an event.
 	headReceived bool
 	firstEventAt time.Time
+	// enginesEnded counts the engines that ended as they began to answer this stream.
+	enginesEnded int
+	// quarantined is set when an attempt is aborted because the prompt is suspected, and
+	// quarantineRetryAfter when the prompt is not admitted.
+	quarantined          atomic.Bool
+	quarantineRetryAfter time.Duration
+	// soundReported is set when the prompt of this stream has proved to be sound.
+	soundReported bool
 }
 
 // serveStream serves a request whose response is a stream of events.
@@ -92,7 +101,7 @@
 			return nil
 		}
 		s.pauseStats.nextCause = err.Error()
-		if errors.Is(err, errCallerLeft) || !s.canContinue() {
+		if errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined) || !s.canContinue() {
 			errReply := s.fail(err)
 			if errReply != nil {
 				errReply.servers = append(s.excludedIDs, s.engineID)
@@ -140,6 +149,8 @@
 		return s.g.forwardResponse(s.ctx, s.w, s.errorResult)
 	}
 	switch {
+	case s.possibleRuns == 0 && errors.Is(err, errQuarantined):
+		return newRefusal(err.Error(), s.quarantineRetryAfter)
 	case s.possibleRuns == 0:
 		return newRefusal("no engine accepted the run: "+err.Error(), s.g.retryAfter(s.req))
 	case s.ctx.Err() != nil:
@@ -155,6 +166,12 @@
 	if engine == nil {
 		return errors.Join(eris.Errorf("no engine available for service %q", s.req.service.Name), s.waitForEngine())
 	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	if err := s.admitPrompt(cancel); err != nil {
+		return err
+	}
+	defer s.recordStarted()
 	run := s.requirements()
 	var backup *placement.Server
 	mayRelocate := resumeCopy == nil && s.mayRelocate(engine, run)
@@ -174,8 +191,6 @@
 	s.adjustReservation(engine, backup, run.Tokens, 1)
 	defer s.adjustReservation(engine, backup, -run.Tokens, -1)
 
-	ctx, cancel := context.WithCancel(s.ctx)
-	defer cancel()
 	watch := s.watchFirstEvent(ctx, cancel, engine)
 	defer watch.stop()
 	header := s.req.header.Clone()
@@ -208,11 +223,13 @@
 		go s.maintainCopy(ctx, engine, run)
 	}
 	err = s.forwardEvents(ctx, cancel, engine, response, watch)
+	s.recordEngineEnd(engine, err)
 	if err != nil && !errors.Is(err, errCallerLeft) && activeRelocation != nil && watch.prefillDone && s.awaitRelocation(activeRelocation) {
 		err = errRelocated
 	}
 	if err == nil {
 		response.Release()
+		s.recordWriting(true)
 		s.g.mu.Lock()
 		s.g.pool(s.req.service.Name).RecordSuccess(engine.ID, time.Since(s.req.startedAt), time.Now())
 		s.g.mu.Unlock()
@@ -230,6 +247,9 @@
 	if s.ctx.Err() != nil {
 		return err
 	}
+	if s.quarantined.Load() {
+		return errQuarantined
+	}
 	if watch.engineLost() {
 		s.exclude(engine, true)
 		return errSilent
@@ -295,7 +315,9 @@
 		watch.recordFirstEvent()
 		if s.firstEventAt.IsZero() {
 			s.firstEventAt = time.Now()
+			s.recordStarted()
 		}
+		s.recordWriting(false)
 		silenceTimer.Reset(s.eventTimeout())
 		if e.id != "" && !isAfter(e.id, s.lastEventID) {
 			continue
@@ -310,6 +332,9 @@
 // excluded. One that broke off the stream may still have the prompt cached, so it is
 // retried up to maxRetriesAtSameEngine times, unless there is a copy.
 func (s *streamState) handleBrokenStream(ctx context.Context, engine *placement.Server, err error) error {
+	if s.quarantined.Load() {
+		return errQuarantined
+	}
 	if s.ctx.Err() == nil && ctx.Err() != nil {
 		s.exclude(engine, true)
 		return errSilent
--- /dev/null
+++ b/pkg/quarantine/tracker.go
@@ -0,0 +1,318 @@
+// Package quarantine finds the parts of prompts under which engines end, and decides which
+// requests are kept from the engines because of them. It does no I/O: time is passed in.
+//
+// The evidence is a report of each engine that ended as it began to answer a request, with the
+// parts that the request shares with others, and of each run that went on writing. Several
+// requests begin at one engine, and a harmful part comes together with sound ones, so a part is
+// suspected only after several engines, and a request is kept back only if it has everything
+// that the reports have in common.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// minEndings is the number of engine processes that must have ended under a part before it is
+	// suspected. Two may end at the same time for another reason.
+	minEndings = 3
+	// evidenceTTL is how long an ended engine counts.
+	evidenceTTL = 10 * time.Minute
+	// maxEndings bounds the ended engine processes that are remembered, and maxRequestsPerEnding
+	// the requests that began on each.
+	maxEndings           = 128
+	maxRequestsPerEnding = 8
+	// baseHold is the time after the last ended engine for which a suspected request is kept back
+	// before one is tried again. It doubles with each further engine, maxHoldDoublings times at
+	// most.
+	baseHold         = time.Minute
+	maxHoldDoublings = 3
+	// soundInterval is the least time between two reports that a part is sound.
+	soundInterval = 2 * time.Second
+)
+
+// Report is the evidence of one run, as gateways exchange it.
+type Report struct {
+	// Parts are the parts of the prompt that other requests may have too.
+	Parts []string
+	// Engine and StartedMS identify the process of the engine that ended as it began to answer;
+	// StartedMS is its start in Unix milliseconds. Engine is empty in the report of a run that
+	// went on writing.
+	Engine    string
+	StartedMS int64
+	// Age is the time since the event.
+	Age time.Duration
+}
+
+// Change is the begin or the end of a suspicion.
+type Change struct {
+	// Parts are the parts that a request must all have to be kept back.
+	Parts []string
+	// Began is false if the suspicion ended.
+	Began bool
+	// Endings is the number of engine processes that ended under the parts.
+	Endings int
+}
+
+// Tracker holds the evidence and the suspicions that follow from it. It is not safe for
+// concurrent use.
+type Tracker struct {
+	// endings are the ended engine processes, the oldest first.
+	endings []ending
+	// soundAt holds the last time at which a run with a part went on writing, for the parts in
+	// endings.
+	soundAt    map[string]time.Time
+	suspicions []suspicion
+	// triedAt holds the last time at which a suspected request was let through, by the key of the
+	// suspicion.
+	triedAt map[string]time.Time
+	// spread lengthens the holds of this gateway by a factor from 1 to 2, so that not all gateways
+	// try a part at the same time.
+	spread float64
+}
+
+// ending is an engine process that ended as it began to answer.
+type ending struct {
+	engine    string
+	startedMS int64
+	at        time.Time
+	// requests holds the parts of each request that began on it.
+	requests [][]string
+}
+
+// suspicion is a set of parts that is held to end engines.
+type suspicion struct {
+	parts       []string
+	endings     int
+	lastEndedAt time.Time
+}
+
+func (s suspicion) key() string { return strings.Join(s.parts, ",") }
+
+// NewTracker returns a tracker without evidence.
+func NewTracker(random *rand.Rand) *Tracker {
+	return &Tracker{soundAt: map[string]time.Time{}, triedAt: map[string]time.Time{}, spread: 1 + random.Float64()}
+}
+
+// Record adds a report and returns the suspicions that begin or end with it. A report that is
+// known already changes nothing.
+func (t *Tracker) Record(r Report, now time.Time) []Change {
+	at := now.Add(-r.Age)
+	if r.Engine == "" {
+		for _, part := range r.Parts {
+			if t.hasEvidence(part) && at.After(t.soundAt[part]) {
+				t.soundAt[part] = at
+			}
+		}
+		return t.update(now)
+	}
+	if len(r.Parts) == 0 {
+		return nil
+	}
+	i := slices.IndexFunc(t.endings, func(e ending) bool { return e.engine == r.Engine && e.startedMS == r.StartedMS })
+	if i < 0 {
+		t.endings = append(t.endings, ending{engine: r.Engine, startedMS: r.StartedMS, at: at})
+		t.endings = slices.Delete(t.endings, 0, max(0, len(t.endings)-maxEndings))
+		i = len(t.endings) - 1
+	}
+	e := &t.endings[i]
+	if len(e.requests) >= maxRequestsPerEnding || slices.ContainsFunc(e.requests, func(p []string) bool { return slices.Equal(p, r.Parts) }) {
+		return nil
+	}
+	e.requests = append(e.requests, slices.Clone(r.Parts))
+	return t.update(now)
+}
+
+// Expire forgets old evidence and returns the suspicions that end.
+func (t *Tracker) Expire(now time.Time) []Change {
+	count := len(t.endings)
+	t.endings = slices.DeleteFunc(t.endings, func(e ending) bool { return now.Sub(e.at) > evidenceTTL })
+	if len(t.endings) == count {
+		return nil
+	}
+	maps.DeleteFunc(t.soundAt, func(part string, _ time.Time) bool { return !t.hasEvidence(part) })
+	return t.update(now)
+}
+
+// IsSuspected reports whether a request with these parts is suspected.
+func (t *Tracker) IsSuspected(parts []string) bool { return t.find(parts) != nil }
+
+// Admit reports whether a request with these parts may be sent to an engine. A suspected request
+// may not, except for one at a time after a hold, which shows whether the suspicion still holds.
+// If it is not admitted, retryAfter is the time until the next such trial.
+func (t *Tracker) Admit(parts []string, now time.Time) (admitted bool, retryAfter time.Duration) {
+	s := t.find(parts)
+	if s == nil {
+		return true, 0
+	}
+	since := s.lastEndedAt
+	if triedAt := t.triedAt[s.key()]; triedAt.After(since) {
+		since = triedAt
+	}
+	hold := baseHold << min(maxHoldDoublings, s.endings-minEndings)
+	wait := time.Duration(float64(hold)*t.spread) - now.Sub(since)
+	if wait > 0 {
+		return false, wait
+	}
+	t.triedAt[s.key()] = now
+	return true, 0
+}
+
+// Unproven returns those of the parts for which a report of a run that goes on writing is of use:
+// engines ended under them, and none was reported sound lately.
+func (t *Tracker) Unproven(parts []string, now time.Time) []string {
+	var unproven []string
+	for _, part := range parts {
+		if t.hasEvidence(part) && now.Sub(t.soundAt[part]) >= soundInterval {
+			unproven = append(unproven, part)
+		}
+	}
+	return unproven
+}
+
+// find returns the suspicion of which a request has all parts, nil if there is none.
+func (t *Tracker) find(parts []string) *suspicion {
+	for i := range t.suspicions {
+		if containsAll(parts, t.suspicions[i].parts) {
+			return &t.suspicions[i]
+		}
+	}
+	return nil
+}
+
+func (t *Tracker) hasEvidence(part string) bool {
+	return slices.ContainsFunc(t.endings, func(e ending) bool {
+		return slices.ContainsFunc(e.requests, func(parts []string) bool { return slices.Contains(parts, part) })
+	})
+}
+
+// update derives the suspicions from the evidence and returns what has changed.
+func (t *Tracker) update(now time.Time) []Change {
+	previous := t.suspicions
+	t.suspicions = t.deriveSuspicions()
+	var changes []Change
+	has := func(list []suspicion, s suspicion) bool {
+		return slices.ContainsFunc(list, func(other suspicion) bool { return other.key() == s.key() })
+	}
+	for _, s := range previous {
+		if !has(t.suspicions, s) {
+			delete(t.triedAt, s.key())
+			changes = append(changes, Change{Parts: s.parts, Endings: s.endings})
+		}
+	}
+	for _, s := range t.suspicions {
+		if !has(previous, s) {
+			changes = append(changes, Change{Parts: s.parts, Began: true, Endings: s.endings})
+		}
+	}
+	return changes
+}
+
+// deriveSuspicions explains the ended engines by as few parts as possible: the part with the most
+// engines first, then the parts with the most of the remaining ones.
+func (t *Tracker) deriveSuspicions() []suspicion {
+	var suspicions []suspicion
+	unexplained := t.endings
+	for {
+		s, ok := t.strongestSuspicion(unexplained)
+		if !ok {
+			return suspicions
+		}
+		suspicions = append(suspicions, s)
+		var remaining []ending
+		for _, e := range unexplained {
+			if !slices.ContainsFunc(e.requests, func(parts []string) bool { return containsAll(parts, s.parts) }) {
+				remaining = append(remaining, e)
+			}
+		}
+		unexplained = remaining
+	}
+}
+
+// strongestSuspicion returns the suspicion that explains the most ended engines. If a suspicion of
+// more parts, which keeps back fewer requests, leaves too few of these engines unexplained to be
+// suspicious, it is returned instead: a sound part that many requests have also meets engines
+// that end for another reason.
+func (t *Tracker) strongestSuspicion(endings []ending) (strongest suspicion, ok bool) {
+	var candidates []suspicion
+	for part, count := range countEndings(endings) {
+		if count < minEndings {
+			continue
+		}
+		if s := t.suspicionOf(part, endings); s.endings >= minEndings {
+			candidates = append(candidates, s)
+		}
+	}
+	if len(candidates) == 0 {
+		return suspicion{}, false
+	}
+	slices.SortFunc(candidates, func(a, b suspicion) int {
+		return cmp.Or(cmp.Compare(b.endings, a.endings), cmp.Compare(len(b.parts), len(a.parts)), cmp.Compare(a.key(), b.key()))
+	})
+	strongest = candidates[0]
+	for _, s := range candidates[1:] {
+		if len(s.parts) > len(strongest.parts) && containsAll(s.parts, strongest.parts) && candidates[0].endings-s.endings < minEndings {
+			strongest = s
+		}
+	}
+	return strongest, true
+}
+
+// countEndings returns for each part the number of engines that ended under it.
+func countEndings(endings []ending) map[string]int {
+	counts := map[string]int{}
+	for _, e := range endings {
+		parts := map[string]bool{}
+		for _, request := range e.requests {
+			for _, part := range request {
+				parts[part] = true
+			}
+		}
+		for part := range parts {
+			counts[part]++
+		}
+	}
+	return counts
+}
+
+// suspicionOf returns the suspicion of a part: the engines that ended under it since it was last
+// sound, and the parts that all requests with it had in common, without those that were sound
+// since the first of these engines ended.
+func (t *Tracker) suspicionOf(part string, endings []ending) suspicion {
+	var s suspicion
+	var firstEndedAt time.Time
+	for _, e := range endings {
+		if !e.at.After(t.soundAt[part]) {
+			continue
+		}
+		counted := false
+		for _, parts := range e.requests {
+			if !slices.Contains(parts, part) {
+				continue
+			}
+			if s.endings == 0 && !counted {
+				s.parts, firstEndedAt = slices.Clone(parts), e.at
+			} else {
+				s.parts = slices.DeleteFunc(s.parts, func(p string) bool { return !slices.Contains(parts, p) })
+			}
+			counted = true
+		}
+		if counted {
+			s.endings++
+			s.lastEndedAt = e.at
+		}
+	}
+	s.parts = slices.DeleteFunc(s.parts, func(p string) bool { return p != part && t.soundAt[p].After(firstEndedAt) })
+	slices.Sort(s.parts)
+	s.parts = slices.Compact(s.parts)
+	return s
+}
+
+func containsAll(parts, wanted []string) bool {
+	return !slices.ContainsFunc(wanted, func(p string) bool { return !slices.Contains(parts, p) })
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -388,6 +388,17 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
+// Refuses reports whether a backend server refuses a connection at once, as the host of an ended
+// process does.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = raw.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // reusable reports whether an idle connection is open and has no unread bytes, which
 // would be read as the response to the next request.
 func reusable(cn *conn) bool {
