gateway: end at most two engines with one stream

Cause: a stream whose engine ended as it began to answer was sent to the next engine, as often as the route allows runs. If the prompt is the cause, each try ends one more engine.

--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -42,6 +42,17 @@
 	return ended
 }
 
+// Guards against a request that ends one engine after the other because each break-off is followed
+// by a further attempt.
+func TestOneRequestEndsFewEngines(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, testConfig())
+	ended := f.addFragileEngines(8)
+	response := f.send("POST", "/stream/a", map[string]string{"X-Shared": harmfulPart})
+	qt.Assert(t, response.status, qt.Equals, http.StatusBadGateway)
+	qt.Assert(t, ended.Load() <= 2, qt.IsTrue, qt.Commentf("%d engines ended", ended.Load()))
+}
+
 // Guards against requests that are not alike but have one part in common, each of which ends
 // engines, and against sound requests that are refused because they have the other parts.
 func TestHarmfulPartIsKeptFromEngines(t *testing.T) {
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -70,6 +70,9 @@
 	// maxRetriesAtSameEngine bounds how often in a row one stream is retried at an engine
 	// that broke it off.
 	maxRetriesAtSameEngine = 2
+	// maxEnginesEnded is the number of engines that may end as they begin to answer one stream. A
+	// second engine may end by chance; after that, the prompt is the likelier cause.
+	maxEnginesEnded = 2
 	// probeInterval is the interval at which unreachable servers are probed.
 	probeInterval = 60 * time.Millisecond
 	// maxConcurrentProbes bounds the probes in flight.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -131,7 +131,7 @@
 	if s.possibleRuns == 0 {
 		return true
 	}
-	return s.req.route.Retryable() && s.possibleRuns < s.req.route.MaxPossibleRuns
+	return s.enginesEnded < maxEnginesEnded && s.req.route.Retryable() && s.possibleRuns < s.req.route.MaxPossibleRuns
 }
 
 // fail ends the stream without a further attempt. It breaks off a stream that has begun,
