upstream: bound the bytes that are read from a server without end

Cause: the head of a response was read without a bound, and so were a response to another request that is skipped and the response to the release of a copy. A stream waited until its deadline for the body of an engine's error. A body that reached the bound of a buffered response was taken for complete, and its connection put back into the pool. In the older entry path the bound of a head was 10 MiB, and lines that belong to no event were skipped without end. Change: heads of 64 KiB, skipped bodies of 256 KiB; Response.ReadAll aborts a larger body with ErrTooLarge; an error body has 1 s; entry and engine clients have the same bound for heads.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -10,6 +10,8 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxIdleConnsPerEngine limits the idle connections to one engine.
 	maxIdleConnsPerEngine = 16
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // NewClient returns an HTTP client to be shared by the clients of all engines. Its
@@ -17,6 +19,6 @@
 func NewClient(source net.Addr) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, LocalAddr: source}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerEngine,
+		MaxIdleConnsPerHost: maxIdleConnsPerEngine, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
--- a/pkg/engine/http.go
+++ b/pkg/engine/http.go
@@ -199,14 +199,18 @@
 	errLineTooLong = errors.New("event of the engine exceeds the line limit")
 )
 
-// Next implements Stream.
+// Next implements Stream. It reads at most maxLineBytes, and one line more, for one event.
 func (s *stream) Next(ctx context.Context) (Event, error) {
 	s.bind(ctx)
-	for {
+	for skipped := 0; ; {
 		line, err := s.readLine()
+		if err == nil && skipped > maxLineBytes {
+			err = errLineTooLong
+		}
 		if err != nil {
 			return Event{}, &Error{Reason: MayHaveRun, Err: err}
 		}
+		skipped += len(line) + 1
 		switch {
 		case bytes.HasPrefix(line, dataPrefix):
 			return decodeEvent(line[len(dataPrefix):])
--- a/pkg/entry/client.go
+++ b/pkg/entry/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -22,6 +21,8 @@
 	backendDialTimeout = 500 * time.Millisecond
 	// maxResponseBytes limits the response body of a plain service.
 	maxResponseBytes = 8 << 20
+	// maxResponseHeadBytes bounds the head of a response of a backend server.
+	maxResponseHeadBytes = 64 << 10
 	// maxIdleConnsPerBackend limits the idle connections to one backend server.
 	maxIdleConnsPerBackend = 32
 )
@@ -54,6 +55,9 @@
 	singleUse *http.Transport
 }
 
+// errResponseTooLarge is the error of a response whose body exceeds maxResponseBytes.
+var errResponseTooLarge = eris.New("response body exceeds the size limit")
+
 // newServiceClient returns a client whose connections use the local address
 // source, unless it is nil.
 func newServiceClient(source net.Addr) serviceClient {
@@ -61,10 +65,10 @@
 	return serviceClient{
 		keepAlive: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerBackend,
-			IdleConnTimeout: idleTimeout, DisableCompression: true,
+			IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
 		},
 		singleUse: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
 		},
 	}
 }
@@ -99,7 +103,7 @@
 		return once.Answer{}, eris.Wrap(err, "read response body")
 	}
 	if len(body) > maxResponseBytes {
-		return once.Answer{}, errors.New("response body exceeds the size limit")
+		return once.Answer{}, errResponseTooLarge
 	}
 	return once.Answer{Status: response.StatusCode, Headers: responseHeaders(response.Header), Body: body}, nil
 }
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -145,11 +144,9 @@
 			g.log.Info("failed to release a copy, it will expire", "holder", c.holder.ID, "error", err)
 			return
 		}
-		if _, err := io.Copy(io.Discard, response); err != nil {
-			response.Abort()
-			return
+		if _, err := response.ReadAll(maxBufferedResponseBytes); err != nil {
+			g.log.Info("failed to read the response to the release of a copy", "holder", c.holder.ID, "error", err)
 		}
-		response.Release()
 	}()
 }
 
@@ -201,12 +198,10 @@
 	if err != nil {
 		return "", 0, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
+	body, err := response.ReadAll(maxBufferedResponseBytes)
 	if err != nil {
-		response.Abort()
 		return "", response.StatusCode, err
 	}
-	response.Release()
 	if response.StatusCode != http.StatusOK && !stopRun {
 		return "", response.StatusCode, nil
 	}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -16,6 +16,9 @@
 	// maxBufferedResponseBytes bounds a response that is read as a whole before it is
 	// forwarded; a larger one is forwarded as it arrives, and its request cannot be retried.
 	maxBufferedResponseBytes = 256 << 10
+	// errorBodyTimeout bounds the time for the body of an engine's error response. It has few bytes,
+	// and another engine could serve the stream meanwhile.
+	errorBodyTimeout = time.Second
 	// responseMargin is subtracted from the deadline of a request, so that the response
 	// reaches the caller in time.
 	responseMargin = 30 * time.Millisecond
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -211,7 +211,7 @@
 	}
 	s.headReceived = true
 	defer response.Abort()
-	if err := s.checkResponseHead(engine, response); err != nil {
+	if err := s.checkResponseHead(cancel, engine, response); err != nil {
 		return err
 	}
 	s.latestCopy.set(s.backupCopy(backup))
@@ -263,7 +263,7 @@
 
 // checkResponseHead checks the head of a response. For an error response it reads the
 // body, decides where to retry, and returns an error.
-func (s *streamState) checkResponseHead(engine *placement.Server, response *upstream.Response) error {
+func (s *streamState) checkResponseHead(abort context.CancelFunc, engine *placement.Server, response *upstream.Response) error {
 	fields := s.g.recordResponse(s.req, engine.ID, response)
 	if response.StatusCode >= http.StatusInternalServerError && !fields.NotRun {
 		s.g.mu.Lock()
@@ -273,10 +273,9 @@
 	if response.StatusCode < http.StatusMultipleChoices {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
-	if err == nil {
-		response.Release()
-	}
+	timer := time.AfterFunc(errorBodyTimeout, abort)
+	defer timer.Stop()
+	body, err := response.ReadAll(maxBufferedResponseBytes)
 	if fields.NotRun {
 		s.possibleRuns--
 		s.exclude(engine, false)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -35,6 +35,10 @@
 	// maxUnmatchedResponses bounds the responses to other requests and the informational
 	// ones that are skipped before the awaited response.
 	maxUnmatchedResponses = 2
+	// maxHeadBytes bounds the head of a response; that of callers' requests has the same bound.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a response to another request that is skipped.
+	maxSkippedBytes = 256 << 10
 	// readBufferBytes is the read buffer of a connection; responses are about 800 bytes.
 	readBufferBytes = 2 << 10
 )
@@ -52,6 +56,10 @@
 // the backend server is reached.
 var ErrTooManyConnections = eris.New("the connection limit of the backend server is reached")
 
+// ErrTooLarge is the cause of an error when a backend server sends more than a bound allows. Its
+// connection is closed.
+var ErrTooLarge = eris.New("the backend server sends more bytes than allowed")
+
 var errUnmatchedResponse = eris.New("the connection carries responses to other requests")
 
 // Request is a request to a backend server.
@@ -86,12 +94,41 @@
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
+	// limit bounds what reader reads.
+	limit  *readLimit
 	reader *bufio.Reader
 	// expiresAt is when the server may close the idle connection.
 	expiresAt time.Time
 	reused    bool
 }
 
+func newConn(raw net.Conn) *conn {
+	limit := &readLimit{conn: raw, remaining: noLimit}
+	return &conn{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+}
+
+// noLimit is the value of readLimit.remaining without a bound.
+const noLimit = -1
+
+// readLimit reads from a connection and fails with ErrTooLarge after a number of bytes.
+type readLimit struct {
+	conn      net.Conn
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *readLimit) Read(p []byte) (int, error) {
+	if l.remaining == noLimit {
+		return l.conn.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, ErrTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // NewClient returns a client that connects from the local address source, or from any
 // address if source is nil.
 func NewClient(source net.Addr) *Client {
@@ -161,7 +198,9 @@
 // responses and responses to other requests before it.
 func (r *Response) readResponseHead(request *Request) error {
 	for range maxUnmatchedResponses + 1 {
+		r.conn.limit.remaining = maxHeadBytes
 		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: request.Method})
+		r.conn.limit.remaining = noLimit
 		if err != nil {
 			return eris.Wrapf(err, "read the head of the response from %s", r.address)
 		}
@@ -175,7 +214,11 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return errUnmatchedResponse
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+		if err == nil && skipped > maxSkippedBytes {
+			err = ErrTooLarge
+		}
+		if err != nil {
 			return eris.Wrapf(err, "skip a response of %s to another request", r.address)
 		}
 	}
@@ -185,6 +228,21 @@
 // Read reads the body. It returns io.EOF when the response is complete.
 func (r *Response) Read(p []byte) (int, error) { return r.Body.Read(p) }
 
+// ReadAll reads the whole body and releases the connection. It aborts the response and returns
+// ErrTooLarge if the body has more than limit bytes.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		body, err = body[:limit], ErrTooLarge
+	}
+	if err != nil {
+		r.Abort()
+		return body, err
+	}
+	r.Release()
+	return body, nil
+}
+
 // Release returns the connection to the pool after the response was read completely, if
 // it can carry another request, and closes it otherwise.
 func (r *Response) Release() {
@@ -264,7 +322,7 @@
 		c.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw), nil
 }
 
 // acquireIdle returns the most recently used idle connection. If there is none, it returns
@@ -363,7 +421,8 @@
 	if err != nil {
 		return false
 	}
-	cn := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), expiresAt: time.Now().Add(defaultIdleTimeout)}
+	cn := newConn(raw)
+	cn.expiresAt = time.Now().Add(defaultIdleTimeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[address]
