gateway: a full connection limit does not make an engine unreachable

What callers saw: streams avoided an engine for seconds, and an outage of its data centre was assumed, because this gateway already had as many connections to it as it may open. Cause: a stream attempt that was not sent marked its engine unreachable, whatever the reason; calls made the exception already. Result: TestConnectionLimitDoesNotMakeAnEngineUnreachable fails without the change and passes.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -434,3 +434,25 @@
 		}
 	})
 }
+
+// Guards against an engine that is taken for unreachable because this gateway has as many
+// connections to it as it may open.
+func TestConnectionLimitDoesNotMakeAnEngineUnreachable(t *testing.T) {
+	f := newFixture(t)
+	config := testConfig()
+	config.Services[1].MaxConnections = gatewaysPerServer
+	f.publish(1, config)
+	engine := f.addServer("pool", "e", "local", hang)
+	first := make(chan callerResponse)
+	go func() { first <- f.send("POST", "/stream/a", map[string]string{"X-Patience": "800"}) }()
+	for deadline := time.Now().Add(time.Second); len(engine.receivedRequests()) == 0; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+	}
+	response := f.send("POST", "/stream/a", map[string]string{"X-Patience": "200"})
+	qt.Assert(t, response.status, qt.Equals, http.StatusServiceUnavailable)
+	f.mu.Lock()
+	unreachable := f.pool("pool").AllUnreachable(time.Now())
+	f.mu.Unlock()
+	qt.Assert(t, unreachable, qt.IsFalse)
+	<-first
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -257,7 +257,7 @@
 	if notSent == nil && s.scheduleRetry(engine) {
 		return err
 	}
-	s.exclude(engine, true)
+	s.exclude(engine, !errors.Is(err, upstream.ErrTooManyConnections))
 	return err
 }
 
