gateway: an unframed stream without events is broken off

Cause: such an answer of an engine that ended before its first event looked like a complete stream without events; the caller got an empty success, and the engine did not count as ended. Result: TestUnframedStreamWithoutEventsIsBrokenOff gets an empty answer without the change and all events from another engine with it.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -456,3 +456,29 @@
 	qt.Assert(t, unreachable, qt.IsFalse)
 	<-first
 }
+
+// Guards against an engine that ended before its first event, and whose answer without a length or
+// chunks is taken for a complete stream without events.
+func TestUnframedStreamWithoutEventsIsBrokenOff(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, testConfig())
+	unframed := func(events int) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			conn, buffer, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer conn.Close()
+			_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("X-Id"))
+			if events > 0 {
+				_, _ = buffer.WriteString(expectedEvents(1))
+			}
+			_ = buffer.Flush()
+		}
+	}
+	f.addServer("pool", "ends", "local", unframed(0))
+	f.addServer("pool", "whole", "remote", unframed(streamEvents))
+	response := f.send("POST", "/stream/a", nil)
+	qt.Assert(t, response.err, qt.IsNil)
+	qt.Assert(t, response.body, qt.Equals, expectedEvents(1))
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -305,6 +305,10 @@
 	defer silenceTimer.Stop()
 	for {
 		e, err := reader.next()
+		if errors.Is(err, io.EOF) && s.firstEventAt.IsZero() && response.EndsWithConnection() {
+			// An engine that ended before its first event closes the connection in the same way.
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			return s.completeStream(response)
 		}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -211,7 +211,7 @@
 			r.Response = response
 			return nil
 		}
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if endsWithConnection(response) {
 			return errUnmatchedResponse
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
@@ -225,6 +225,14 @@
 	return errUnmatchedResponse
 }
 
+// EndsWithConnection reports whether only the end of the connection ends the body, which has
+// neither a length nor chunks.
+func (r *Response) EndsWithConnection() bool { return endsWithConnection(r.Response) }
+
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // Read reads the body. It returns io.EOF when the response is complete.
 func (r *Response) Read(p []byte) (int, error) { return r.Body.Read(p) }
 
