coordinator: do not wait for a candidate that has joined

Cause: an instance counts as a candidate for 3 s after its last request, also once it holds a slot, so a group with fewer coordinators than it has room for delayed publications that long after its last member had joined. Change: holders are no candidates. Result: the tests of growing groups pass.

--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -472,8 +472,12 @@
 	if g.settings.FirstStart && age < firstGrowthWait {
 		return true
 	}
-	for _, seenAt := range g.candidates {
-		if now.Sub(seenAt) < candidateTTL {
+	holders := map[string]bool{}
+	for _, disk := range status.Members {
+		holders[peerAddressOf(disk)] = true
+	}
+	for address, seenAt := range g.candidates {
+		if !holders[address] && now.Sub(seenAt) < candidateTTL {
 			return true
 		}
 	}
