--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -19,6 +19,13 @@
 // waitTimeout limits each wait for the group and allows for several elections.
 const waitTimeout = 10 * time.Second
 
+// firstTestPort and testPorts are the range of ports of test groups. It ends below 32768, from which
+// Linux takes the ports of outgoing connections.
+const (
+	firstTestPort = 20000
+	testPorts     = 12000
+)
+
 // testGroup is a group of coordinators in this process, each with its own loopback
 // address. Coordinators are numbered from 1.
 type testGroup struct {
@@ -38,7 +45,7 @@
 // seeds.
 func newGrowingTestGroup(t *testing.T, size, seeds, toleratedDisks int) *testGroup {
 	g := &testGroup{
-		t: t, port: 20000 + rand.IntN(20000), toleratedDisks: toleratedDisks, coordinators: map[int]*Service{}, folders: map[int]string{}, dialers: map[int]*rpc.Dialer{},
+		t: t, port: firstTestPort + rand.IntN(testPorts), toleratedDisks: toleratedDisks, coordinators: map[int]*Service{}, folders: map[int]string{}, dialers: map[int]*rpc.Dialer{},
 	}
 	for i := 1; i <= seeds; i++ {
 		g.seeds = append(g.seeds, fmt.Sprintf("127.0.3.%d:1", i))
