follow: say that a coordinator's stream ended by its watchdog; size of publications in force

Cause: a stream that the watchdog ends read "context canceled", like a planned end, and a gateway did not say how large the publication in force is. Change: the watchdog names its reason; "publication in force" has the bytes.

--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
@@ -41,6 +42,9 @@
 	coordinatorTTL = 20 * time.Second
 )
 
+// errSilentCoordinator ends a stream on which no whole event arrived in time.
+var errSilentCoordinator = eris.New("no whole event arrived in time")
+
 // Sink receives the content of the streams. Its methods may be called concurrently.
 type Sink interface {
 	// HandlePublication receives a publication, which may be older than the one in force.
@@ -164,21 +168,21 @@
 
 // receiveStream receives the events of one stream until it fails or times out.
 func (c *Client) receiveStream(parent context.Context, address string, s *coordinatorState) error {
-	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
-	watchdog := time.AfterFunc(firstEventTimeout, cancel)
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(firstEventTimeout, func() { cancel(errSilentCoordinator) })
 	defer watchdog.Stop()
 	events, err := wire.NewDRPCCoordinatorClient(c.dialer.Conn(address)).Follow(ctx, &wire.FollowRequest{
 		Instance: c.instance, Revision: c.sink.Revision(), AnnouncementsOnly: c.selfAddress != "",
 	})
 	if err != nil {
-		return err
+		return streamError(ctx, err)
 	}
 	defer events.Close()
 	for {
 		event, err := events.Recv()
 		if err != nil {
-			return err
+			return streamError(ctx, err)
 		}
 		watchdog.Reset(streamTimeout)
 		c.recordEvent(address, s)
@@ -186,6 +190,14 @@
 	}
 }
 
+// streamError returns the cause of a stream's end: err, or the reason for which ctx was cancelled.
+func streamError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 // recordEvent records the arrival of an event from a coordinator.
 func (c *Client) recordEvent(address string, s *coordinatorState) {
 	c.mu.Lock()
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -238,7 +238,7 @@
 		g.configuredAt = time.Now()
 		close(g.configured)
 	}
-	g.log.Info("publication in force", "revision", revision, "routes", len(config.Routes),
+	g.log.Info("publication in force", "revision", revision, "bytes", len(content), "routes", len(config.Routes),
 		"services", len(config.Services), "organisations", len(config.Organisations))
 }
 
