follow: one compressed copy of a large publication for each gateway

Cause: every coordinator sent every publication whole to every gateway. Six copies of 305 kB take 1.5 s on a link of 10 Mbit/s. During that time connections to engines time out after 150 ms and events are late, and a stream of a coordinator that has no whole event for 1.3 s ends and begins the copy again. Change: a coordinator pushes publications of up to 8 KiB compressed, and only names larger ones. Why it works: the bytes on the link of a gateway no longer grow with the number of coordinators, and streams carry small events only.

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/control"
+	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 )
@@ -37,6 +38,8 @@
 	coordinators   map[int]*Service
 	folders        map[int]string
 	dialers        map[int]*rpc.Dialer
+	// linked is the follow client of the gateway behind a thin link.
+	linked *follow.Client
 }
 
 func newTestGroup(t *testing.T, size int) *testGroup { return newGrowingTestGroup(t, size, size, 1) }
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -37,6 +37,8 @@
 	log      *slog.Logger
 	group    *group
 	hub      *hub
+	// inForce and stored encode the publication in force and that of the stored log.
+	inForce, stored follow.PublicationEncoder
 	// metrics is nil if RegisterMetrics was not called.
 	metrics *metrics
 	// peerClient receives announcements from the other coordinators.
@@ -331,6 +333,10 @@
 // publication in force.
 func (s *Service) sendInitial(request *wire.FollowRequest, sub *subscriber, stream wire.DRPCCoordinator_FollowStream) (confirmed bool, err error) {
 	if log := s.group.unconfirmedLog(); log != nil {
+		log, err := s.logForSubscriber(request, log)
+		if err != nil {
+			return false, err
+		}
 		event := &wire.FollowEvent{Coordinators: s.group.listedCoordinators(), Stored: log, PromptReports: sub.drainPromptReports()}
 		event.Announcements, event.Placements = sub.drain()
 		if err := stream.Send(event); err != nil {
@@ -353,6 +359,41 @@
 	return err == nil
 }
 
+// publicationForSubscriber returns a publication in the form that a subscriber reads.
+func publicationForSubscriber(
+	request *wire.FollowRequest, encoder *follow.PublicationEncoder, revision uint64, content []byte,
+) (*wire.Publication, error) {
+	if !request.FetchesPublications {
+		return &wire.Publication{Revision: revision, Content: content}, nil
+	}
+	return encoder.Event(revision, content)
+}
+
+// logForSubscriber returns the description of a log with its publication in the form that a
+// subscriber reads.
+func (s *Service) logForSubscriber(request *wire.FollowRequest, log *wire.StoredLog) (*wire.StoredLog, error) {
+	p, err := publicationForSubscriber(request, &s.stored, log.Publication.Revision, log.Publication.Content)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.StoredLog{Publication: p, Disk: log.Disk, LastTerm: log.LastTerm, LastIndex: log.LastIndex, Disks: log.Disks}, nil
+}
+
+// FetchPublication implements wire.DRPCCoordinatorServer.
+func (r *rpcServer) FetchPublication(_ context.Context, request *wire.FetchPublicationRequest) (*wire.Publication, error) {
+	s := r.service
+	if request.Stored {
+		if log := s.group.unconfirmedLog(); log != nil {
+			return s.stored.Compress(log.Publication.Revision, log.Publication.Content)
+		}
+	} else if node := s.group.currentNode(); node != nil && node.HasGroupState() {
+		if p := node.Publication(); p.Revision >= request.Revision {
+			return s.inForce.Compress(p.Revision, p.Content)
+		}
+	}
+	return &wire.Publication{}, nil
+}
+
 // Follow implements wire.DRPCCoordinatorServer.
 func (r *rpcServer) Follow(request *wire.FollowRequest, stream wire.DRPCCoordinator_FollowStream) error {
 	s := r.service
@@ -377,7 +418,10 @@
 			var p control.Publication
 			p, publicationChanged = node.PublicationAndChange()
 			if p.Revision > sentRevision {
-				event.Publication = &wire.Publication{Revision: p.Revision, Content: p.Content}
+				var err error
+				if event.Publication, err = publicationForSubscriber(request, &s.inForce, p.Revision, p.Content); err != nil {
+					return err
+				}
 				sentRevision = p.Revision
 			}
 		}
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -69,12 +69,13 @@
 	sink        Sink
 	log         *slog.Logger
 
-	// mu guards recovery, unconfirmed, and coordinators and their states. The keys are peer
+	// mu guards recovery, unconfirmed, offers, and coordinators and their states. The keys are peer
 	// addresses.
 	mu           sync.Mutex
 	coordinators map[string]*coordinatorState
 	recovery     recovery
 	unconfirmed  unconfirmedPublications
+	offers       publicationOffers
 
 	placements    chan *wire.Placement
 	promptReports chan *wire.PromptReport
@@ -94,6 +95,7 @@
 func NewClient(instance string, dialer *rpc.Dialer, sink Sink, log *slog.Logger) *Client {
 	return &Client{
 		instance: instance, dialer: dialer, sink: sink, log: log, coordinators: map[string]*coordinatorState{},
+		offers:     publicationOffers{revisions: map[string]uint64{}},
 		placements: make(chan *wire.Placement, maxQueuedPlacements), promptReports: make(chan *wire.PromptReport, maxQueuedPromptReports),
 	}
 }
@@ -146,6 +148,7 @@
 		c.mu.Lock()
 		c.recovery.remove(address)
 		c.unconfirmed.remove(address)
+		delete(c.offers.revisions, address)
 		wasConnected, expired := s.connected, time.Since(s.renewedAt) > coordinatorTTL
 		s.connected = false
 		if expired {
@@ -174,6 +177,7 @@
 	defer watchdog.Stop()
 	events, err := wire.NewDRPCCoordinatorClient(c.dialer.Conn(address)).Follow(ctx, &wire.FollowRequest{
 		Instance: c.instance, Revision: c.sink.Revision(), AnnouncementsOnly: c.selfAddress != "",
+		FetchesPublications: c.selfAddress == "",
 	})
 	if err != nil {
 		return streamError(ctx, err)
@@ -234,27 +238,28 @@
 	}
 	// The publication is passed on last: requests that wait for it need the backend
 	// servers and placements of the same event.
-	if p := c.publicationToAdopt(address, event, time.Now()); p != nil {
-		c.sink.HandlePublication(p.Revision, p.Content)
+	if p, holder := c.publicationToAdopt(address, event, time.Now()); p != nil {
+		c.adopt(ctx, holder, p, false)
 	}
 	if log := event.Stored; log != nil && c.sink.Revision() == 0 {
 		c.mu.Lock()
 		newest := c.recovery.record(address, log)
+		holder := c.recovery.holderOf(newest)
 		c.mu.Unlock()
 		if newest != nil {
-			c.log.Info("recovered the newest publication of a majority of logs", "revision", newest.Revision, "coordinator", address)
-			c.sink.HandlePublication(newest.Revision, newest.Content)
+			c.log.Info("recovered the newest publication of a majority of logs", "revision", newest.Revision, "coordinator", holder)
+			c.adopt(ctx, holder, newest, true)
 		}
 	}
 }
 
-// publicationToAdopt returns the publication to pass on after an event, nil if there is none. A
-// gateway without a configuration does not take an unconfirmed publication as long as it reaches
-// most coordinators: a leader among them will confirm one, and if there is none because too many
-// disks are lost, an accepted one may be missing.
-func (c *Client) publicationToAdopt(address string, event *wire.FollowEvent, now time.Time) *wire.Publication {
+// publicationToAdopt returns the publication to adopt after an event and the coordinator that holds
+// it, nil if there is none. A gateway without a configuration does not take an unconfirmed
+// publication as long as it reaches most coordinators: a leader among them will confirm one, and if
+// there is none because too many disks are lost, an accepted one may be missing.
+func (c *Client) publicationToAdopt(address string, event *wire.FollowEvent, now time.Time) (p *wire.Publication, holder string) {
 	if c.sink.Revision() > 0 {
-		return event.Publication
+		return event.Publication, address
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -262,7 +267,7 @@
 		c.unconfirmed.add(address, p, now)
 	}
 	if event.Confirmed {
-		return c.unconfirmed.of(address)
+		return c.unconfirmed.of(address), address
 	}
 	connected := 0
 	for _, s := range c.coordinators {
@@ -271,14 +276,14 @@
 		}
 	}
 	if 2*connected > len(c.coordinators) {
-		return nil
+		return nil, ""
 	}
-	p := c.unconfirmed.newest(now)
+	p, holder = c.unconfirmed.newest(now)
 	if p != nil {
 		c.log.Warn("most coordinators are out of reach; taking an unconfirmed publication", "revision", p.Revision,
 			"connected", connected, "known", len(c.coordinators))
 	}
-	return p
+	return p, holder
 }
 
 const (
--- a/pkg/follow/recovery.go
+++ b/pkg/follow/recovery.go
@@ -41,6 +41,16 @@
 	return latest.Publication
 }
 
+// holderOf returns the address of the coordinator whose log has a publication that record returned.
+func (r *recovery) holderOf(p *wire.Publication) string {
+	for address, l := range r.logs {
+		if l.Publication == p {
+			return address
+		}
+	}
+	return ""
+}
+
 // remove removes the log of a coordinator whose stream ended: it may grow without notice to
 // this gateway.
 func (r *recovery) remove(address string) { delete(r.logs, address) }
--- a/pkg/follow/unconfirmed.go
+++ b/pkg/follow/unconfirmed.go
@@ -32,19 +32,18 @@
 	return u.byCoordinator[address]
 }
 
-// newest returns the publication with the highest revision once partitionGrace has passed, and
-// nil before that.
-func (u *unconfirmedPublications) newest(now time.Time) *wire.Publication {
-	var newest *wire.Publication
-	for _, p := range u.byCoordinator {
+// newest returns the publication with the highest revision and the coordinator that holds it once
+// partitionGrace has passed, and nil before that.
+func (u *unconfirmedPublications) newest(now time.Time) (newest *wire.Publication, holder string) {
+	if now.Sub(u.since) < partitionGrace {
+		return nil, ""
+	}
+	for address, p := range u.byCoordinator {
 		if newest == nil || p.Revision > newest.Revision {
-			newest = p
+			newest, holder = p, address
 		}
 	}
-	if now.Sub(u.since) < partitionGrace {
-		return nil
-	}
-	return newest
+	return newest, holder
 }
 
 // remove removes the publication of a coordinator whose stream ended.
