gateway: charge every send beyond the first to the retry budget

Cause: the budget knew of retried calls and of relocations only. A stream that was refused, misdirected, broken off, silent or resumed from a copy went on without being charged. No budget holds while some sends pass it by. Change: all sends of a request pass through one ledger. It charges each one that may arrive, except one; a send that was not sent is not charged, and a relocation is charged ahead. A stream that may not go on is refused, or broken off if it has begun, so that its caller can resume it. The test gateway gets slack: its tests are about other things than the budget. Why it works: the arrivals that a service counts are the sends that the ledger counts.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -42,8 +42,9 @@
 func (g *Gateway) serveCall(ctx context.Context, w http.ResponseWriter, req *callerRequest) *reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	state := &callState{g: g, req: req, ctx: ctx, results: make(chan *result, maxCallAttempts)}
+	state := &callState{g: g, req: req, ctx: ctx, results: make(chan *result, maxCallAttempts), sends: g.newSendLedger(req.service.Name)}
 	defer state.discardPending()
+	defer state.sends.release()
 	res, errReply := state.execute()
 	if errReply != nil {
 		errReply.servers = state.triedServerIDs
@@ -61,6 +62,7 @@
 	req     *callerRequest
 	ctx     context.Context
 	results chan *result
+	sends   *sendLedger
 	// inFlight counts the attempts without a result, possibleRuns those that the server
 	// may have executed.
 	inFlight, attempts, possibleRuns, refusals int
@@ -71,7 +73,7 @@
 
 // execute makes attempts until one returns a response to forward.
 func (c *callState) execute() (*result, *reply) {
-	if errReply := c.startAttempt(); errReply != nil {
+	if errReply := c.startAttempt(placement.Restart); errReply != nil {
 		return nil, errReply
 	}
 	hedge := time.NewTimer(c.hedgeDelay())
@@ -81,12 +83,15 @@
 		case <-c.ctx.Done():
 			return c.handleTimeout()
 		case <-hedge.C:
-			if c.canRetry() && c.allowRetry() {
-				// Hedging is optional: without a second server the first attempt goes on alone.
-				_ = c.retry("slow", "")
+			if c.canRetry() {
+				// Hedging is optional: otherwise the first attempt goes on alone.
+				_ = c.retry(placement.Optional, "slow", "")
 			}
 		case r := <-c.results:
 			c.inFlight--
+			if r.notSent {
+				c.sends.cancel()
+			}
 			final, errReply := c.handleResult(r)
 			if final != nil || errReply != nil {
 				return final, errReply
@@ -111,7 +116,7 @@
 	if c.inFlight > 0 {
 		return nil, nil
 	}
-	if c.canRetry() && c.allowRetry() && c.retry("failure", r.summary()) == nil {
+	if c.canRetry() && c.retry(placement.Restart, "failure", r.summary()) == nil {
 		return nil, nil
 	}
 	if c.errorResult != nil {
@@ -134,11 +139,11 @@
 	if r.notSent {
 		reason = "no backend server could be reached"
 	}
-	if c.attempts < maxCallAttempts && c.refusals < maxRefusals && (r.notSent || c.allowRetry()) {
+	if c.attempts < maxCallAttempts && c.refusals < maxRefusals {
 		if r.notRun && !sleepContext(c.ctx, refusalRetryDelay) {
 			return c.handleTimeout()
 		}
-		if c.retry("refusal", r.summary()) == nil {
+		if c.retry(placement.Restart, "refusal", r.summary()) == nil {
 			return nil, nil
 		}
 	}
@@ -176,18 +181,15 @@
 	return c.req.route.Retryable() && c.possibleRuns < c.req.route.MaxPossibleRuns && c.attempts < maxCallAttempts
 }
 
-// allowRetry reports whether the retry budget of the service allows one more
-// attempt, and charges the attempt to the budget.
-func (c *callState) allowRetry() bool {
-	c.g.mu.Lock()
-	defer c.g.mu.Unlock()
-	return c.g.budget(c.req.service.Name).AllowRetry(time.Now())
-}
-
-// startAttempt sends the call to the best server that has not been tried.
-func (c *callState) startAttempt() *reply {
+// startAttempt sends the call to the best server that has not been tried, if the retry budget allows
+// it.
+func (c *callState) startAttempt(purpose placement.RetryPurpose) *reply {
+	if !c.sends.begin(purpose) {
+		return newRefusal(errRetryBudget.Error(), c.g.retryAfter(c.req))
+	}
 	server := c.g.selectServer(c.ctx, c.req, c.triedServerIDs, c.attempts == 0)
 	if server == nil {
+		c.sends.cancel()
 		return newRefusal("no backend server available for service "+c.req.service.Name, c.g.retryAfter(c.req))
 	}
 	c.triedServerIDs = append(c.triedServerIDs, server.ID)
@@ -199,8 +201,12 @@
 }
 
 // retry starts another attempt and logs its cause.
-func (c *callState) retry(cause, detail string) *reply {
-	if errReply := c.startAttempt(); errReply != nil {
+func (c *callState) retry(purpose placement.RetryPurpose, cause, detail string) *reply {
+	if errReply := c.startAttempt(purpose); errReply != nil {
+		if purpose == placement.Optional {
+			return errReply
+		}
+		c.g.log.Info("call not retried", "request", c.req.fields.ID, "cause", cause, "detail", detail, "reason", errReply.reason)
 		return errReply
 	}
 	c.g.metrics.countRetry(cause)
@@ -234,9 +240,6 @@
 		pool := g.pool(req.service.Name)
 		if server := pool.SelectForCall(now, tried); server != nil {
 			pool.RecordRequestStart(server.ID)
-			if initial {
-				g.budget(req.service.Name).RecordRequest(now)
-			}
 			selected := *server
 			g.mu.Unlock()
 			return &selected
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -109,6 +109,7 @@
 	t.Helper()
 	s := settings.DefaultGateway()
 	s.Instance = settings.Instance{ID: "g", Region: "r", DataCentre: "local"}
+	s.RetrySlack = 1600
 	dialer := rpc.NewDialer(nil, &rpc.Counters{})
 	g := New(s, testProtocol{}, upstream.NewClient(nil), dialer, slog.New(slog.DiscardHandler))
 	server := httptest.NewServer(http.HandlerFunc(g.serve))
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -15,7 +15,7 @@
 // kinds of routes, outcomes and causes have fixed names.
 type metrics struct {
 	requests, retries, resumes, copyRequests       metric.Int64Counter
-	quarantined                                    metric.Int64Counter
+	quarantined, retriesDenied                     metric.Int64Counter
 	requestDuration, firstEventDelay, longestPause metric.Float64Histogram
 }
 
@@ -39,6 +39,7 @@
 	}
 	m.requests = counter("gp_gateway_requests", "Callers' requests by kind of route and outcome.")
 	m.retries = counter("gp_gateway_repeats", "Sends beyond the first of a request, by cause.")
+	m.retriesDenied = counter("gp_gateway_repeats_denied", "Sends beyond the first of a request that the retry budget did not allow, by purpose.")
 	m.resumes = counter("gp_gateway_stream_resumes", "Streams that went on at another engine, by cause.")
 	m.quarantined = counter("gp_gateway_quarantined", "Streams kept from engines because parts of their prompts are suspected.")
 	m.copyRequests = counter("gp_gateway_copy_orders", "Copies of runs ordered from engines, by outcome.")
@@ -130,6 +131,10 @@
 	m.increment(func() metric.Int64Counter { return m.retries }, cause)
 }
 
+func (m *metrics) countRetryDenied(purpose string) {
+	m.increment(func() metric.Int64Counter { return m.retriesDenied }, purpose)
+}
+
 func (m *metrics) countResume(cause string) {
 	m.increment(func() metric.Int64Counter { return m.resumes }, cause)
 }
@@ -139,7 +144,7 @@
 }
 
 // increment adds 1 to a counter with the label "cause", which for copy requests holds the
-// outcome. It does nothing in a gateway without metrics, where m is nil.
+// outcome and for denied retries the purpose. It does nothing in a gateway without metrics, where m is nil.
 func (m *metrics) increment(counter func() metric.Int64Counter, label string) {
 	if m != nil {
 		counter().Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", label)))
--- a/pkg/gateway/relocate.go
+++ b/pkg/gateway/relocate.go
@@ -25,7 +25,9 @@
 // relocation fails, it maintains a copy of the run instead.
 func (s *streamState) relocate(ctx context.Context, engine *placement.Server, run placement.Run, r *relocation) {
 	if target := s.selectRelocationTarget(engine, run); target != nil {
-		r.copy = s.stopAndCopy(ctx, engine, target)
+		if r.copy = s.stopAndCopy(ctx, engine, target); r.copy == nil {
+			s.sends.release()
+		}
 	}
 	close(r.done)
 	if r.copy == nil {
@@ -38,14 +40,17 @@
 	if s.possibleRuns+1 >= s.req.route.MaxPossibleRuns {
 		return nil
 	}
-	now := time.Now()
 	s.g.mu.Lock()
-	defer s.g.mu.Unlock()
-	target := s.g.pool(s.req.service.Name).SelectRelocationTarget(now, run, engine.ID)
-	if target == nil || !s.g.budget(s.req.service.Name).AllowRetry(now) {
+	target := s.g.pool(s.req.service.Name).SelectRelocationTarget(time.Now(), run, engine.ID)
+	if target == nil {
+		s.g.mu.Unlock()
 		return nil
 	}
 	selected := *target
+	s.g.mu.Unlock()
+	if !s.sends.reserve(placement.Optional) {
+		return nil
+	}
 	return &selected
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -46,6 +46,7 @@
 	ctx        context.Context
 	w          http.ResponseWriter
 	controller *http.ResponseController
+	sends      *sendLedger
 
 	// headSent means that the head of the response was sent to the caller.
 	headSent bool
@@ -86,7 +87,8 @@
 
 // serveStream serves a request whose response is a stream of events.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, req *callerRequest) *reply {
-	s := &streamState{g: g, req: req, ctx: ctx, w: w, controller: http.NewResponseController(w), lastEventID: req.fields.LastEventID}
+	s := &streamState{g: g, req: req, ctx: ctx, w: w, controller: http.NewResponseController(w), lastEventID: req.fields.LastEventID, sends: g.newSendLedger(req.service.Name)}
+	defer s.sends.release()
 	if s.lastEventID != "" {
 		g.mu.Lock()
 		engines := g.promptLocations.CandidateEngines(req.fields.SessionPart, req.startedAt)
@@ -101,7 +103,7 @@
 			return nil
 		}
 		s.pauseStats.nextCause = err.Error()
-		if errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined) || !s.canContinue() {
+		if errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined) || errors.Is(err, errRetryBudget) || !s.canContinue() {
 			errReply := s.fail(err)
 			if errReply != nil {
 				errReply.servers = append(s.excludedIDs, s.engineID)
@@ -162,13 +164,18 @@
 // attempt sends the run to one engine and forwards its events. It returns nil when the
 // stream is complete.
 func (s *streamState) attempt() error {
+	if !s.sends.begin(s.retryPurpose()) {
+		return errRetryBudget
+	}
 	engine, resumeCopy := s.selectEngine()
 	if engine == nil {
+		s.sends.cancel()
 		return errors.Join(eris.Errorf("no engine available for service %q", s.req.service.Name), s.waitForEngine())
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	if err := s.admitPrompt(cancel); err != nil {
+		s.sends.cancel()
 		return err
 	}
 	defer s.recordStarted()
@@ -237,12 +244,21 @@
 	return err
 }
 
+// retryPurpose returns the purpose of another attempt.
+func (s *streamState) retryPurpose() placement.RetryPurpose {
+	if s.headSent {
+		return placement.Resume
+	}
+	return placement.Restart
+}
+
 // handleNoResponse handles an attempt that ended without a response. There is no copy
 // to resume from, as the prefill has not ended.
 func (s *streamState) handleNoResponse(engine *placement.Server, watch *firstEventWatch, err error) error {
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		s.possibleRuns--
+		s.sends.cancel()
 	}
 	if s.ctx.Err() != nil {
 		return err
--- a/pkg/gateway/streamplan.go
+++ b/pkg/gateway/streamplan.go
@@ -44,9 +44,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	pool := g.pool(s.req.service.Name)
-	if s.attempts == 0 {
-		g.budget(s.req.service.Name).RecordRequest(now)
-	}
 	if resumeCopy := s.latestCopy.take(); resumeCopy != nil && g.copyAvailable(s.req.service.Name, resumeCopy) {
 		return &resumeCopy.holder, resumeCopy
 	}
--- a/pkg/placement/budget_test.go
+++ b/pkg/placement/budget_test.go
@@ -23,7 +23,7 @@
 				b.RecordRequest(now)
 				requests = append(requests, now)
 			}
-			if b.AllowRetry(now) {
+			if b.AllowRetry(now, RetryPurpose(rapid.IntRange(int(Optional), int(Resume)).Draw(t, "purpose"))) {
 				retries = append(retries, now)
 			}
 		}
@@ -55,14 +55,14 @@
 	}
 	granted := 0
 	for range 10 {
-		if b.AllowRetry(atMillis(1)) {
+		if b.AllowRetry(atMillis(1), Restart) {
 			granted++
 		}
 	}
 	qt.Assert(t, granted, qt.Equals, 3)
-	qt.Assert(t, b.AllowRetry(atMillis(12000)), qt.IsFalse)
+	qt.Assert(t, b.AllowRetry(atMillis(12000), Restart), qt.IsFalse)
 	for range 10 {
 		b.RecordRequest(atMillis(12000))
 	}
-	qt.Assert(t, b.AllowRetry(atMillis(12001)), qt.IsTrue)
+	qt.Assert(t, b.AllowRetry(atMillis(12001), Restart), qt.IsTrue)
 }
