gateway: share the slack of the retry budget among all gateways

What callers saw: repeats beyond what a service allows (BUDGET), the more the more gateways there are. Cause: the slack of a service holds for all gateways together, but each one took a sixteenth of it, however many there were: 89 gateways took 5.6 times as much. Evidence: TestBudgetHoldsForAllGatewaysTogether with the budget before: 955 to 1,030 arrivals for 536 to 564 allowed at 89 gateways, 1,475 to 1,590 at 300; 3 and 16 gateways hold. Change: once a second a gateway exchanges its requests, retries and demand by service for the totals of all (pkg/usage). Its share of the slack follows its share of the demand, and the total of all is checked too; while that is low, a gateway may send one retry a second beyond its own. Gateways that start have no share yet, those without totals an equal one of the largest number seen within a minute; retries of ended processes count on for a window, and a coordinator that has just started says so. Resumes may use 0.72 of the budget and restarts 0.6: with 0.8, storms that use it to the end came 1 to 2 arrivals above. The test of a single gateway keeps its bound, a sixteenth of the slack. Why it works: the shares of all gateways add up to at most one, also while reports are missing (TestSharesFollowDemand, TestShareWhileReportsAreMissing).

--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -19,6 +19,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
+	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
@@ -39,6 +40,7 @@
 	hub      *hub
 	// inForce and stored encode the publication in force and that of the stored log.
 	inForce, stored follow.PublicationEncoder
+	usage           usageTable
 	// metrics is nil if RegisterMetrics was not called.
 	metrics *metrics
 	// peerClient receives announcements from the other coordinators.
@@ -49,7 +51,8 @@
 
 // New returns a coordinator that is not started yet.
 func New(s settings.Coordinator, dialer *rpc.Dialer, server *rpc.Server, log *slog.Logger) *Service {
-	return &Service{settings: s, dialer: dialer, server: server, log: log, hub: newHub(ServerTTL(s.AnnounceIntervalMS))}
+	return &Service{settings: s, dialer: dialer, server: server, log: log, hub: newHub(ServerTTL(s.AnnounceIntervalMS)),
+		usage: usageTable{table: usage.NewTable(time.Now())}}
 }
 
 // ServiceName implements kernel.Service.
--- /dev/null
+++ b/pkg/follow/usage.go
@@ -0,0 +1,124 @@
+package follow
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
+	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
+	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
+)
+
+const (
+	// usageInterval is the interval between two reports of a gateway.
+	usageInterval = time.Second
+	// usageTimeout bounds one exchange, after which the next coordinator is asked.
+	usageTimeout = 300 * time.Millisecond
+	// maxUsageTargets bounds the coordinators that are asked in one interval.
+	maxUsageTargets = 2
+)
+
+// UsageReporter is a gateway that exchanges its usage of the services.
+type UsageReporter interface {
+	// ReportUsage returns the present usage by this gateway.
+	ReportUsage() usage.Report
+	// HandleUsageTotals receives the totals, which include the given report of this gateway.
+	HandleUsageTotals(totals usage.Totals, reported usage.Report)
+}
+
+// RunUsage exchanges the usage of a gateway with the coordinators until ctx ends.
+func (c *Client) RunUsage(ctx context.Context, r UsageReporter) {
+	ticker := time.NewTicker(usageInterval)
+	defer ticker.Stop()
+	failed := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		report := r.ReportUsage()
+		totals, err := c.exchangeUsage(ctx, report)
+		if totals != nil {
+			r.HandleUsageTotals(*totals, report)
+		}
+		if err != nil && !failed {
+			c.log.Warn("failed to exchange the usage of services; using an equal share of common limits", "error", err)
+		}
+		failed = err != nil
+	}
+}
+
+// exchangeUsage reports to the first coordinator that responds. All gateways ask the coordinators in
+// the same order, so that the totals of one of them include all gateways.
+func (c *Client) exchangeUsage(ctx context.Context, report usage.Report) (*usage.Totals, error) {
+	request := encodeUsageReport(c.instance, report)
+	var lastErr error
+	for _, address := range c.usageTargets() {
+		response, err := rpc.Call(ctx, c.dialer, address, usageTimeout,
+			func(ctx context.Context, conn drpc.Conn) (*wire.UsageTotals, error) {
+				return wire.NewDRPCCoordinatorClient(conn).ExchangeUsage(ctx, request)
+			})
+		if err == nil {
+			return DecodeUsageTotals(response), nil
+		}
+		lastErr = err
+	}
+	return nil, lastErr
+}
+
+// usageTargets returns the coordinators with an open stream that are asked first by all gateways.
+func (c *Client) usageTargets() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var connected []string
+	for address, s := range c.coordinators {
+		if s.connected {
+			connected = append(connected, address)
+		}
+	}
+	slices.Sort(connected)
+	return connected[:min(len(connected), maxUsageTargets)]
+}
+
+func encodeUsageReport(instance string, report usage.Report) *wire.UsageReport {
+	request := &wire.UsageReport{Instance: instance, Incarnation: report.Incarnation}
+	for name, s := range report.Services {
+		request.Services = append(request.Services, encodeServiceUsage(name, s))
+	}
+	return request
+}
+
+func encodeServiceUsage(name string, s usage.Service) *wire.ServiceUsage {
+	return &wire.ServiceUsage{Service: name, Requests: s.Requests, Retries: s.Retries, Demand: s.Demand}
+}
+
+func decodeServices(services []*wire.ServiceUsage) usage.Services {
+	decoded := usage.Services{}
+	for _, s := range services {
+		decoded[s.Service] = usage.Service{Requests: s.Requests, Retries: s.Retries, Demand: s.Demand}
+	}
+	return decoded
+}
+
+// DecodeUsageReport converts the report of a gateway from its wire format.
+func DecodeUsageReport(r *wire.UsageReport) usage.Report {
+	return usage.Report{Incarnation: r.Incarnation, Services: decodeServices(r.Services)}
+}
+
+// EncodeUsageTotals converts totals to their wire format.
+func EncodeUsageTotals(t usage.Totals) *wire.UsageTotals {
+	response := &wire.UsageTotals{Reporting: uint32(t.Reporting), Connected: uint32(t.Connected), Settled: t.Settled}
+	for name, s := range t.Services {
+		response.Services = append(response.Services, encodeServiceUsage(name, s))
+	}
+	return response
+}
+
+// DecodeUsageTotals converts totals from their wire format.
+func DecodeUsageTotals(t *wire.UsageTotals) *usage.Totals {
+	return &usage.Totals{Services: decodeServices(t.Services), Reporting: int(t.Reporting), Connected: int(t.Connected), Settled: t.Settled}
+}
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
+	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
 )
 
 // testProtocol is a Protocol with header names that only the tests use.
@@ -109,9 +110,11 @@
 	t.Helper()
 	s := settings.DefaultGateway()
 	s.Instance = settings.Instance{ID: "g", Region: "r", DataCentre: "local"}
-	s.RetrySlack = 1600
+	s.RetrySlack = 100
 	dialer := rpc.NewDialer(nil, &rpc.Counters{})
 	g := New(s, testProtocol{}, upstream.NewClient(nil), dialer, slog.New(slog.DiscardHandler))
+	// It is the only gateway, and knows that.
+	g.HandleUsageTotals(usage.Totals{Reporting: 1, Connected: 1, Settled: true}, usage.Report{})
 	server := httptest.NewServer(http.HandlerFunc(g.serve))
 	t.Cleanup(func() { server.Close(); _ = dialer.Close() })
 	return &fixture{t: t, Gateway: g, gatewayServer: server}
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
 )
 
 var errRetryBudget = eris.New("the retry budget of the service is used up")
@@ -92,3 +93,22 @@
 	}
 	return allowed
 }
+
+// ReportUsage implements follow.UsageReporter.
+func (g *Gateway) ReportUsage() usage.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	report := usage.Report{Incarnation: g.incarnation, Services: usage.Services{}}
+	for service, b := range g.budgets {
+		report.Services[service] = b.Usage(now)
+	}
+	return report
+}
+
+// HandleUsageTotals implements follow.UsageReporter.
+func (g *Gateway) HandleUsageTotals(totals usage.Totals, reported usage.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.usage.Update(totals, reported, time.Now())
+}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -33,6 +33,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
+	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
 )
 
 // ServiceName is the name of the gateway in the kernel.
@@ -58,10 +59,13 @@
 	isolated atomic.Bool
 
 	// mu guards configuredAt and the fields from servers to serversChanged.
-	mu              sync.Mutex
-	servers         *directory.Directory
-	pools           map[string]*placement.Pool
-	budgets         map[string]*placement.RetryBudget
+	mu      sync.Mutex
+	servers *directory.Directory
+	pools   map[string]*placement.Pool
+	budgets map[string]*placement.RetryBudget
+	usage   usage.View
+	// incarnation identifies this process to the coordinators.
+	incarnation     uint64
 	rand            *mathrand.Rand
 	promptLocations placement.PromptLocations
 	quarantine      *quarantine.Tracker
@@ -82,6 +86,7 @@
 		servers: directory.New(serverTTL(s)), pools: map[string]*placement.Pool{},
 		budgets: map[string]*placement.RetryBudget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		serversChanged: make(chan struct{}), configured: make(chan struct{}), unstarted: map[*streamState]func(){},
+		incarnation: mathrand.Uint64(),
 	}
 	g.quarantine = quarantine.NewTracker(g.rand)
 	g.coordinators = follow.NewClient(s.Instance.ID, dialer, g, log)
@@ -121,6 +126,7 @@
 	go g.runProbes(ctx)
 	go g.coordinators.RunPlacements(ctx)
 	go g.coordinators.RunPromptReports(ctx)
+	go g.coordinators.RunUsage(ctx, g)
 	return nil
 }
 
@@ -309,7 +315,7 @@
 	if b == nil {
 		b = &placement.RetryBudget{
 			RetryRatio: g.settings.RetryRatio, RetrySlack: g.settings.RetrySlack,
-			Window: time.Duration(g.settings.RetryWindowS * float64(time.Second)),
+			Window: time.Duration(g.settings.RetryWindowS * float64(time.Second)), Service: service, View: &g.usage,
 		}
 		g.budgets[service] = b
 	}
--- a/pkg/placement/budget.go
+++ b/pkg/placement/budget.go
@@ -1,10 +1,15 @@
 package placement
 
-import "time"
+import (
+	"time"
 
-// RetryBudget limits the sends beyond the first of each request of one service, so that retrying does
-// not double the load during an outage in which every request fails. The gateways do not coordinate:
-// each one may use the retries that its own requests allow and a fixed fraction of the service's slack.
+	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
+)
+
+// RetryBudget limits the sends beyond the first of each request of one service, over all gateways, so
+// that retries do not multiply the load during an outage in which every request fails. Each gateway may
+// use the retries that its own requests allow, and its share of the service's slack. While all gateways
+// together use little of the budget, one of them may use more.
 type RetryBudget struct {
 	// RetryRatio is the number of retries allowed per request. RetrySlack is the number of retries
 	// allowed, over all gateways, regardless of the number of requests.
@@ -12,6 +17,9 @@
 	RetrySlack float64
 	// Window is the length of the sliding window.
 	Window time.Duration
+	// Service is the name of the service in View, which tells the usage by all gateways.
+	Service string
+	View    *usage.View
 
 	buckets [windowBuckets + 1]budgetBucket
 }
@@ -36,14 +44,17 @@
 
 // budgetShares is the share of the budget up to which retries of each purpose are allowed. What is
 // left covers arrivals that fall into another window than their sends.
-var budgetShares = [...]float64{Optional: 0.5, Restart: 0.7, Resume: 0.85}
+var budgetShares = [...]float64{Optional: 0.5, Restart: 0.6, Resume: 0.72}
 
 const (
 	// windowBuckets is the number of buckets that make up the sliding window.
 	windowBuckets = 10
-	// assumedGateways is the number of gateways that the slack is divided among. With fewer
-	// gateways a part of the slack stays unused, with more it is exceeded.
-	assumedGateways = 16
+	// pooledShare is the share of the budget of all gateways up to which one of them may exceed its
+	// own by maxPooled retries in one bucket. The rest covers what the others do until they report it.
+	pooledShare = 0.3
+	maxPooled   = 1
+	// demandBuckets is the number of buckets over which the demand is averaged.
+	demandBuckets = 3
 )
 
 type budgetBucket struct {
@@ -65,27 +76,54 @@
 // RecordRequest records the first attempt of a request.
 func (b *RetryBudget) RecordRequest(now time.Time) { b.bucket(now).requests++ }
 
-// AllowRetry reports whether a retry is within the budget and, if so, counts it. The retries of at
-// least Window are compared with the requests of at most Window.
-func (b *RetryBudget) AllowRetry(now time.Time, purpose RetryPurpose) bool {
+// Usage returns the usage of the service by this gateway. The retries are those of at least Window,
+// and the requests those of at most Window.
+func (b *RetryBudget) Usage(now time.Time) usage.Service {
 	current := b.bucket(now)
-	requests, retries := 0.0, 0.0
+	var u usage.Service
 	for _, bucket := range b.buckets {
 		age := current.index - bucket.index
-		if age <= windowBuckets {
-			retries += bucket.retries
+		if age > windowBuckets {
+			continue
 		}
+		u.Retries += bucket.retries
 		if age < windowBuckets {
-			requests += bucket.requests
+			u.Requests += bucket.requests
+		}
+		if age <= demandBuckets {
+			u.Demand += bucket.requests
 		}
 	}
-	if retries+1 > budgetShares[purpose]*(b.RetryRatio*requests+b.RetrySlack/assumedGateways) {
+	sinceBucketStart := time.Duration(now.UnixNano()) - time.Duration(current.index)*b.bucketLength()
+	u.Demand /= (demandBuckets*b.bucketLength() + sinceBucketStart).Seconds()
+	return u
+}
+
+// AllowRetry reports whether a retry is within the budget and, if so, counts it.
+func (b *RetryBudget) AllowRetry(now time.Time, purpose RetryPurpose) bool {
+	if !b.isWithinBudget(now, budgetShares[purpose]) {
 		return false
 	}
-	current.retries++
+	b.bucket(now).retries++
 	return true
 }
 
+// isWithinBudget reports whether one more retry is within a share of the budget.
+func (b *RetryBudget) isWithinBudget(now time.Time, share float64) bool {
+	own := b.Usage(now)
+	limit := b.RetryRatio*own.Requests + b.RetrySlack*b.View.Share(b.Service, own.Demand, now)
+	isWithinOwn := own.Retries+1 <= share*limit
+	total, coverage, ok := b.View.Total(b.Service, own, now)
+	if !ok {
+		return isWithinOwn
+	}
+	totalLimit := share * (b.RetryRatio*total.Requests + b.RetrySlack*coverage)
+	if isWithinOwn {
+		return total.Retries+1 <= totalLimit
+	}
+	return total.Retries+1 <= pooledShare*totalLimit && b.bucket(now).retries < maxPooled
+}
+
 // Refund takes back a retry that was allowed at a time and not sent.
 func (b *RetryBudget) Refund(allowedAt time.Time) {
 	index := allowedAt.UnixNano() / int64(b.bucketLength())
--- a/pkg/placement/budget_test.go
+++ b/pkg/placement/budget_test.go
@@ -1,20 +1,33 @@
 package placement
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
 )
 
+// singleView returns what the only gateway of a deployment knows at a time.
+func singleView(now time.Time) *usage.View {
+	v := &usage.View{}
+	table := usage.NewTable(now.Add(-time.Minute))
+	table.Record("g", usage.Report{}, now)
+	v.Update(table.Totals(now, 1), usage.Report{}, now)
+	return v
+}
+
 // Guards against retrying every request during an outage: in no window may the retries exceed
 // Ratio times the requests plus this gateway's share of the slack.
 func TestBudgetHoldsInEveryWindow(t *testing.T) {
-	const ratio, slack = 0.8, 150.0
+	const ratio, slack = 0.8, 150.0 / 16
 	window := 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
-		b := RetryBudget{RetryRatio: ratio, RetrySlack: slack, Window: window}
+		b := RetryBudget{RetryRatio: ratio, RetrySlack: slack, Window: window, View: singleView(start)}
 		var requests, retries []time.Time
 		now := start
 		for range rapid.IntRange(1, 600).Draw(t, "steps") {
@@ -31,7 +44,7 @@
 			retryCount := countWithin(retries, from, window)
 			// The limit is based on the requests of this window or of the one before it.
 			requestCount := max(countWithin(requests, from, window), countWithin(requests, from.Add(-window), window))
-			if limit := ratio*float64(requestCount) + slack/assumedGateways; float64(retryCount) > limit {
+			if limit := ratio*float64(requestCount) + slack; float64(retryCount) > limit {
 				t.Fatalf("%d retries within %s, %g allowed", retryCount, window, limit)
 			}
 		}
@@ -49,7 +62,7 @@
 
 // Guards against a budget that stays exhausted after its window has passed.
 func TestBudgetRecovers(t *testing.T) {
-	b := RetryBudget{RetryRatio: 0.5, RetrySlack: 0, Window: 10 * time.Second}
+	b := RetryBudget{RetryRatio: 0.5, RetrySlack: 0, Window: 10 * time.Second, View: singleView(atMillis(0))}
 	for range 10 {
 		b.RecordRequest(atMillis(0))
 	}
@@ -66,3 +79,114 @@
 	}
 	qt.Assert(t, b.AllowRetry(atMillis(12001), Restart), qt.IsTrue)
 }
+
+// gatewayFleet plays the gateways of a deployment that share the budget of one service.
+type gatewayFleet struct {
+	budgets []*RetryBudget
+	// nextReportAt is the time of the next report of each gateway; offline ones do not report.
+	nextReportAt []time.Time
+	incarnations []uint64
+	offline      []bool
+	table        *usage.Table
+}
+
+func newGatewayFleet(size int, ratio, slack float64, random *rand.Rand) *gatewayFleet {
+	f := &gatewayFleet{table: usage.NewTable(start.Add(-time.Minute)), offline: make([]bool, size)}
+	for range size {
+		f.restart(len(f.budgets), ratio, slack)
+		f.nextReportAt = append(f.nextReportAt, start.Add(time.Duration(random.IntN(1000))*time.Millisecond))
+	}
+	return f
+}
+
+// restart gives a gateway the state of a process that has just started.
+func (f *gatewayFleet) restart(i int, ratio, slack float64) {
+	b := &RetryBudget{RetryRatio: ratio, RetrySlack: slack, Window: 10 * time.Second, Service: "s", View: &usage.View{}}
+	if i == len(f.budgets) {
+		f.budgets = append(f.budgets, b)
+		f.incarnations = append(f.incarnations, 0)
+	}
+	f.incarnations[i]++
+	f.budgets[i] = b
+}
+
+// exchange lets the gateways report whose time has come.
+func (f *gatewayFleet) exchange(now time.Time) {
+	connected := 0
+	for _, offline := range f.offline {
+		if !offline {
+			connected++
+		}
+	}
+	for i, b := range f.budgets {
+		if f.offline[i] || now.Before(f.nextReportAt[i]) {
+			continue
+		}
+		f.nextReportAt[i] = now.Add(time.Second)
+		r := usage.Report{Incarnation: f.incarnations[i], Services: usage.Services{"s": b.Usage(now)}}
+		f.table.Record(fmt.Sprint(i), r, now)
+		b.View.Update(f.table.Totals(now, connected), r, now)
+	}
+}
+
+// Guards against a budget that grows with the number of gateways: in a storm in which each request is
+// retried as often as it may be, the arrivals at the service stay within the limit for all gateways
+// together, also while gateways restart, are cut off and lose the coordinator with their reports.
+func TestBudgetHoldsForAllGatewaysTogether(t *testing.T) {
+	const ratio, slack = 0.8, 150.0
+	const step = 20 * time.Millisecond
+	const length = 60 * time.Second
+	window := 10 * time.Second
+	for _, size := range []int{3, 16, 89, 300} {
+		for _, trouble := range []string{"", "restarts", "cut", "coordinator lost"} {
+			t.Run(fmt.Sprint(size, " ", trouble), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(uint64(size), uint64(len(trouble))))
+				f := newGatewayFleet(size, ratio, slack, random)
+				var requests, arrivals []time.Time
+				for now := start; now.Before(start.Add(length)); now = now.Add(step) {
+					elapsed := now.Sub(start)
+					f.exchange(now)
+					if elapsed%(7*time.Second) == 0 && elapsed > 0 {
+						switch trouble {
+						case "restarts":
+							for range (size + 2) / 3 {
+								f.restart(random.IntN(size), ratio, slack)
+							}
+						case "cut":
+							for i := range f.offline {
+								f.offline[i] = elapsed%(14*time.Second) != 0 && i%3 == 0
+							}
+						case "coordinator lost":
+							f.table = usage.NewTable(now.Add(-time.Minute))
+						}
+					}
+					// Calm and storm alternate; the callers are unevenly spread over the gateways.
+					isStorm := elapsed/(6*time.Second)%2 == 1
+					for range random.IntN(3) {
+						i := min(random.IntN(size), random.IntN(size))
+						f.budgets[i].RecordRequest(now)
+						requests = append(requests, now)
+						if isStorm {
+							for range 8 {
+								if f.budgets[random.IntN(size)].AllowRetry(now, Resume) {
+									arrivals = append(arrivals, now.Add(time.Duration(random.IntN(400))*time.Millisecond))
+								}
+							}
+						}
+					}
+				}
+				for from := start; from.Before(start.Add(length)); from = from.Add(100 * time.Millisecond) {
+					count := max(countWithin(requests, from, window), countWithin(requests, from.Add(-window), window),
+						countWithin(requests, from.Add(-window/2), window))
+					allowed := ratio*float64(count) + slack
+					if n := countWithin(arrivals, from, window); float64(n) > allowed {
+						t.Fatalf("%d arrivals beyond the first of %d requests from %s, %g allowed", n, count, from.Sub(start), allowed)
+					}
+				}
+				if len(arrivals) < 100 {
+					t.Fatalf("only %d retries in the storms", len(arrivals))
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/usage/share.go
@@ -0,0 +1,70 @@
+package usage
+
+import "time"
+
+const (
+	// sharesTTL is how long totals are used for shares, and totalsTTL how long they are compared with a
+	// common limit: meanwhile other gateways add to them.
+	sharesTTL = 3 * time.Second
+	totalsTTL = 1500 * time.Millisecond
+	// connectedTTL is how long the largest number of gateways counts, so that a gateway in a part of
+	// the deployment that is cut off does not take the share of the others.
+	connectedTTL = time.Minute
+)
+
+// View is what one gateway knows of the usage by all of them. The zero value knows nothing. It is not
+// safe for concurrent use.
+type View struct {
+	totals     Totals
+	reported   Report
+	receivedAt time.Time
+	// connected is the largest number of gateways seen within connectedTTL, connectedAt when it was
+	// seen last.
+	connected   int
+	connectedAt time.Time
+}
+
+// Update stores totals that include the report of this gateway.
+func (v *View) Update(totals Totals, reported Report, now time.Time) {
+	v.totals, v.reported, v.receivedAt = totals, reported, now
+	if totals.Connected >= v.connected || now.Sub(v.connectedAt) > connectedTTL {
+		v.connected, v.connectedAt = totals.Connected, now
+	}
+}
+
+// isKnown reports whether there are totals that are not older than ttl.
+func (v *View) isKnown(now time.Time, ttl time.Duration) bool {
+	return v.totals.Settled && now.Sub(v.receivedAt) <= ttl
+}
+
+// coverage returns the share of the known gateways that the totals include.
+func (v *View) coverage() float64 {
+	return float64(v.totals.Reporting) / float64(max(1, v.connected, v.totals.Reporting))
+}
+
+// Share returns the share, 0 to 1, of this gateway in what all gateways may use together of a
+// service, by its demand. It is an equal share while the demand of the others is unknown, and 0 while
+// their number is.
+func (v *View) Share(service string, demand float64, now time.Time) float64 {
+	total := v.totals.Services[service].Demand - v.reported.Services[service].Demand + demand
+	if v.isKnown(now, sharesTTL) && total > 0 {
+		return v.coverage() * min(1, demand/total)
+	}
+	if v.connected == 0 {
+		return 0
+	}
+	return 1 / float64(v.connected)
+}
+
+// Total returns the usage of a service by all gateways, given the present usage by this one, and the
+// share of the gateways that it covers. It reports false if it is unknown.
+func (v *View) Total(service string, own Service, now time.Time) (total Service, coverage float64, ok bool) {
+	if !v.isKnown(now, totalsTTL) {
+		return Service{}, 0, false
+	}
+	total, reported := v.totals.Services[service], v.reported.Services[service]
+	total.Requests += own.Requests - reported.Requests
+	total.Retries += own.Retries - reported.Retries
+	total.Demand += own.Demand - reported.Demand
+	return total, v.coverage(), true
+}
--- /dev/null
+++ b/pkg/usage/usage.go
@@ -0,0 +1,101 @@
+// Package usage adds up what the gateways of a deployment ask of each service, so that limits that
+// hold for all gateways together can be shared among them. It does no I/O: the time is passed in.
+package usage
+
+import (
+	"slices"
+	"time"
+)
+
+// Service is the usage of one service by one gateway or by several.
+type Service struct {
+	// Requests and Retries are the numbers of requests, and of sends beyond the first of a request,
+	// within the window of the retry budget.
+	Requests, Retries float64
+	// Demand is the recent rate of requests that ask for the service, per second.
+	Demand float64
+}
+
+// add adds the usage of another gateway.
+func (s Service) add(other Service) Service {
+	return Service{Requests: s.Requests + other.Requests, Retries: s.Retries + other.Retries, Demand: s.Demand + other.Demand}
+}
+
+// Services is the usage of services, by their names.
+type Services map[string]Service
+
+// Report is the usage of all services by one gateway.
+type Report struct {
+	// Incarnation identifies the process of the gateway: its counts start at 0 with the process.
+	Incarnation uint64
+	Services    Services
+}
+
+// Totals is the usage by all gateways that report to one coordinator.
+type Totals struct {
+	Services Services
+	// Reporting is the number of gateways whose reports are included, and Connected the number of
+	// gateways that the coordinator knows. The totals lack the usage of the others.
+	Reporting, Connected int
+	// Settled is false while the coordinator has not run for long enough to know its gateways.
+	Settled bool
+}
+
+const (
+	// reportTTL is how long a report is included, several times the interval between two reports.
+	reportTTL = 5 * time.Second
+	// retriesTTL is how long the retries of a gateway count that ended or started again: as long as the
+	// usual window of a retry budget.
+	retriesTTL = 10 * time.Second
+	// settleTime is the time after which a coordinator that has started knows its gateways. It covers
+	// the reconnection of all gateways and one report of each.
+	settleTime = 3 * time.Second
+)
+
+// Table holds the latest report of each gateway at a coordinator. It is not safe for concurrent use.
+type Table struct {
+	startedAt time.Time
+	reports   map[string]timedReport
+	// ended holds the last reports of processes that ended.
+	ended []timedReport
+}
+
+type timedReport struct {
+	Report
+	receivedAt time.Time
+}
+
+// NewTable returns the empty table of a coordinator that starts at now.
+func NewTable(now time.Time) *Table { return &Table{startedAt: now, reports: map[string]timedReport{}} }
+
+// Record stores the report of a gateway in place of its previous one.
+func (t *Table) Record(instance string, r Report, now time.Time) {
+	if previous, ok := t.reports[instance]; ok && previous.Incarnation != r.Incarnation {
+		t.ended = append(t.ended, previous)
+	}
+	t.reports[instance] = timedReport{r, now}
+}
+
+// Totals adds up the reports; connected is the number of gateways that the coordinator knows.
+func (t *Table) Totals(now time.Time, connected int) Totals {
+	totals := Totals{Services: Services{}, Settled: now.Sub(t.startedAt) >= settleTime}
+	for instance, r := range t.reports {
+		if now.Sub(r.receivedAt) > reportTTL {
+			delete(t.reports, instance)
+			t.ended = append(t.ended, r)
+			continue
+		}
+		for name, s := range r.Services {
+			totals.Services[name] = totals.Services[name].add(s)
+		}
+	}
+	t.ended = slices.DeleteFunc(t.ended, func(r timedReport) bool { return now.Sub(r.receivedAt) > retriesTTL })
+	for _, r := range t.ended {
+		for name, s := range r.Services {
+			totals.Services[name] = totals.Services[name].add(Service{Retries: s.Retries})
+		}
+	}
+	totals.Reporting = len(t.reports)
+	totals.Connected = max(connected, totals.Reporting)
+	return totals
+}
--- /dev/null
+++ b/pkg/usage/usage_test.go
@@ -0,0 +1,97 @@
+package usage
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// settledTable returns a table that has run long enough to know its gateways.
+func settledTable() *Table { return NewTable(start.Add(-time.Minute)) }
+
+// Guards against shares that add up to more than the whole, and against idle gateways that hold a
+// share which others need.
+func TestSharesFollowDemand(t *testing.T) {
+	for _, gateways := range []int{1, 3, 16, 89, 300} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			table := settledTable()
+			views := make([]View, gateways)
+			demand := func(i int) float64 { return float64(i % 4) }
+			for range 2 {
+				for i := range views {
+					r := Report{Services: Services{"s": {Demand: demand(i)}}}
+					table.Record(fmt.Sprint(i), r, start)
+					views[i].Update(table.Totals(start, gateways), r, start)
+				}
+			}
+			sum := 0.0
+			for i := range views {
+				share := views[i].Share("s", demand(i), start)
+				if demand(i) == 0 && gateways > 1 {
+					qt.Assert(t, share, qt.Equals, 0.0)
+				}
+				sum += share
+			}
+			qt.Assert(t, sum <= 1+1e-9, qt.IsTrue, qt.Commentf("the shares add up to %g", sum))
+			qt.Assert(t, gateways == 1 || sum > 0.99, qt.IsTrue, qt.Commentf("the shares add up to %g", sum))
+		})
+	}
+}
+
+// Guards against gateways that take the share of others which have not reported yet, as after the
+// loss of the coordinator that had the reports, or which are cut off.
+func TestShareWhileReportsAreMissing(t *testing.T) {
+	const gateways = 89
+	table := settledTable()
+	views := make([]View, gateways)
+	sum := 0.0
+	for i := range views {
+		r := Report{Services: Services{"s": {Demand: 1}}}
+		table.Record(fmt.Sprint(i), r, start)
+		views[i].Update(table.Totals(start, gateways), r, start)
+		sum += views[i].Share("s", 1, start)
+	}
+	qt.Assert(t, sum <= 1.01, qt.IsTrue, qt.Commentf("the shares add up to %g", sum))
+
+	// Two thirds of the gateways are cut off: the others know how many there were.
+	partial := settledTable()
+	sum = 0
+	later := start.Add(20 * time.Second)
+	for i := range gateways / 3 {
+		partial.Record(fmt.Sprint(i), Report{Services: Services{"s": {Demand: 1}}}, later)
+	}
+	for i := range gateways / 3 {
+		views[i].Update(partial.Totals(later, gateways/3), Report{Services: Services{"s": {Demand: 1}}}, later)
+		sum += views[i].Share("s", 1, later)
+	}
+	qt.Assert(t, sum < 0.4, qt.IsTrue, qt.Commentf("a third of the gateways takes %g", sum))
+	// A gateway that hears of no totals any more takes an equal share, and one that has just started
+	// takes none.
+	qt.Assert(t, views[88].Share("s", 50, later.Add(time.Second)), qt.Equals, 1.0/gateways)
+	qt.Assert(t, (&View{}).Share("s", 50, start), qt.Equals, 0.0)
+}
+
+// Guards against a coordinator that has just started and passes the reports of few gateways for those
+// of all.
+func TestTotalsOfAStartingCoordinator(t *testing.T) {
+	table := NewTable(start)
+	r := Report{Services: Services{"s": {Requests: 10, Retries: 1, Demand: 1}}}
+	table.Record("a", r, start)
+	var v View
+	v.Update(table.Totals(start, 1), r, start)
+	_, _, ok := v.Total("s", r.Services["s"], start)
+	qt.Assert(t, ok, qt.IsFalse)
+	later := start.Add(settleTime)
+	table.Record("b", r, later.Add(-time.Second))
+	v.Update(table.Totals(later, 2), r, later)
+	total, coverage, ok := v.Total("s", Service{Requests: 14, Retries: 3, Demand: 2}, later)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, total, qt.Equals, Service{Requests: 24, Retries: 4, Demand: 3})
+	qt.Assert(t, coverage, qt.Equals, 1.0)
+	// The report of a gateway that is gone is dropped.
+	qt.Assert(t, table.Totals(later.Add(2*reportTTL), 1).Reporting, qt.Equals, 0)
+}
