gateway: lease what is left of the retry budget until the next exchange

Cause: the share of one of 89 gateways is about one retry, and the streams that break at once are spread unevenly. Change: a gateway may use, until the next exchange, its share of what all have left, twice that for restarts and three times for streams that have begun, one at least while there is one for each; a retry asks for an exchange after 100 ms instead of a second. Why it works: what is left bounds the sum of the leases, and the factors count only where all gateways need more than their share at the same moment, within the 0.28 of the budget that no purpose uses.

--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -79,6 +79,8 @@
 
 	placements    chan *wire.Placement
 	promptReports chan *wire.PromptReport
+	// usageChanged asks for an exchange of the usage.
+	usageChanged chan struct{}
 }
 
 // coordinatorState is the state of one followed coordinator.
@@ -97,6 +99,7 @@
 		instance: instance, dialer: dialer, sink: sink, log: log, coordinators: map[string]*coordinatorState{},
 		offers:     publicationOffers{revisions: map[string]uint64{}},
 		placements: make(chan *wire.Placement, maxQueuedPlacements), promptReports: make(chan *wire.PromptReport, maxQueuedPromptReports),
+		usageChanged: make(chan struct{}, 1),
 	}
 }
 
--- a/pkg/follow/usage.go
+++ b/pkg/follow/usage.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// usageInterval is the interval between two reports of a gateway.
-	usageInterval = time.Second
+	// usageInterval is the interval between two reports of a gateway, and minUsageInterval that of a
+	// gateway whose usage changes.
+	usageInterval    = time.Second
+	minUsageInterval = 100 * time.Millisecond
 	// usageTimeout bounds one exchange, after which the next coordinator is asked.
 	usageTimeout = 300 * time.Millisecond
 	// maxUsageTargets bounds the coordinators that are asked in one interval.
@@ -29,6 +31,14 @@
 	HandleUsageTotals(totals usage.Totals, reported usage.Report)
 }
 
+// ExchangeUsageSoon asks for an exchange before the end of the interval. It does not block.
+func (c *Client) ExchangeUsageSoon() {
+	select {
+	case c.usageChanged <- struct{}{}:
+	default:
+	}
+}
+
 // RunUsage exchanges the usage of a gateway with the coordinators until ctx ends.
 func (c *Client) RunUsage(ctx context.Context, r UsageReporter) {
 	ticker := time.NewTicker(usageInterval)
@@ -39,6 +49,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-c.usageChanged:
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(minUsageInterval):
+			}
 		}
 		report := r.ReportUsage()
 		totals, err := c.exchangeUsage(ctx, report)
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -88,6 +88,7 @@
 	l.g.mu.Unlock()
 	if allowed {
 		l.chargedAt = now
+		l.g.coordinators.ExchangeUsageSoon()
 	} else {
 		l.g.metrics.countRetryDenied(purpose.String())
 	}
--- a/pkg/placement/budget.go
+++ b/pkg/placement/budget.go
@@ -7,9 +7,9 @@
 )
 
 // RetryBudget limits the sends beyond the first of each request of one service, over all gateways, so
-// that retries do not multiply the load during an outage in which every request fails. Each gateway may
-// use the retries that its own requests allow, and its share of the service's slack. While all gateways
-// together use little of the budget, one of them may use more.
+// that retries do not multiply the load during an outage in which every request fails. Until the next
+// exchange each gateway may use a part of what all have left. A gateway that does not know what the
+// others use keeps to the retries that its own requests allow, and to its share of the slack.
 type RetryBudget struct {
 	// RetryRatio is the number of retries allowed per request. RetrySlack is the number of retries
 	// allowed, over all gateways, regardless of the number of requests.
@@ -42,17 +42,19 @@
 	return [...]string{Optional: "optional", Restart: "restart", Resume: "resume"}[p]
 }
 
-// budgetShares is the share of the budget up to which retries of each purpose are allowed. What is
-// left covers arrivals that fall into another window than their sends.
+// budgetShares is the share of the budget of all gateways up to which retries of each purpose are
+// allowed. What is left covers arrivals that fall into another window than their sends, and retries
+// that the gateways allow before they know of each other's.
 var budgetShares = [...]float64{Optional: 0.5, Restart: 0.6, Resume: 0.72}
 
+// leaseFactors scales what a gateway may use, until the next exchange, of the budget that is left: 1 is
+// its share. More lets a gateway with many broken streams use what others do not need; the sum over all
+// gateways exceeds the budget only if all need more than their share at the same moment.
+var leaseFactors = [...]float64{Optional: 1, Restart: 2, Resume: 3}
+
 const (
 	// windowBuckets is the number of buckets that make up the sliding window.
 	windowBuckets = 10
-	// pooledShare is the share of the budget of all gateways up to which one of them may exceed its
-	// own by maxPooled retries in one bucket. The rest covers what the others do until they report it.
-	pooledShare = 0.3
-	maxPooled   = 1
 	// demandBuckets is the number of buckets over which the demand is averaged.
 	demandBuckets = 3
 )
@@ -101,27 +103,27 @@
 
 // AllowRetry reports whether a retry is within the budget and, if so, counts it.
 func (b *RetryBudget) AllowRetry(now time.Time, purpose RetryPurpose) bool {
-	if !b.isWithinBudget(now, budgetShares[purpose]) {
+	if !b.isWithinBudget(now, purpose) {
 		return false
 	}
 	b.bucket(now).retries++
 	return true
 }
 
-// isWithinBudget reports whether one more retry is within a share of the budget.
-func (b *RetryBudget) isWithinBudget(now time.Time, share float64) bool {
-	own := b.Usage(now)
-	limit := b.RetryRatio*own.Requests + b.RetrySlack*b.View.Share(b.Service, own.Demand, now)
-	isWithinOwn := own.Retries+1 <= share*limit
-	total, coverage, ok := b.View.Total(b.Service, own, now)
+// isWithinBudget reports whether one more retry is within the budget.
+func (b *RetryBudget) isWithinBudget(now time.Time, purpose RetryPurpose) bool {
+	own, share := b.Usage(now), budgetShares[purpose]
+	part := b.View.Share(b.Service, own.Demand, now)
+	common, ok := b.View.Common(b.Service, own, now)
 	if !ok {
-		return isWithinOwn
+		return own.Retries+1 <= share*(b.RetryRatio*own.Requests+b.RetrySlack*part)
 	}
-	totalLimit := share * (b.RetryRatio*total.Requests + b.RetrySlack*coverage)
-	if isWithinOwn {
-		return total.Retries+1 <= totalLimit
+	left := share*(b.RetryRatio*common.Total.Requests+b.RetrySlack*common.Coverage) - common.Total.Retries
+	lease := min(1, leaseFactors[purpose]*part) * left
+	if left >= float64(common.Gateways) {
+		lease = max(1, lease)
 	}
-	return total.Retries+1 <= pooledShare*totalLimit && b.bucket(now).retries < maxPooled
+	return common.NewRetries+1 <= lease
 }
 
 // Refund takes back a retry that was allowed at a time and not sent.
--- a/pkg/placement/budget_test.go
+++ b/pkg/placement/budget_test.go
@@ -110,6 +110,13 @@
 	f.budgets[i] = b
 }
 
+// exchangeSoon makes a gateway report before its time.
+func (f *gatewayFleet) exchangeSoon(i int, now time.Time) {
+	if soon := now.Add(100 * time.Millisecond); soon.Before(f.nextReportAt[i]) {
+		f.nextReportAt[i] = soon
+	}
+}
+
 // exchange lets the gateways report whose time has come.
 func (f *gatewayFleet) exchange(now time.Time) {
 	connected := 0
@@ -168,7 +175,9 @@
 						requests = append(requests, now)
 						if isStorm {
 							for range 8 {
-								if f.budgets[random.IntN(size)].AllowRetry(now, Resume) {
+								j := random.IntN(size)
+								if f.budgets[j].AllowRetry(now, RetryPurpose(random.IntN(3))) {
+									f.exchangeSoon(j, now)
 									arrivals = append(arrivals, now.Add(time.Duration(random.IntN(400))*time.Millisecond))
 								}
 							}
--- a/pkg/usage/share.go
+++ b/pkg/usage/share.go
@@ -56,15 +56,27 @@
 	return 1 / float64(v.connected)
 }
 
-// Total returns the usage of a service by all gateways, given the present usage by this one, and the
-// share of the gateways that it covers. It reports false if it is unknown.
-func (v *View) Total(service string, own Service, now time.Time) (total Service, coverage float64, ok bool) {
+// Common is the usage of a service by all gateways, as one gateway knows it.
+type Common struct {
+	// Total is the usage at the time of the last exchange, but with the present requests and demand of
+	// this gateway. NewRetries is the number of retries that this gateway added since.
+	Total      Service
+	NewRetries float64
+	// Gateways is the number of gateways that are included, and Coverage their share of all.
+	Gateways int
+	Coverage float64
+}
+
+// Common returns the usage of a service by all gateways, given the present usage by this one. It
+// reports false if the usage is unknown or too old.
+func (v *View) Common(service string, own Service, now time.Time) (Common, bool) {
 	if !v.isKnown(now, totalsTTL) {
-		return Service{}, 0, false
+		return Common{}, false
 	}
 	total, reported := v.totals.Services[service], v.reported.Services[service]
 	total.Requests += own.Requests - reported.Requests
-	total.Retries += own.Retries - reported.Retries
 	total.Demand += own.Demand - reported.Demand
-	return total, v.coverage(), true
+	return Common{
+		Total: total, NewRetries: max(0, own.Retries-reported.Retries), Gateways: v.totals.Reporting, Coverage: v.coverage(),
+	}, true
 }
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -83,15 +83,16 @@
 	table.Record("a", r, start)
 	var v View
 	v.Update(table.Totals(start, 1), r, start)
-	_, _, ok := v.Total("s", r.Services["s"], start)
+	_, ok := v.Common("s", r.Services["s"], start)
 	qt.Assert(t, ok, qt.IsFalse)
 	later := start.Add(settleTime)
 	table.Record("b", r, later.Add(-time.Second))
 	v.Update(table.Totals(later, 2), r, later)
-	total, coverage, ok := v.Total("s", Service{Requests: 14, Retries: 3, Demand: 2}, later)
+	common, ok := v.Common("s", Service{Requests: 14, Retries: 3, Demand: 2}, later)
 	qt.Assert(t, ok, qt.IsTrue)
-	qt.Assert(t, total, qt.Equals, Service{Requests: 24, Retries: 4, Demand: 3})
-	qt.Assert(t, coverage, qt.Equals, 1.0)
+	qt.Assert(t, common, qt.Equals, Common{
+		Total: Service{Requests: 24, Retries: 2, Demand: 3}, NewRetries: 2, Gateways: 2, Coverage: 1,
+	})
 	// The report of a gateway that is gone is dropped.
 	qt.Assert(t, table.Totals(later.Add(2*reportTTL), 1).Reporting, qt.Equals, 0)
 }
