gateway: use more of the retry budget, as the gateways know what is left

Change: 0.62 of the budget for hedges and relocations, 0.7 for restarts, 0.78 for streams that have begun; lease factors of 1.5 and 2.5.

--- a/pkg/placement/budget.go
+++ b/pkg/placement/budget.go
@@ -45,12 +45,12 @@
 // budgetShares is the share of the budget of all gateways up to which retries of each purpose are
 // allowed. What is left covers arrivals that fall into another window than their sends, and retries
 // that the gateways allow before they know of each other's.
-var budgetShares = [...]float64{Optional: 0.5, Restart: 0.6, Resume: 0.72}
+var budgetShares = [...]float64{Optional: 0.62, Restart: 0.7, Resume: 0.78}
 
 // leaseFactors scales what a gateway may use, until the next exchange, of the budget that is left: 1 is
 // its share. More lets a gateway with many broken streams use what others do not need; the sum over all
 // gateways exceeds the budget only if all need more than their share at the same moment.
-var leaseFactors = [...]float64{Optional: 1, Restart: 2, Resume: 3}
+var leaseFactors = [...]float64{Optional: 1, Restart: 1.5, Resume: 2.5}
 
 const (
 	// windowBuckets is the number of buckets that make up the sliding window.
