gateway: keep to the limits that backend servers name

What callers saw: a backend server in need got far more requests than the limit that it had named for all gateways together (LIMIT). Cause: the header was not read; and a limit for all that each gateway keeps by itself would be broken by as many times as there are gateways. Change: a gateway accrues its share of a limit by demand, which gateways and coordinators exchange together with the limits seen and the requests sent. What accrues expires after 1.5 s, so that idle gateways do not send at one moment. While all together send well below the limit, the shares do not bind. Requests beyond it go to other servers; if all are limited, they wait in order of rank for half of the objective at most, or are refused at once with the wait as Retry-After. The latest response decides, of any gateway; a limit that no response repeats expires. Copies are no requests, and a run resumes from its copy a little beyond the limit. Why it works: what all gateways may use within 4 s adds up to about 1.3 times the limit, however many they are.

--- a/pkg/follow/usage.go
+++ b/pkg/follow/usage.go
@@ -13,9 +13,7 @@
 )
 
 const (
-	// usageInterval is the interval between two reports of a gateway, and minUsageInterval that of a
-	// gateway whose usage changes.
-	usageInterval    = time.Second
+	// minUsageInterval is the interval between two reports of a gateway whose usage changes.
 	minUsageInterval = 100 * time.Millisecond
 	// usageTimeout bounds one exchange, after which the next coordinator is asked.
 	usageTimeout = 300 * time.Millisecond
@@ -41,7 +39,7 @@
 
 // RunUsage exchanges the usage of a gateway with the coordinators until ctx ends.
 func (c *Client) RunUsage(ctx context.Context, r UsageReporter) {
-	ticker := time.NewTicker(usageInterval)
+	ticker := time.NewTicker(usage.Interval)
 	defer ticker.Stop()
 	failed := false
 	for {
@@ -105,9 +103,30 @@
 	for name, s := range report.Services {
 		request.Services = append(request.Services, encodeServiceUsage(name, s))
 	}
+	request.Limits = encodeLimits(report.Limits)
 	return request
 }
 
+func encodeLimits(limits []usage.Limit) []*wire.ServerLimit {
+	encoded := make([]*wire.ServerLimit, 0, len(limits))
+	for _, l := range limits {
+		encoded = append(encoded, &wire.ServerLimit{
+			Server: l.Server, StartedMs: l.StartedMS, Rate: l.Rate, AgeMs: uint32(max(0, l.Age.Milliseconds())), Sends: l.Sends,
+		})
+	}
+	return encoded
+}
+
+func decodeLimits(limits []*wire.ServerLimit) []usage.Limit {
+	var decoded []usage.Limit
+	for _, l := range limits {
+		decoded = append(decoded, usage.Limit{
+			Server: l.Server, StartedMS: l.StartedMs, Rate: l.Rate, Age: time.Duration(l.AgeMs) * time.Millisecond, Sends: l.Sends,
+		})
+	}
+	return decoded
+}
+
 func encodeServiceUsage(name string, s usage.Service) *wire.ServiceUsage {
 	return &wire.ServiceUsage{Service: name, Requests: s.Requests, Retries: s.Retries, Demand: s.Demand}
 }
@@ -122,12 +141,13 @@
 
 // DecodeUsageReport converts the report of a gateway from its wire format.
 func DecodeUsageReport(r *wire.UsageReport) usage.Report {
-	return usage.Report{Incarnation: r.Incarnation, Services: decodeServices(r.Services)}
+	return usage.Report{Incarnation: r.Incarnation, Services: decodeServices(r.Services), Limits: decodeLimits(r.Limits)}
 }
 
 // EncodeUsageTotals converts totals to their wire format.
 func EncodeUsageTotals(t usage.Totals) *wire.UsageTotals {
-	response := &wire.UsageTotals{Reporting: uint32(t.Reporting), Connected: uint32(t.Connected), Settled: t.Settled}
+	response := &wire.UsageTotals{Reporting: uint32(t.Reporting), Connected: uint32(t.Connected), Settled: t.Settled,
+		Limits: encodeLimits(t.Limits)}
 	for name, s := range t.Services {
 		response.Services = append(response.Services, encodeServiceUsage(name, s))
 	}
@@ -136,5 +156,6 @@
 
 // DecodeUsageTotals converts totals from their wire format.
 func DecodeUsageTotals(t *wire.UsageTotals) *usage.Totals {
-	return &usage.Totals{Services: decodeServices(t.Services), Reporting: int(t.Reporting), Connected: int(t.Connected), Settled: t.Settled}
+	return &usage.Totals{Services: decodeServices(t.Services), Reporting: int(t.Reporting), Connected: int(t.Connected), Settled: t.Settled,
+		Limits: decodeLimits(t.Limits)}
 }
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -230,30 +230,43 @@
 	}(c.inFlight)
 }
 
-// selectServer returns the server for an attempt, nil if there is none. The initial
-// attempt of a call waits up to maxServerWait for a server to appear.
+// selectServer returns the server for an attempt, nil if there is none. The initial attempt of a call
+// waits up to maxServerWait for a server to appear, and for the limit of a server as long as it can be
+// served on time.
 func (g *Gateway) selectServer(ctx context.Context, req *callerRequest, tried []string, initial bool) *placement.Server {
 	deadline := time.Now().Add(maxServerWait)
+	limit := g.newLimitWait(req, time.Duration(float64(req.route.Objective)*limitPatienceShare))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	defer limit.end()
 	for {
 		now := time.Now()
-		g.mu.Lock()
 		pool := g.pool(req.service.Name)
-		if server := pool.SelectForCall(now, tried); server != nil {
-			pool.RecordRequestStart(server.ID)
-			selected := *server
-			g.mu.Unlock()
-			return &selected
+		g.updateDemand(req.service.Name, now)
+		if !initial || limit.isNext() {
+			if server := pool.SelectForCall(now, tried); server != nil {
+				pool.RecordRequestStart(server.ID)
+				pool.RecordSend(server.ID, now)
+				selected := *server
+				return &selected
+			}
 		}
-		changed := g.serversChanged
-		g.mu.Unlock()
-		if !initial || !now.Before(deadline) {
+		if !initial {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		wait, limited := limit.next(now, tried)
+		if !limited {
+			wait = deadline.Sub(now)
+			if _, _, isLimited := pool.LimitWait(now, tried); isLimited || wait <= 0 {
+				return nil
+			}
+		}
+		changed := g.serversChanged
+		g.mu.Unlock()
+		active := waitFor(ctx, wait, changed)
+		g.mu.Lock()
+		if !active {
 			return nil
-		case <-changed:
-		case <-time.After(deadline.Sub(now)):
 		}
 	}
 }
@@ -262,7 +275,11 @@
 func (g *Gateway) retryAfter(req *callerRequest) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pool(req.service.Name).RetryAfter(time.Now())
+	now := time.Now()
+	if retryAfter, limited := g.limitRetryAfter(req, now); limited {
+		return retryAfter
+	}
+	return g.pool(req.service.Name).RetryAfter(now)
 }
 
 // sendAttempt makes one attempt and records its outcome in the pool of the service. If ctx ended
@@ -275,6 +292,9 @@
 	pool := g.pool(req.service.Name)
 	pool.RecordRequestEnd(s.ID)
 	now := time.Now()
+	if res.notSent {
+		pool.RecordNotSent(s.ID, startedAt)
+	}
 	switch {
 	case res.notSent && ctx.Err() == nil && !errors.Is(res.err, upstream.ErrTooManyConnections):
 		pool.RecordUnreachable(s.ID, now)
@@ -295,6 +315,7 @@
 // maxBufferedResponseBytes of its body.
 func (g *Gateway) exchange(ctx context.Context, req *callerRequest, s *placement.Server) *result {
 	res := &result{serverID: s.ID}
+	sentAt := time.Now()
 	header := req.header.Clone()
 	g.protocol.PrepareHeaders(header, ServerFields{
 		ServerID: s.ID, Organisation: req.organisation, TimeLeft: time.Until(req.deadline), LastEventID: req.fields.LastEventID,
@@ -306,7 +327,7 @@
 		return res
 	}
 	res.status, res.header = response.StatusCode, response.Header
-	res.notRun = g.recordResponse(req, s.ID, response).NotRun
+	res.notRun = g.recordResponse(req, s.ID, response, sentAt).NotRun
 	res.body, err = io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
 	switch {
 	case err != nil:
@@ -320,8 +341,9 @@
 	return res
 }
 
-// recordResponse updates the state of a server from the head of its response.
-func (g *Gateway) recordResponse(req *callerRequest, serverID string, response *upstream.Response) ResponseFields {
+// recordResponse updates the state of a server from the head of its response to a request sent at
+// sentAt.
+func (g *Gateway) recordResponse(req *callerRequest, serverID string, response *upstream.Response, sentAt time.Time) ResponseFields {
 	fields := g.protocol.ParseResponse(response.StatusCode, response.Header)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -331,7 +353,9 @@
 	}
 	if fields.Misdirected {
 		g.markServerGone(serverID)
+		return fields
 	}
+	g.recordLimit(req.service.Name, serverID, fields.Limit, sentAt)
 	return fields
 }
 
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -87,4 +87,7 @@
 	Misdirected bool
 	// Load is nil if the server does not report it.
 	Load *placement.LoadReport
+	// Limit is the number of requests per second that the server takes from all gateways together, 0
+	// if it names no limit.
+	Limit float64
 }
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -104,6 +104,9 @@
 	for service, b := range g.budgets {
 		report.Services[service] = b.Usage(now)
 	}
+	for _, pool := range g.pools {
+		report.Limits = append(report.Limits, pool.Limits(now)...)
+	}
 	return report
 }
 
@@ -111,5 +114,7 @@
 func (g *Gateway) HandleUsageTotals(totals usage.Totals, reported usage.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.usage.Update(totals, reported, time.Now())
+	now := time.Now()
+	g.usage.Update(totals, reported, now)
+	g.applyLimits(totals.Limits, reported.Limits, now)
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -69,6 +69,7 @@
 	rand            *mathrand.Rand
 	promptLocations placement.PromptLocations
 	quarantine      *quarantine.Tracker
+	limitQueues     map[string]*placement.LimitQueue
 	// unstarted holds the streams that wait for the first event of their engine, with the function
 	// that aborts the attempt.
 	unstarted map[*streamState]func()
@@ -86,7 +87,7 @@
 		servers: directory.New(serverTTL(s)), pools: map[string]*placement.Pool{},
 		budgets: map[string]*placement.RetryBudget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		serversChanged: make(chan struct{}), configured: make(chan struct{}), unstarted: map[*streamState]func(){},
-		incarnation: mathrand.Uint64(),
+		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{},
 	}
 	g.quarantine = quarantine.NewTracker(g.rand)
 	g.coordinators = follow.NewClient(s.Instance.ID, dialer, g, log)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -47,6 +47,7 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	sends      *sendLedger
+	limit      *limitWait
 
 	// headSent means that the head of the response was sent to the caller.
 	headSent bool
@@ -64,6 +65,8 @@
 	latestCopy  latestCopy
 	// engineID and firstEngineID identify the last and the first engine tried.
 	engineID, firstEngineID string
+	// sentAt is when the latest attempt began.
+	sentAt time.Time
 	// attempts counts the attempts, including waits for an engine.
 	attempts int
 	// possibleRuns counts the attempts that an engine may have run.
@@ -89,6 +92,8 @@
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, req *callerRequest) *reply {
 	s := &streamState{g: g, req: req, ctx: ctx, w: w, controller: http.NewResponseController(w), lastEventID: req.fields.LastEventID, sends: g.newSendLedger(req.service.Name)}
 	defer s.sends.release()
+	s.limit = g.newLimitWait(req, time.Duration(float64(req.route.Objective)*limitPatienceShare))
+	defer s.endLimitWait()
 	if s.lastEventID != "" {
 		g.mu.Lock()
 		engines := g.promptLocations.CandidateEngines(req.fields.SessionPart, req.startedAt)
@@ -103,7 +108,7 @@
 			return nil
 		}
 		s.pauseStats.nextCause = err.Error()
-		if errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined) || errors.Is(err, errRetryBudget) || !s.canContinue() {
+		if errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined) || errors.Is(err, errRetryBudget) || errors.Is(err, errServerLimits) || !s.canContinue() {
 			errReply := s.fail(err)
 			if errReply != nil {
 				errReply.servers = append(s.excludedIDs, s.engineID)
@@ -187,6 +192,8 @@
 		// is nothing to copy.
 		backup = s.selectBackup(engine, run)
 	}
+	s.endLimitWait()
+	s.sentAt = time.Now()
 	s.attempts++
 	s.possibleRuns++
 	s.engineID = engine.ID
@@ -259,6 +266,9 @@
 	if errors.As(err, &notSent) {
 		s.possibleRuns--
 		s.sends.cancel()
+		s.g.mu.Lock()
+		s.g.pool(s.req.service.Name).RecordNotSent(engine.ID, s.sentAt)
+		s.g.mu.Unlock()
 	}
 	if s.ctx.Err() != nil {
 		return err
@@ -280,7 +290,7 @@
 // checkResponseHead checks the head of a response. For an error response it reads the
 // body, decides where to retry, and returns an error.
 func (s *streamState) checkResponseHead(abort context.CancelFunc, engine *placement.Server, response *upstream.Response) error {
-	fields := s.g.recordResponse(s.req, engine.ID, response)
+	fields := s.g.recordResponse(s.req, engine.ID, response, s.sentAt)
 	if response.StatusCode >= http.StatusInternalServerError && !fields.NotRun {
 		s.g.mu.Lock()
 		s.g.pool(s.req.service.Name).RecordFailure(engine.ID)
--- a/pkg/gateway/streamplan.go
+++ b/pkg/gateway/streamplan.go
@@ -44,7 +44,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	pool := g.pool(s.req.service.Name)
-	if resumeCopy := s.latestCopy.take(); resumeCopy != nil && g.copyAvailable(s.req.service.Name, resumeCopy) {
+	g.updateDemand(s.req.service.Name, now)
+	if !s.limit.isNext() {
+		return nil, nil
+	}
+	if resumeCopy := s.latestCopy.take(); resumeCopy != nil && g.copyAvailable(s.req.service.Name, resumeCopy) &&
+		pool.AllowsResume(resumeCopy.holder.ID, now) {
 		return &resumeCopy.holder, resumeCopy
 	}
 	run := s.requirements()
@@ -133,6 +138,7 @@
 	pool := s.g.pool(s.req.service.Name)
 	if prompts > 0 {
 		pool.RecordRequestStart(engine.ID)
+		pool.RecordSend(engine.ID, s.sentAt)
 		pool.Reserve(engine.ID, tokens, 0, prompts)
 	} else {
 		pool.RecordRequestEnd(engine.ID)
@@ -143,18 +149,27 @@
 	}
 }
 
-// waitForEngine waits until servers change, at most maxServerWait. It counts as an attempt
-// and returns nil.
+// waitForEngine waits until servers change, at most maxServerWait, which counts as an attempt, or for
+// the limits of the engines. It returns an error if these do not let the run start in time.
 func (s *streamState) waitForEngine() error {
 	s.g.mu.Lock()
+	now := time.Now()
 	changed := s.g.serversChanged
-	s.g.mu.Unlock()
-	s.attempts++
-	select {
-	case <-changed:
-	case <-time.After(maxServerWait):
-	case <-s.ctx.Done():
+	if s.headSent && !s.limit.isWaiting() {
+		s.limit = s.g.newLimitWait(s.req, resumeLimitPatience)
 	}
+	wait, limited := s.limit.next(now, s.excludedIDs)
+	_, _, isLimited := s.g.pool(s.req.service.Name).LimitWait(now, s.excludedIDs)
+	s.g.mu.Unlock()
+	switch {
+	case limited:
+	case isLimited:
+		return errServerLimits
+	default:
+		wait = maxServerWait
+		s.attempts++
+	}
+	waitFor(s.ctx, wait, changed)
 	return nil
 }
 
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 )
 
 const (
@@ -66,8 +64,7 @@
 // one after the other on one engine. It returns nil if no engine accepts work.
 func (p *Pool) SelectEngine(now time.Time, r Run) *Server {
 	for _, id := range r.Prefer {
-		if s := p.servers[id]; s != nil && s.State == directory.Ready && !p.isAvoided(s, now) &&
-			!slices.Contains(r.Exclude, id) && hasLocalRoom(s, r) {
+		if s := p.servers[id]; s != nil && p.isSelectable(s, now, r.Exclude) && !p.isAvoided(s, now) && hasLocalRoom(s, r) {
 			return s
 		}
 	}
@@ -86,7 +83,8 @@
 // continue when the data centre is partitioned. SelectBackup returns nil if no engine is known
 // to have room.
 func (p *Pool) SelectBackup(now time.Time, r Run) *Server {
-	candidates := p.candidates(now, r.Exclude)
+	// A copy is no request: the limit of a server does not count.
+	candidates := p.preferHealthy(now, func(s *Server) bool { return p.acceptsWork(s, r.Exclude) })
 	eligible := candidates[:0]
 	for _, s := range candidates {
 		if s.DataCentre != r.EngineDataCentre && !p.isAvoided(s, now) && !now.Before(s.copyBackoffUntil) && hasRoom(s, now, r) {
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -80,6 +80,8 @@
 	allIndex, localIndex int
 	// copyBackoffUntil is the time from which copies may be sent to the server again.
 	copyBackoffUntil time.Time
+	// limit is nil if the server has named none.
+	limit *serverLimit
 }
 
 // Pool holds the backend servers of one service. It is not safe for concurrent use.
@@ -95,6 +97,9 @@
 	unreachableTimes map[string][]time.Time
 	// lastUnreachableAt is the latest time at which any server was found to be unreachable.
 	lastUnreachableAt time.Time
+	demand            ServiceDemand
+	// lastLimitAt is the latest time at which a limit of any server was recorded.
+	lastLimitAt time.Time
 }
 
 // NewPool returns an empty pool for a gateway in dataCentre.
@@ -139,6 +144,16 @@
 // Len returns the number of servers in the pool.
 func (p *Pool) Len() int { return len(p.servers) }
 
+// CountReady returns the number of servers that accept work.
+func (p *Pool) CountReady() (count int) {
+	for _, s := range p.servers {
+		if s.State == directory.Ready {
+			count++
+		}
+	}
+	return count
+}
+
 // Inflight returns the number of this gateway's requests in flight at all servers.
 func (p *Pool) Inflight() (total int) {
 	for _, s := range p.servers {
@@ -150,12 +165,22 @@
 // Get returns the server with the given ID, or nil if it is not in the pool.
 func (p *Pool) Get(id string) *Server { return p.servers[id] }
 
-// candidates returns the ready servers that are not excluded. It returns avoided servers only if
-// there are no others.
+// isSelectable reports whether a request may be sent to a server.
+func (p *Pool) isSelectable(s *Server, now time.Time, exclude []string) bool {
+	return p.acceptsWork(s, exclude) && p.isWithinLimit(s, now)
+}
+
+// candidates returns the selectable servers. It returns avoided servers only if there are no others.
 func (p *Pool) candidates(now time.Time, exclude []string) []*Server {
+	return p.preferHealthy(now, func(s *Server) bool { return p.isSelectable(s, now, exclude) })
+}
+
+// preferHealthy returns the servers that are eligible and not avoided, or the avoided ones if there are
+// no others.
+func (p *Pool) preferHealthy(now time.Time, isEligible func(*Server) bool) []*Server {
 	var healthy, avoided []*Server
 	for _, s := range p.candidateSample() {
-		if s.State != directory.Ready || slices.Contains(exclude, s.ID) {
+		if !isEligible(s) {
 			continue
 		}
 		if p.isAvoided(s, now) {
@@ -241,6 +266,20 @@
 	}
 }
 
+// RecordSend records that a request is sent to a server at now, which counts towards its limit.
+func (p *Pool) RecordSend(id string, now time.Time) {
+	if s := p.servers[id]; s != nil && s.limit != nil {
+		s.limit.recordSend(now, 1)
+	}
+}
+
+// RecordNotSent records that the request recorded for sentAt was not sent.
+func (p *Pool) RecordNotSent(id string, sentAt time.Time) {
+	if s := p.servers[id]; s != nil && s.limit != nil {
+		s.limit.recordSend(sentAt, -1)
+	}
+}
+
 // RecordRequestEnd records that a request at a server ended.
 func (p *Pool) RecordRequestEnd(id string) {
 	s := p.servers[id]
--- a/pkg/usage/share.go
+++ b/pkg/usage/share.go
@@ -3,10 +3,12 @@
 import "time"
 
 const (
-	// sharesTTL is how long totals are used for shares, and totalsTTL how long they are compared with a
+	// Interval is the interval at which gateways exchange their usage.
+	Interval = time.Second
+	// sharesTTL is how long totals are used for shares, and TotalsTTL how long they are compared with a
 	// common limit: meanwhile other gateways add to them.
-	sharesTTL = 3 * time.Second
-	totalsTTL = 1500 * time.Millisecond
+	sharesTTL = 3 * Interval
+	TotalsTTL = Interval + Interval/2
 	// connectedTTL is how long the largest number of gateways counts, so that a gateway in a part of
 	// the deployment that is cut off does not take the share of the others.
 	connectedTTL = time.Minute
@@ -70,7 +72,7 @@
 // Common returns the usage of a service by all gateways, given the present usage by this one. It
 // reports false if the usage is unknown or too old.
 func (v *View) Common(service string, own Service, now time.Time) (Common, bool) {
-	if !v.isKnown(now, totalsTTL) {
+	if !v.isKnown(now, TotalsTTL) {
 		return Common{}, false
 	}
 	total, reported := v.totals.Services[service], v.reported.Services[service]
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -3,6 +3,7 @@
 package usage
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -29,11 +30,27 @@
 	// Incarnation identifies the process of the gateway: its counts start at 0 with the process.
 	Incarnation uint64
 	Services    Services
+	Limits      []Limit
+}
+
+// Limit is what is known of the limit that a backend server names for all gateways together.
+type Limit struct {
+	Server string
+	// StartedMS is the start time of the server's process in Unix milliseconds.
+	StartedMS int64
+	// Rate is the limit in requests per second, 0 if the server no longer names one.
+	Rate float64
+	// Age is the time since the request was sent to whose response that applies.
+	Age time.Duration
+	// Sends is the number of recent requests to the server, by one gateway or by several.
+	Sends float64
 }
 
 // Totals is the usage by all gateways that report to one coordinator.
 type Totals struct {
 	Services Services
+	// Limits has one entry for each server: the limit that was seen last, and the requests of all.
+	Limits []Limit
 	// Reporting is the number of gateways whose reports are included, and Connected the number of
 	// gateways that the coordinator knows. The totals lack the usage of the others.
 	Reporting, Connected int
@@ -95,7 +112,32 @@
 			totals.Services[name] = totals.Services[name].add(Service{Retries: s.Retries})
 		}
 	}
+	totals.Limits = t.limits(now)
 	totals.Reporting = len(t.reports)
 	totals.Connected = max(connected, totals.Reporting)
 	return totals
 }
+
+// limits returns what the reports say of each server.
+func (t *Table) limits(now time.Time) []Limit {
+	byServer := map[string]Limit{}
+	for _, r := range t.reports {
+		for _, l := range r.Limits {
+			l.Age += now.Sub(r.receivedAt)
+			known, ok := byServer[l.Server]
+			if !ok || known.StartedMS < l.StartedMS {
+				byServer[l.Server] = l
+				continue
+			}
+			if known.StartedMS > l.StartedMS {
+				continue
+			}
+			if l.Age < known.Age {
+				known.Rate, known.Age = l.Rate, l.Age
+			}
+			known.Sends += l.Sends
+			byServer[l.Server] = known
+		}
+	}
+	return slices.Collect(maps.Values(byServer))
+}
