gateway: send nothing new to a server that says it is leaving

What callers would see: requests at a server that ends under them (DRAIN). A server says in all its responses that it is leaving; gateways knew it from the coordinators only, and one that is out of touch did not know it at all. Cause: the header was not read.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -355,6 +355,9 @@
 		g.markServerGone(serverID)
 		return fields
 	}
+	if fields.Leaving && pool.RecordLeaving(serverID) {
+		g.log.Info("backend server is leaving", "server", serverID, "service", req.service.Name)
+	}
 	g.recordLimit(req.service.Name, serverID, fields.Limit, sentAt)
 	return fields
 }
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -53,6 +53,7 @@
 	if running, err := strconv.Atoi(h.Get("X-Running")); err == nil {
 		a.Load = &placement.LoadReport{Running: running, Slots: 6}
 	}
+	a.Leaving = h.Get("X-Leaving") != ""
 	a.Limit, _ = strconv.ParseFloat(h.Get("X-Limit"), 64)
 	return a
 }
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -90,4 +90,6 @@
 	// Limit is the number of requests per second that the server takes from all gateways together, 0
 	// if it names no limit.
 	Limit float64
+	// Leaving means that the server is about to end and takes no new requests.
+	Leaving bool
 }
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -2,10 +2,8 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
-	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
 )
 
@@ -229,8 +227,3 @@
 	}
 	return max(0, wait), rate, limited
 }
-
-// acceptsWork reports whether a server accepts requests of this gateway, its limit aside.
-func (p *Pool) acceptsWork(s *Server, exclude []string) bool {
-	return s.State == directory.Ready && !slices.Contains(exclude, s.ID)
-}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -82,6 +82,8 @@
 	copyBackoffUntil time.Time
 	// limit is nil if the server has named none.
 	limit *serverLimit
+	// leaving means that the process said in a response that it is about to end.
+	leaving bool
 }
 
 // Pool holds the backend servers of one service. It is not safe for concurrent use.
@@ -165,6 +167,22 @@
 // Get returns the server with the given ID, or nil if it is not in the pool.
 func (p *Pool) Get(id string) *Server { return p.servers[id] }
 
+// RecordLeaving records that the process of a server said in a response that it is about to end. It
+// reports whether that is new. Announcements may say so later or not reach this gateway.
+func (p *Pool) RecordLeaving(id string) bool {
+	s := p.servers[id]
+	if s == nil || s.leaving {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
+// acceptsWork reports whether a server accepts requests of this gateway, its limit aside.
+func (p *Pool) acceptsWork(s *Server, exclude []string) bool {
+	return s.State == directory.Ready && !s.leaving && !slices.Contains(exclude, s.ID)
+}
+
 // isSelectable reports whether a request may be sent to a server.
 func (p *Pool) isSelectable(s *Server, now time.Time, exclude []string) bool {
 	return p.acceptsWork(s, exclude) && p.isWithinLimit(s, now)
