gateway: keep to the pause that a server asks for when it refuses a request

Cause: Retry-After of a backend server was not read. Change: the server gets no request of this gateway, as engine, hedge, retry or last resort, nor copies of runs, until the pause ends. A request that no other server takes is refused at once, unless the pause ends within half of its objective, with the rest of the shortest pause as Retry-After.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -358,6 +358,11 @@
 	if fields.Leaving && pool.RecordLeaving(serverID) {
 		g.log.Info("backend server is leaving", "server", serverID, "service", req.service.Name)
 	}
+	if fields.Pause > 0 {
+		pool.RecordPause(serverID, time.Now().Add(fields.Pause))
+		g.log.Info("backend server asks for a pause", "server", serverID, "service", req.service.Name,
+			"request", req.fields.ID, "pause_ms", fields.Pause.Milliseconds())
+	}
 	g.recordLimit(req.service.Name, serverID, fields.Limit, sentAt)
 	return fields
 }
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -53,6 +53,9 @@
 	if running, err := strconv.Atoi(h.Get("X-Running")); err == nil {
 		a.Load = &placement.LoadReport{Running: running, Slots: 6}
 	}
+	if seconds, err := strconv.ParseFloat(h.Get("X-Pause"), 64); err == nil {
+		a.Pause = time.Duration(seconds * float64(time.Second))
+	}
 	a.Leaving = h.Get("X-Leaving") != ""
 	a.Limit, _ = strconv.ParseFloat(h.Get("X-Limit"), 64)
 	return a
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -90,6 +90,8 @@
 	// Limit is the number of requests per second that the server takes from all gateways together, 0
 	// if it names no limit.
 	Limit float64
+	// Pause is the time from now for which the server takes no requests from this gateway.
+	Pause time.Duration
 	// Leaving means that the server is about to end and takes no new requests.
 	Leaving bool
 }
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -84,7 +84,7 @@
 // to have room.
 func (p *Pool) SelectBackup(now time.Time, r Run) *Server {
 	// A copy is no request: the limit of a server does not count.
-	candidates := p.preferHealthy(now, func(s *Server) bool { return p.acceptsWork(s, r.Exclude) })
+	candidates := p.preferHealthy(now, func(s *Server) bool { return p.acceptsWork(s, r.Exclude) && !s.isPaused(now) })
 	eligible := candidates[:0]
 	for _, s := range candidates {
 		if s.DataCentre != r.EngineDataCentre && !p.isAvoided(s, now) && !now.Before(s.copyBackoffUntil) && hasRoom(s, now, r) {
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -205,24 +205,32 @@
 // AllowsResume reports whether a run may be resumed from its copy at a server.
 func (p *Pool) AllowsResume(id string, now time.Time) bool {
 	s := p.servers[id]
-	return s != nil && (s.limit == nil || s.limit.allowsResume(now, p.demand))
+	return s != nil && !s.isPaused(now) && (s.limit == nil || s.limit.allowsResume(now, p.demand))
 }
 
-// LimitWait returns the time until the limit of a server lets this gateway send one more request, and
-// the rate at which the limits of all servers do so, in requests per second. It returns false if a limit is not
-// what keeps requests from the servers.
+// LimitWait returns the time until the limit or the pause of a server lets this gateway send one more
+// request, and the rate at which the limits of all servers do so, in requests per second. It returns
+// false if neither is what keeps requests from the servers.
 func (p *Pool) LimitWait(now time.Time, exclude []string) (wait time.Duration, rate float64, limited bool) {
-	if !p.HasLimits(now) {
+	if !p.HasLimits(now) && !now.Before(p.lastPauseEnd) {
 		return 0, 0, false
 	}
 	for _, s := range p.servers {
-		if s.limit == nil || !s.limit.isActive(now) || !p.acceptsWork(s, exclude) {
+		if !p.acceptsWork(s, exclude) {
+			continue
+		}
+		w := max(0, s.pausedUntil.Sub(now))
+		isLimited := s.limit != nil && s.limit.isActive(now)
+		if isLimited {
+			w = max(w, s.limit.wait(now, p.demand))
+			rate += s.limit.shareRate(p.demand.Share)
+		}
+		if !isLimited && !s.isPaused(now) {
 			continue
 		}
-		if w := s.limit.wait(now, p.demand); !limited || w < wait {
+		if !limited || w < wait {
 			wait = w
 		}
-		rate += s.limit.shareRate(p.demand.Share)
 		limited = true
 	}
 	return max(0, wait), rate, limited
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -84,6 +84,8 @@
 	limit *serverLimit
 	// leaving means that the process said in a response that it is about to end.
 	leaving bool
+	// pausedUntil is the time until which the server takes no requests from this gateway.
+	pausedUntil time.Time
 }
 
 // Pool holds the backend servers of one service. It is not safe for concurrent use.
@@ -100,8 +102,9 @@
 	// lastUnreachableAt is the latest time at which any server was found to be unreachable.
 	lastUnreachableAt time.Time
 	demand            ServiceDemand
-	// lastLimitAt is the latest time at which a limit of any server was recorded.
-	lastLimitAt time.Time
+	// lastLimitAt is the latest time at which a limit of any server was recorded, and lastPauseEnd the
+	// latest end of a pause.
+	lastLimitAt, lastPauseEnd time.Time
 }
 
 // NewPool returns an empty pool for a gateway in dataCentre.
@@ -178,14 +181,31 @@
 	return true
 }
 
-// acceptsWork reports whether a server accepts requests of this gateway, its limit aside.
+// RecordPause records that a server takes no requests from this gateway until a time.
+func (p *Pool) RecordPause(id string, until time.Time) {
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	if until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+	if until.After(p.lastPauseEnd) {
+		p.lastPauseEnd = until
+	}
+}
+
+// isPaused reports whether a server takes no requests from this gateway for some time.
+func (s *Server) isPaused(now time.Time) bool { return now.Before(s.pausedUntil) }
+
+// acceptsWork reports whether a server accepts requests of this gateway, a pause and its limit aside.
 func (p *Pool) acceptsWork(s *Server, exclude []string) bool {
 	return s.State == directory.Ready && !s.leaving && !slices.Contains(exclude, s.ID)
 }
 
 // isSelectable reports whether a request may be sent to a server.
 func (p *Pool) isSelectable(s *Server, now time.Time, exclude []string) bool {
-	return p.acceptsWork(s, exclude) && p.isWithinLimit(s, now)
+	return p.acceptsWork(s, exclude) && !s.isPaused(now) && p.isWithinLimit(s, now)
 }
 
 // candidates returns the selectable servers. It returns avoided servers only if there are no others.
