upstream: send a request over each connection once at most

What callers saw, by reports on systems like this one: "not run, try again" for requests that a server ran (REFUSED), after the server had written an earlier refusal once more on a kept connection. Cause: a response is matched by the identifier of its request. A stream that an engine refused can return to that engine, with the same identifier and on the same connection; the refusal written again then passes for the new response. Evidence: TestRefusalWrittenTwiceOnAKeptConnection on the code before: streams, resumable or not, are refused while they run. Calls hold: they try each server once, and the identifier of another request does not match. Change: a connection remembers the latest 64 requests that it carried and takes none of them again. Result: the test passes on calls and streams. TestHeadThatStopsInTheMiddle, for another of the reports, held before: eight cuts, calls and streams, new and kept connections; all end with 502.

--- /dev/null
+++ b/pkg/gateway/faultyserver_test.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+)
+
+// addRawServer starts and announces a server that writes its responses byte by byte: respond is called
+// for each request of a connection, which is closed when it returns false.
+func (f *fixture) addRawServer(service, id, dataCentre string, respond func(c net.Conn, r *http.Request) bool) {
+	f.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(f.t, err, qt.IsNil)
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if !respond(c, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	f.HandleAnnouncements([]directory.Server{{
+		ID: id, Service: service, Address: listener.Addr().String(), DataCentre: dataCentre, StartedMS: 1, Sequence: 1,
+		State: directory.Ready, Slots: 6,
+	}})
+}
+
+// rawResponse returns the bytes of a response to a request.
+func rawResponse(r *http.Request, status string, body string, headers ...string) string {
+	head := "HTTP/1.1 " + status + "\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n"
+	for _, h := range headers {
+		head += h + "\r\n"
+	}
+	return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
+}
+
+func refusalTo(r *http.Request) string {
+	return rawResponse(r, "503 Service Unavailable", "refused earlier", "X-Not-Run: 1")
+}
+
+// Guards against a refusal that a server writes once more on a kept connection and that passes for the
+// response to a later request, or to the same one sent again: that request runs, and its caller would
+// be told that it did not.
+func TestRefusalWrittenTwiceOnAKeptConnection(t *testing.T) {
+	for _, tt := range []struct{ path, service string }{
+		{"/once/x", "app"}, {"/safe/x", "app"}, {"/stream/x", "pool"}, {"/fixed/x", "pool"},
+	} {
+		t.Run(tt.path, func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, testConfig())
+			var refused, runs atomic.Int64
+			var refusals sync.Map
+			f.addRawServer(tt.service, "faulty", "local", func(c net.Conn, r *http.Request) bool {
+				if refused.Add(1) == 1 {
+					refusals.Store(c, refusalTo(r))
+					_, _ = io.WriteString(c, refusalTo(r))
+					return true
+				}
+				runs.Add(1)
+				if text, ok := refusals.LoadAndDelete(c); ok {
+					_, _ = io.WriteString(c, text.(string))
+					time.Sleep(20 * time.Millisecond)
+				}
+				_, _ = io.WriteString(c, rawResponse(r, "200 OK", expectedEvents(1), "Content-Type: text/event-stream"))
+				return true
+			})
+			got := f.send("POST", tt.path, nil)
+			if runs.Load() > 0 {
+				// The stream was sent to the server once more.
+				qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+				qt.Assert(t, got.body, qt.Equals, expectedEvents(1))
+				qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+				return
+			}
+			qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+			got = f.send("POST", tt.path, nil)
+			qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+			qt.Assert(t, got.body, qt.Equals, expectedEvents(1))
+			qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// Guards against a head that stops in the middle and passes for a whole response with an empty or
+// short body.
+func TestHeadThatStopsInTheMiddle(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\nContent-Length: 280\r\nX-Stamp: 3e1b\r\n\r\n"
+	for _, tt := range []struct{ path, service string }{{"/once/x", "app"}, {"/safe/x", "app"}, {"/stream/x", "pool"}, {"/fixed/x", "pool"}} {
+		for _, cut := range []string{"HTTP/1.1 2", "OK\r\n", "X-Id: %s\r", "X-Id: %s\r\n", "event-stream\r\n", "Content-Length: 2", "Content-Length: 280\r\n", "3e1b\r\n"} {
+			for _, kept := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s %q kept %t", tt.path, cut, kept), func(t *testing.T) {
+					f := newFixture(t)
+					config := testConfig()
+					for i := range config.Routes {
+						config.Routes[i].MaxPossibleRuns = 1
+					}
+					f.publish(1, config)
+					answered := false
+					f.addRawServer(tt.service, "faulty", "local", func(c net.Conn, r *http.Request) bool {
+						if kept && !answered {
+							answered = true
+							_, _ = io.WriteString(c, rawResponse(r, "200 OK", expectedEvents(1), "Content-Type: text/event-stream"))
+							return true
+						}
+						head := whole[:strings.Index(whole, cut)+len(cut)]
+						_, _ = io.WriteString(c, strings.ReplaceAll(head, "%s", r.Header.Get("X-Id")))
+						return false
+					})
+					if kept {
+						qt.Assert(t, f.send("POST", tt.path, nil).status, qt.Equals, http.StatusOK)
+					}
+					got := f.send("POST", tt.path, map[string]string{"X-Patience": "600"})
+					qt.Assert(t, got.status, qt.Equals, http.StatusBadGateway)
+					qt.Assert(t, got.body, qt.Equals, "")
+				})
+			}
+		}
+	}
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +40,8 @@
 	maxHeadBytes = 64 << 10
 	// maxSkippedBytes bounds the body of a response to another request that is skipped.
 	maxSkippedBytes = 256 << 10
+	// maxCarriedIDs bounds the requests of a connection that are remembered.
+	maxCarriedIDs = 64
 	// readBufferBytes is the read buffer of a connection; responses are about 800 bytes.
 	readBufferBytes = 2 << 10
 )
@@ -64,6 +67,9 @@
 
 // Request is a request to a backend server.
 type Request struct {
+	// ID identifies the request, also when it is sent again; empty if it is sent once only. No
+	// connection carries the same request twice: a faulty server may repeat an earlier response to it.
+	ID     string
 	Method string
 	// Target is the path and query as the caller sent them.
 	Target string
@@ -100,6 +106,16 @@
 	// expiresAt is when the server may close the idle connection.
 	expiresAt time.Time
 	reused    bool
+	// carriedIDs are the identifiers of the latest requests, the latest last.
+	carriedIDs []string
+}
+
+// carry records that a request is sent over the connection.
+func (c *conn) carry(id string) {
+	if id != "" {
+		c.carriedIDs = append(c.carriedIDs, id)
+		c.carriedIDs = slices.Delete(c.carriedIDs, 0, max(0, len(c.carriedIDs)-maxCarriedIDs))
+	}
 }
 
 func newConn(raw net.Conn) *conn {
@@ -156,10 +172,11 @@
 // and returns the response; a maxConnections of 0 means no limit. A NotSentError means that nothing was sent;
 // after any other error the request may have run. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, address string, maxConnections int, r *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, address, maxConnections)
+	cn, err := c.acquire(ctx, address, maxConnections, r.ID)
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
+	cn.carry(r.ID)
 	response := &Response{client: c, address: address, conn: cn, written: make(chan struct{})}
 	response.stopContextWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	head := r.encodeHead()
@@ -307,17 +324,18 @@
 	return b.Bytes()
 }
 
-// acquire returns an idle connection that is still open, or opens a new one.
-func (c *Client) acquire(ctx context.Context, address string, maxConnections int) (*conn, error) {
+// acquire returns an idle connection that is still open and has not carried the request with this ID,
+// or opens a new one.
+func (c *Client) acquire(ctx context.Context, address string, maxConnections int, id string) (*conn, error) {
 	for {
-		cn, err := c.acquireIdle(address, maxConnections)
+		cn, err := c.acquireIdle(address, maxConnections, id)
 		if err != nil {
 			return nil, err
 		}
 		if cn == nil {
 			break
 		}
-		if time.Now().Before(cn.expiresAt) && reusable(cn) {
+		if time.Now().Before(cn.expiresAt) && !slices.Contains(cn.carriedIDs, id) && reusable(cn) {
 			cn.reused = true
 			return cn, nil
 		}
@@ -333,9 +351,10 @@
 	return newConn(raw), nil
 }
 
-// acquireIdle returns the most recently used idle connection. If there is none, it returns
-// nil and already counts the connection that the caller then has to open.
-func (c *Client) acquireIdle(address string, maxConnections int) (*conn, error) {
+// acquireIdle returns the most recently used idle connection that has not carried the request with
+// this ID. If there is none, it returns nil and already counts the connection that the caller then has
+// to open; if the limit leaves no room for that, it returns another idle connection, to be closed.
+func (c *Client) acquireIdle(address string, maxConnections int, id string) (*conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[address]
@@ -343,13 +362,21 @@
 		p = &connPool{}
 		c.pools[address] = p
 	}
-	if n := len(p.idle); n > 0 {
-		cn := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		return cn, nil
+	take := func(i int) *conn {
+		cn := p.idle[i]
+		p.idle = slices.Delete(p.idle, i, i+1)
+		return cn
+	}
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if id == "" || !slices.Contains(p.idle[i].carriedIDs, id) {
+			return take(i), nil
+		}
 	}
 	if maxConnections > 0 && p.open >= maxConnections {
-		return nil, ErrTooManyConnections
+		if len(p.idle) == 0 {
+			return nil, ErrTooManyConnections
+		}
+		return take(0), nil
 	}
 	p.open++
 	return nil, nil
