gateway: a second response ends a body without a length

Cause: only the end of the connection ends a body without a length or chunks, so whatever a faulty server writes behind its response is part of the body. Evidence: TestSecondResponseInAnUnframedBody on the code before: calls and streams forward "HTTP/1.1 503 Service Unavailable" with its headers, a resumable stream five times, as each resumption ends the same way. Change: a line that begins like a response breaks a stream off; in the body of a call, a response that names a request, or the part of one, makes the attempt fail. What is beyond the 256 KiB that are buffered of a call is not searched. Result: the test passes on calls, streams, and with heads that are cut.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -329,6 +329,9 @@
 	res.status, res.header = response.StatusCode, response.Header
 	res.notRun = g.recordResponse(req, s.ID, response, sentAt).NotRun
 	res.body, err = io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
+	if err == nil && response.EndsWithConnection() && hasSecondResponse(res.body, g.namesRequest) {
+		err = errSecondResponse
+	}
 	switch {
 	case err != nil:
 		res.err = err
@@ -341,6 +344,12 @@
 	return res
 }
 
+// namesRequest reports whether the headers of a response name the request that it belongs to, as those
+// of all backend servers do.
+func (g *Gateway) namesRequest(h http.Header) bool {
+	return g.protocol.ParseResponse(0, h).RequestID != ""
+}
+
 // recordResponse updates the state of a server from the head of its response to a request sent at
 // sentAt.
 func (g *Gateway) recordResponse(req *callerRequest, serverID string, response *upstream.Response, sentAt time.Time) ResponseFields {
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +16,12 @@
 
 var errEventTooLarge = eris.Errorf("event exceeds the limit of %d bytes", maxEventBytes)
 
+// errSecondResponse ends a body in which another response begins.
+var errSecondResponse = eris.New("another response begins in the body")
+
+// responsePrefix is how a response begins; no line of an event does.
+var responsePrefix = []byte("HTTP/1.")
+
 // event is one event of a stream as received, including the blank line that ends it.
 type event struct {
 	data []byte
@@ -35,7 +42,8 @@
 
 // next returns the next whole event; its data is valid until the next call.
 // It returns io.EOF if the stream ended after a whole event, and
-// io.ErrUnexpectedEOF if it ended within one.
+// io.ErrUnexpectedEOF if it ended within one. A faulty engine may write another response behind a
+// stream that only the end of the connection ends; next returns errSecondResponse there.
 func (e *eventReader) next() (event, error) {
 	e.buffer = e.buffer[:0]
 	var id string
@@ -58,6 +66,9 @@
 			}
 			return event{}, err
 		}
+		if bytes.HasPrefix(e.buffer[start:], responsePrefix) {
+			return event{}, errSecondResponse
+		}
 		line := bytes.TrimRight(e.buffer[start:], "\r\n")
 		if len(line) == 0 {
 			return event{data: e.buffer, id: id}, nil
@@ -76,3 +87,20 @@
 	b, errB := strconv.ParseUint(last, 10, 64)
 	return errA != nil || errB != nil || a > b
 }
+
+// hasSecondResponse reports whether another response, or the part of one, begins in a body. isResponse
+// tells by its headers whether a response is one of a backend server.
+func hasSecondResponse(body []byte, isResponse func(http.Header) bool) bool {
+	for rest := body; ; {
+		i := bytes.Index(rest, responsePrefix)
+		if i < 0 {
+			return false
+		}
+		rest = rest[i:]
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(rest)), nil)
+		if errors.Is(err, io.ErrUnexpectedEOF) || err == nil && isResponse(response.Header) {
+			return true
+		}
+		rest = rest[len(responsePrefix):]
+	}
+}
--- a/pkg/gateway/faultyserver_test.go
+++ b/pkg/gateway/faultyserver_test.go
@@ -108,6 +108,32 @@
 	}
 }
 
+// Guards against a second response in the middle of a body that only the end of the connection ends.
+func TestSecondResponseInAnUnframedBody(t *testing.T) {
+	for _, tt := range []struct{ path, service, body, cut string }{
+		{"/once/x", "app", "done", ""}, {"/once/x", "app", "done", "X-Not-Run"}, {"/safe/x", "app", "done", ""},
+		{"/stream/x", "pool", expectedEvents(1), ""}, {"/fixed/x", "pool", expectedEvents(1), ""},
+		{"/fixed/x", "pool", expectedEvents(1), "Unavail"},
+	} {
+		t.Run(tt.path+" "+tt.cut, func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, testConfig())
+			f.addRawServer(tt.service, "faulty", "local", func(c net.Conn, r *http.Request) bool {
+				second := refusalTo(r)
+				if tt.cut != "" {
+					second = second[:strings.Index(second, tt.cut)]
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Type: text/event-stream\r\n\r\n"+tt.body+second)
+				return false
+			})
+			got := f.send("POST", tt.path, map[string]string{"X-Patience": "600"})
+			qt.Assert(t, strings.Contains(got.body, "HTTP/1.1"), qt.IsFalse, qt.Commentf("the caller received %q", got.body))
+			qt.Assert(t, strings.Contains(got.body, "refused earlier"), qt.IsFalse, qt.Commentf("the caller received %q", got.body))
+			qt.Assert(t, got.status == http.StatusOK && got.err == nil, qt.IsFalse, qt.Commentf("the response looks complete"))
+		})
+	}
+}
+
 // Guards against a head that stops in the middle and passes for a whole response with an empty or
 // short body.
 func TestHeadThatStopsInTheMiddle(t *testing.T) {
