gateway: a stream does not go on with another content type

Cause: statuses other than 2xx end the attempt, but any 2xx response continues a stream, a page of text too. Evidence: TestErrorAfterABrokenStreamIsNotForwarded on the code before: "page in place of events" is forwarded behind the fourth event and the stream looks complete; the errors, refusals and errors without a length hold. Change: a stream that has begun goes on only with the content type of its head. Calls have no second part: their body is read whole before it is forwarded. Result: the test passes, five responses; pkg/gateway passes.

--- a/pkg/gateway/faultyserver_test.go
+++ b/pkg/gateway/faultyserver_test.go
@@ -108,6 +108,52 @@
 	}
 }
 
+// Guards against the text or the head of an error in the middle of a stream, and against a stream that
+// looks complete: it began at one engine and broke off, and the next engine fails.
+func TestErrorAfterABrokenStreamIsNotForwarded(t *testing.T) {
+	const text = "upstream failed badly"
+	for _, tt := range []struct {
+		name, path string
+		next       func(r *http.Request) string
+	}{
+		{"error", "/stream/x", func(r *http.Request) string { return rawResponse(r, "500 Internal Server Error", text) }},
+		{"client error", "/stream/x", func(r *http.Request) string { return rawResponse(r, "400 Bad Request", text) }},
+		{"refusal", "/stream/x", func(r *http.Request) string { return rawResponse(r, "503 Service Unavailable", text, "X-Not-Run: 1") }},
+		{"error without a length", "/stream/x", func(r *http.Request) string {
+			return "HTTP/1.1 500 Internal Server Error\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n\r\n" + text
+		}},
+		{"page in place of events", "/stream/x", func(r *http.Request) string {
+			return rawResponse(r, "200 OK", text+"\n\n", "Content-Type: text/html")
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, testConfig())
+			f.addServer("pool", "begins", "local", func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Last") != "" {
+					abortConnection(w, r)
+				}
+				streamHandler(func(i int) bool {
+					if i == 4 {
+						panic(http.ErrAbortHandler)
+					}
+					return true
+				})(w, r)
+			})
+			for i := range 3 {
+				f.addRawServer("pool", fmt.Sprintf("fails%d", i), "remote", func(c net.Conn, r *http.Request) bool {
+					_, _ = io.WriteString(c, tt.next(r))
+					return false
+				})
+			}
+			got := f.send("POST", tt.path, map[string]string{"X-Prompt": "100", "X-Patience": "1500"})
+			qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+			qt.Assert(t, got.err, qt.IsNotNil, qt.Commentf("the stream looks complete: %q", got.body))
+			qt.Assert(t, strings.HasPrefix(expectedEvents(1), got.body), qt.IsTrue, qt.Commentf("the caller received %q", got.body))
+		})
+	}
+}
+
 // Guards against a second response in the middle of a body that only the end of the connection ends.
 func TestSecondResponseInAnUnframedBody(t *testing.T) {
 	for _, tt := range []struct{ path, service, body, cut string }{
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -49,8 +49,9 @@
 	sends      *sendLedger
 	limit      *limitWait
 
-	// headSent means that the head of the response was sent to the caller.
-	headSent bool
+	// headSent means that the head of the response was sent to the caller, with contentType.
+	headSent    bool
+	contentType string
 	// lastEventID is the identifier of the last event that the caller received.
 	lastEventID string
 	// retryEngineID identifies the engine for the next attempt: it broke off the stream but
@@ -297,6 +298,10 @@
 		s.g.mu.Unlock()
 	}
 	if response.StatusCode < http.StatusMultipleChoices {
+		if contentType := response.Header.Get("Content-Type"); s.headSent && contentType != s.contentType {
+			s.exclude(engine, false)
+			return eris.Wrapf(errFailed, "the stream would go on with the content type %q", contentType)
+		}
 		return nil
 	}
 	timer := time.AfterFunc(errorBodyTimeout, abort)
@@ -410,7 +415,7 @@
 	if s.headSent {
 		return
 	}
-	s.headSent = true
+	s.headSent, s.contentType = true, response.Header.Get("Content-Type")
 	copyResponseHeaders(s.w.Header(), response.Header)
 	s.w.WriteHeader(response.StatusCode)
 }
