gateway: test of calls that break off before an error

Not reproduced: a call that breaks off within 256 KiB is retried, or ends with 502, and a larger one is broken off at the caller; the second response that the failing server writes on a kept connection reaches no caller.

--- a/pkg/gateway/faultyserver_test.go
+++ b/pkg/gateway/faultyserver_test.go
@@ -154,6 +154,50 @@
 	}
 }
 
+// Guards against the text of an error, or a late second response on a kept connection, in the response
+// to a call that broke off at another server, and against a short body that looks complete.
+func TestErrorAfterABrokenCallIsNotForwarded(t *testing.T) {
+	const text = "upstream failed badly"
+	for _, tt := range []struct {
+		path       string
+		size       int
+		wantStatus int
+		wantBody   string
+	}{
+		{"/once/x", 1000, http.StatusBadGateway, ""}, {"/once/x", 3 * maxBufferedResponseBytes, http.StatusOK, "x"},
+		{"/safe/x", 1000, http.StatusInternalServerError, text}, {"/safe/x", 3 * maxBufferedResponseBytes, http.StatusOK, "x"},
+	} {
+		t.Run(fmt.Sprintf("%s %d bytes", tt.path, tt.size), func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, testConfig())
+			f.addRawServer("app", "breaks", "local", func(c net.Conn, r *http.Request) bool {
+				whole := rawResponse(r, "200 OK", strings.Repeat("x", tt.size))
+				_, _ = io.WriteString(c, whole[:len(whole)-tt.size/4])
+				return false
+			})
+			f.addRawServer("app", "fails", "remote", func(c net.Conn, r *http.Request) bool {
+				failure := rawResponse(r, "500 Internal Server Error", text)
+				_, _ = io.WriteString(c, failure+failure)
+				return true
+			})
+			for range 3 {
+				got := f.send("POST", tt.path, map[string]string{"X-Patience": "1000"})
+				if strings.HasPrefix(got.body, text) {
+					// The failing server was the first one.
+					qt.Assert(t, got.status, qt.Equals, http.StatusInternalServerError)
+					qt.Assert(t, got.body, qt.Equals, text)
+					continue
+				}
+				qt.Assert(t, got.status, qt.Equals, tt.wantStatus)
+				qt.Assert(t, strings.Trim(got.body, "x"), qt.Equals, strings.Trim(tt.wantBody, "x"))
+				if tt.wantStatus == http.StatusOK {
+					qt.Assert(t, got.err, qt.IsNotNil, qt.Commentf("%d bytes look complete", len(got.body)))
+				}
+			}
+		})
+	}
+}
+
 // Guards against a second response in the middle of a body that only the end of the connection ends.
 func TestSecondResponseInAnUnframedBody(t *testing.T) {
 	for _, tt := range []struct{ path, service, body, cut string }{
