faultproxy: share the fault proxy of the e2e tests with other tests

Cause: the soak of gateways and coordinators needs the proxy that only the tests of internal/e2e could use. Change: the proxy is a package; listening errors are returned, not fatal.

--- a/internal/e2e/backends_test.go
+++ b/internal/e2e/backends_test.go
@@ -45,9 +45,9 @@
 func (d *deployment) startEngine(dc int, dataCentre, model string, number int) *backendServer {
 	b := &backendServer{id: fmt.Sprintf("engine-%s%d", dataCentre, number), dataCentre: dataCentre}
 	b.address = fmt.Sprintf("%s:%d", d.ip(dc, engineHostOffset+number), enginePort)
-	b.proxy = startFaultProxy(d.t, fmt.Sprintf("%s:%d", d.ip(dc, proxyHostOffset+engineHostOffset+number), enginePort), b.address)
+	b.proxy = d.startProxy(fmt.Sprintf("%s:%d", d.ip(dc, proxyHostOffset+engineHostOffset+number), enginePort), b.address)
 	b.process = startProcess(d.t, d.folder, b.id, "gp-standin", "engine",
-		"-id", b.id, "-address", b.address, "-advertise", b.proxy.listener.Addr().String(),
+		"-id", b.id, "-address", b.address, "-advertise", b.proxy.Address(),
 		"-data-centre", dataCentre, "-model", model, "-slots", fmt.Sprint(d.topology.slots),
 		"-interval-ms", fmt.Sprint(d.topology.tokenIntervalMS), "-announce-to", d.announceTo(dataCentre))
 	return b
--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/geraniumpitch/geraniumpitch/internal/faultproxy"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 )
@@ -67,7 +68,7 @@
 	*process
 	id, dataCentre string
 	ip             string
-	proxy          *faultProxy
+	proxy          *faultproxy.Proxy
 	dataFolder     string
 }
 
@@ -75,7 +76,7 @@
 type backendServer struct {
 	*process
 	id, dataCentre, address string
-	proxy                   *faultProxy
+	proxy                   *faultproxy.Proxy
 	// executionsFile is the file to which a service appends a line per execution.
 	executionsFile string
 }
@@ -144,7 +145,7 @@
 			ip := d.ip(dc, i+1)
 			d.entries = append(d.entries, &instanceProcess{
 				id: fmt.Sprintf("%s-%d", name, i+1), dataCentre: name, ip: ip,
-				proxy: startFaultProxy(d.t, fmt.Sprintf("%s:%d", d.ip(dc, proxyHostOffset+i+1), peerPort), fmt.Sprintf("%s:%d", ip, peerPort)),
+				proxy: d.startProxy(fmt.Sprintf("%s:%d", d.ip(dc, proxyHostOffset+i+1), peerPort), fmt.Sprintf("%s:%d", ip, peerPort)),
 			})
 		}
 		for i := range d.topology.control[dc] {
@@ -152,7 +153,7 @@
 			id := fmt.Sprintf("%s-c%d", name, i+1)
 			d.control = append(d.control, &instanceProcess{
 				id: id, dataCentre: name, ip: ip, dataFolder: filepath.Join(d.folder, "data-"+id),
-				proxy: startFaultProxy(d.t, fmt.Sprintf("%s:%d", d.ip(dc, proxyHostOffset+i+1), controlPort), fmt.Sprintf("%s:%d", ip, controlPort)),
+				proxy: d.startProxy(fmt.Sprintf("%s:%d", d.ip(dc, proxyHostOffset+i+1), controlPort), fmt.Sprintf("%s:%d", ip, controlPort)),
 			})
 		}
 	}
@@ -163,7 +164,7 @@
 func (d *deployment) peers(instances []*instanceProcess, _ int) []settings.Peer {
 	var peers []settings.Peer
 	for _, instance := range instances {
-		peers = append(peers, settings.Peer{ID: instance.id, DataCentre: instance.dataCentre, Address: instance.proxy.listener.Addr().String()})
+		peers = append(peers, settings.Peer{ID: instance.id, DataCentre: instance.dataCentre, Address: instance.proxy.Address()})
 	}
 	return peers
 }
@@ -199,7 +200,7 @@
 	s.Instance = settings.Instance{ID: e.id, Region: "r", DataCentre: e.dataCentre}
 	s.CallerAddress = fmt.Sprintf("%s:%d", e.ip, callerPort)
 	s.PeerAddress = fmt.Sprintf("%s:%d", e.ip, peerPort)
-	s.PeerAdvertiseAddress = e.proxy.listener.Addr().String()
+	s.PeerAdvertiseAddress = e.proxy.Address()
 	s.AdminAddress = fmt.Sprintf("%s:%d", e.ip, adminPort)
 	s.Seeds = d.peers(d.entries, peerPort)
 	s.Control = d.peers(d.control, controlPort)
@@ -330,18 +331,29 @@
 	panic("unknown data centre " + dataCentre)
 }
 
+// startProxy starts a fault proxy that runs until the end of the test.
+func (d *deployment) startProxy(address, target string) *faultproxy.Proxy {
+	d.t.Helper()
+	proxy, err := faultproxy.Start(address, target)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(proxy.Close)
+	return proxy
+}
+
 // partition blocks all connections between a data centre and the others.
 func (d *deployment) partition(dataCentre string) {
 	inDataCentre := d.dataCentreMatcher(dataCentre)
 	for _, instance := range append(append([]*instanceProcess{}, d.entries...), d.control...) {
 		inside := instance.dataCentre == dataCentre
-		instance.proxy.block(func(source netip.Addr) bool { return inDataCentre(source) != inside })
+		instance.proxy.Block(func(source netip.Addr) bool { return inDataCentre(source) != inside })
 	}
 }
 
 // healPartition ends a partition.
 func (d *deployment) healPartition() {
 	for _, instance := range append(append([]*instanceProcess{}, d.entries...), d.control...) {
-		instance.proxy.unblock()
+		instance.proxy.Unblock()
 	}
 }
--- a/internal/e2e/generation_test.go
+++ b/internal/e2e/generation_test.go
@@ -155,10 +155,10 @@
 	testUnderFault(t, func(d *deployment) {
 		connections := 0
 		for _, e := range d.engines {
-			connections += e.proxy.blackhole()
+			connections += e.proxy.Blackhole()
 		}
 		for _, e := range d.entries {
-			connections += e.proxy.blackhole()
+			connections += e.proxy.Blackhole()
 		}
 		if connections == 0 {
 			t.Fatal("no connection was open")
--- a/internal/e2e/pairs_test.go
+++ b/internal/e2e/pairs_test.go
@@ -43,10 +43,10 @@
 	}},
 	{"connections silent", func(d *deployment, _ *rand.Rand) func() {
 		for _, e := range d.entries {
-			e.proxy.blackhole()
+			e.proxy.Blackhole()
 		}
 		for _, e := range d.engines {
-			e.proxy.blackhole()
+			e.proxy.Blackhole()
 		}
 		return func() {}
 	}},
--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -84,14 +84,14 @@
 	collect(t, results, n)
 	plaintextDialer := rpc.NewDialer(nil, &rpc.Counters{})
 	defer plaintextDialer.Close()
-	_, err := rpc.Call(t.Context(), plaintextDialer, d.entries[1].proxy.targetAddress, time.Second,
+	_, err := rpc.Call(t.Context(), plaintextDialer, d.entries[1].proxy.Target(), time.Second,
 		func(ctx context.Context, conn drpc.Conn) (*wire.ProbeResponse, error) {
 			return wire.NewDRPCMembershipClient(conn).Probe(ctx, &wire.ProbeRequest{})
 		})
 	if err == nil {
 		t.Error("an entry instance answered a call without TLS")
 	}
-	_, err = rpc.Call(t.Context(), plaintextDialer, d.control[0].proxy.targetAddress, time.Second,
+	_, err = rpc.Call(t.Context(), plaintextDialer, d.control[0].proxy.Target(), time.Second,
 		func(ctx context.Context, conn drpc.Conn) (*wire.ReadResponse, error) {
 			return wire.NewDRPCControlClient(conn).Read(ctx, &wire.ReadRequest{})
 		})
--- a/internal/e2e/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy.go
@@ -1,17 +1,20 @@
-package e2e
+// Package faultproxy forwards TCP connections and injects network faults, for tests that run the real
+// programs as separate processes.
+package faultproxy
 
 import (
 	"io"
 	"net"
 	"net/netip"
 	"sync"
-	"testing"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
-// faultProxy forwards TCP connections to a target address and injects network
+// Proxy forwards TCP connections to a target address and injects network
 // faults. It identifies the instance that opened a connection by the source IP.
-type faultProxy struct {
+type Proxy struct {
 	targetAddress string
 	listener      net.Listener
 
@@ -34,22 +37,30 @@
 	_ = c.target.Close()
 }
 
-func startFaultProxy(t testing.TB, address, target string) *faultProxy {
-	t.Helper()
+// Start returns a proxy that listens at an address and forwards to a target.
+func Start(address, target string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return nil, eris.Wrapf(err, "listen at %s", address)
 	}
-	p := &faultProxy{targetAddress: target, listener: listener, conns: map[*proxiedConn]struct{}{}}
+	p := &Proxy{targetAddress: target, listener: listener, conns: map[*proxiedConn]struct{}{}}
 	go p.acceptConnections()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		p.block(func(netip.Addr) bool { return true })
-	})
-	return p
+	return p, nil
+}
+
+// Address returns the address that the proxy listens at.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Target returns the address that the proxy forwards to.
+func (p *Proxy) Target() string { return p.targetAddress }
+
+// Close stops the proxy and closes all connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.Block(func(netip.Addr) bool { return true })
 }
 
-func (p *faultProxy) acceptConnections() {
+func (p *Proxy) acceptConnections() {
 	for {
 		conn, err := p.listener.Accept()
 		if err != nil {
@@ -59,7 +70,7 @@
 	}
 }
 
-func (p *faultProxy) handleConnection(client net.Conn) {
+func (p *Proxy) handleConnection(client net.Conn) {
 	source := client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
 	p.mu.Lock()
 	reject := p.blocked != nil && p.blocked(source)
@@ -84,7 +95,7 @@
 	p.mu.Unlock()
 }
 
-func (p *faultProxy) forward(c *proxiedConn, destination, source net.Conn) {
+func (p *Proxy) forward(c *proxiedConn, destination, source net.Conn) {
 	defer c.close()
 	buffer := make([]byte, 32<<10)
 	for {
@@ -114,8 +125,8 @@
 	}
 }
 
-// block closes the connections from the sources that match and refuses new ones.
-func (p *faultProxy) block(blocked func(source netip.Addr) bool) {
+// Block closes the connections from the sources that match and refuses new ones.
+func (p *Proxy) Block(blocked func(source netip.Addr) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.blocked = blocked
@@ -126,16 +137,16 @@
 	}
 }
 
-// unblock accepts new connections from all sources again.
-func (p *faultProxy) unblock() {
+// Unblock accepts new connections from all sources again.
+func (p *Proxy) Unblock() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.blocked = nil
 }
 
-// blackhole discards all further data on the existing connections, without
+// Blackhole discards all further data on the existing connections, without
 // closing them, and returns their number. New connections are not affected.
-func (p *faultProxy) blackhole() int {
+func (p *Proxy) Blackhole() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
@@ -145,3 +156,10 @@
 	}
 	return len(p.conns)
 }
+
+// SetDelay delays all further data in both directions.
+func (p *Proxy) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
