coordinator: an instance that lost its slot founds no second group

Cause: a coordinator whose slot was reassigned clears its data folder and starts over. If its settings say that the deployment starts for the first time, as they do until the process is started again, and it is a seed, it took its founding slot once more, with an empty log. When two other seeds lost their disks, it granted them their founding slots: the three had the same first member table, elected a leader and accepted publications, beside the group that has the data. TestCoordinatorThatLostItsSlotFoundsNoGroup on the code before: "accepted". Change: a folder keeps a mark when the data of a slot is removed from it; its instance asks for a slot like any other and founds nothing. Why it works: the settings tell only that the deployment is new; that a group exists is known on the disk of a former member.

--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -162,8 +162,8 @@
 	err = errors.Join(node.Run(nodeCtx), store.Close())
 	select {
 	case <-replaced:
-		g.log.Warn("the slot was reassigned to another disk; restarting with an empty disk", "slot", assignment.Slot)
-		return errors.Join(err, clearFolder(g.settings.DataFolder))
+		g.log.Warn("the slot was reassigned to another disk; requesting another one with an empty disk", "slot", assignment.Slot)
+		return errors.Join(err, retireFolder(g.settings.DataFolder))
 	default:
 		return err
 	}
@@ -185,13 +185,18 @@
 }
 
 // obtainSlot returns the slot of this instance's disk. A founding member takes the slot
-// named after its own address; any other instance requests one from the group.
+// named after its own address; any other instance, and one that has lost its slot, requests one
+// from the group.
 func (g *group) obtainSlot(ctx context.Context) (slotAssignment, error) {
 	assignment, err := readAssignment(g.settings.DataFolder)
 	if err != nil || assignment.Slot != "" {
 		return assignment, err
 	}
-	if g.settings.FirstStart && slices.Contains(g.settings.PeerSeeds(), g.settings.PeerAddress) {
+	former, err := isFormerMember(g.settings.DataFolder)
+	if err != nil {
+		return slotAssignment{}, err
+	}
+	if g.settings.FirstStart && !former && slices.Contains(g.settings.PeerSeeds(), g.settings.PeerAddress) {
 		assignment = slotAssignment{Slot: g.settings.PeerAddress, Slots: slices.Sorted(slices.Values(g.settings.PeerSeeds()))}
 		return assignment, writeAssignment(g.settings.DataFolder, assignment)
 	}
--- a/pkg/coordinator/lostdisks_test.go
+++ b/pkg/coordinator/lostdisks_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/control"
 )
 
 // Guards against losing an accepted publication, and the ability to elect a leader, when as
@@ -68,3 +70,41 @@
 	g.start(5, false)
 	g.expectPublication(4, 2, "two")
 }
+
+// Guards against a second group, in which older and other publications are accepted: a coordinator
+// that lost its slot founded it once more, because its settings still said that the deployment starts
+// for the first time, and coordinators that had lost their disks joined it.
+func TestCoordinatorThatLostItsSlotFoundsNoGroup(t *testing.T) {
+	g := newGrowingTestGroup(t, 6, 3, 2)
+	g.publish(1, 1, "one")
+	g.stop(1)
+	observer := g.leader()
+	g.eventually("the slot of 1 has another holder", func() bool { return len(g.holders(observer)) == 5 && !g.holders(observer)[g.address(1)] })
+	g.start(1, true)
+	g.eventually("1 has detected it and lost its data", func() bool {
+		stored, err := readAssignment(g.folders[1])
+		node := g.coordinators[1].group.currentNode()
+		return err == nil && (stored.Slot == "" || node != nil && node.Status().LastIndex == 0)
+	})
+	g.publish(2, 2, "two")
+	for i := 1; i <= 6; i++ {
+		g.stop(i)
+	}
+	g.loseDisk(2)
+	g.loseDisk(3)
+	for i := 1; i <= 3; i++ {
+		g.start(i, false)
+	}
+	// Whatever 1 to 3 do without the other three, a group that lacks revision 2 may not accept anything.
+	for range 2 {
+		for i := 1; i <= 3; i++ {
+			outcome := g.coordinators[i].Publish(t.Context(), control.Publication{Revision: 1, Content: []byte("other")})
+			qt.Assert(t, outcome, qt.Not(qt.Equals), control.Accepted)
+		}
+	}
+	for i := 4; i <= 6; i++ {
+		g.start(i, false)
+	}
+	g.publish(4, 3, "three")
+	g.expectPublication(5, 3, "three")
+}
--- a/pkg/coordinator/slotassignment.go
+++ b/pkg/coordinator/slotassignment.go
@@ -16,6 +16,10 @@
 // assignmentFile stores the slot of a disk. It is written before the log.
 const assignmentFile = "place.json"
 
+// formerMemberFile marks the data folder of an instance that lost its slot. It outlives the data of
+// the slot.
+const formerMemberFile = "former-member"
+
 // slotAssignment is the slot of a disk and all slots that its group had when it was assigned.
 // The slots of the founding members are named after their peer addresses, later ones are
 // numbered (see newSlotName). The instance that holds a slot may change.
@@ -62,17 +66,21 @@
 	if err != nil {
 		return eris.Wrap(err, "encode the slot assignment")
 	}
-	f, err := os.Create(filepath.Join(folder, assignmentFile))
+	return writeDurably(folder, assignmentFile, data)
+}
+
+// writeDurably writes a file of the data folder and syncs both.
+func writeDurably(folder, name string, data []byte) error {
+	f, err := os.Create(filepath.Join(folder, name))
 	if err != nil {
-		return eris.Wrap(err, "create the slot assignment file")
+		return eris.Wrapf(err, "create %s", name)
 	}
 	_, err = f.Write(data)
 	if err == nil {
 		err = f.Sync()
 	}
-	err = errors.Join(err, f.Close())
-	if err != nil {
-		return eris.Wrap(err, "write the slot assignment")
+	if err = errors.Join(err, f.Close()); err != nil {
+		return eris.Wrapf(err, "write %s", name)
 	}
 	d, err := os.Open(folder)
 	if err != nil {
@@ -81,6 +89,24 @@
 	return eris.Wrap(errors.Join(d.Sync(), d.Close()), "sync the data folder")
 }
 
+// retireFolder removes the data of a slot that was reassigned to another disk.
+func retireFolder(folder string) error {
+	if err := writeDurably(folder, formerMemberFile, nil); err != nil {
+		return err
+	}
+	return clearFolder(folder)
+}
+
+// isFormerMember reports whether a data folder was retired: its instance must not found a group, as
+// there is one.
+func isFormerMember(folder string) (bool, error) {
+	_, err := os.Stat(filepath.Join(folder, formerMemberFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	return err == nil, eris.Wrap(err, "stat the file of a former member")
+}
+
 // clearFolder removes the data of a former slot. The assignment file is removed first,
 // because the other files are not used without it.
 func clearFolder(folder string) error {
@@ -93,6 +119,9 @@
 		return eris.Wrap(err, "list the data folder")
 	}
 	for _, e := range entries {
+		if e.Name() == formerMemberFile {
+			continue
+		}
 		if err := os.RemoveAll(filepath.Join(folder, e.Name())); err != nil {
 			return eris.Wrap(err, "clear the data folder")
 		}
