coordinator: gateways that connect before the files are read get their content

Cause: the files are read in the background after the start; their content was kept for later subscribers only, not sent to those already there. Change: reading the files fills the queues of the present subscribers too. Result: TestRestoredStateReachesEarlierSubscribers fails before and passes.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -200,6 +200,36 @@
 	g.eventually("the report after a restart", restarted.satisfies(has))
 }
 
+// Guards against a gateway that connects to a coordinator which has just started, before it has read
+// its files, and that never gets what is in them.
+func TestRestoredStateReachesEarlierSubscribers(t *testing.T) {
+	folder := t.TempDir()
+	ctx, cancel := context.WithCancel(t.Context())
+	before := newHub(time.Minute)
+	before.announce(directory.Server{ID: "e1", Service: "p", Address: "a:1", StartedMS: 1, Sequence: 1})
+	before.addPlacements([]*wire.Placement{{Subject: "s", Server: "e1"}}, false)
+	before.addPromptReports([]*wire.PromptReport{{Parts: []string{"bad"}, Engine: "e1"}}, time.Now())
+	done := make(chan struct{})
+	go func() { before.persistState(ctx, folder, slog.New(slog.DiscardHandler)); close(done) }()
+	for deadline := time.Now().Add(waitTimeout); ; time.Sleep(20 * time.Millisecond) {
+		if files, err := os.ReadDir(folder); err == nil && len(files) > 0 {
+			break
+		}
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+	}
+	cancel()
+	<-done
+	after := newHub(time.Minute)
+	sub := after.subscribe(false)
+	_, err := after.restore(folder, time.Now())
+	qt.Assert(t, err, qt.IsNil)
+	announcements, placements := sub.drain()
+	qt.Assert(t, announcements, qt.HasLen, 1)
+	qt.Assert(t, placements, qt.HasLen, 1)
+	qt.Assert(t, sub.drainPromptReports(), qt.HasLen, 1)
+	qt.Assert(t, sub.changed, qt.HasLen, 1)
+}
+
 // Guards against prompt reports that pile up at a coordinator or for a gateway that does not read,
 // and against repeated ones that displace others.
 func TestPromptReportsAreBounded(t *testing.T) {
--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -116,12 +116,19 @@
 	sub := &subscriber{
 		hub: h, isCoordinator: isCoordinator, pending: map[string]directory.Server{}, changed: make(chan struct{}, 1), periodic: make(chan struct{}, 1),
 	}
+	h.enqueueState(sub)
+	h.subscribers[sub] = true
+	return sub
+}
+
+// enqueueState adds the state of all servers to the queue of a subscriber and, for gateways only, the
+// recent placements and prompt reports. h.mu is held.
+func (h *hub) enqueueState(sub *subscriber) {
 	for _, s := range h.servers.Servers() {
 		sub.pending[s.ID] = s
 	}
-	h.subscribers[sub] = true
-	if isCoordinator {
-		return sub
+	if sub.isCoordinator {
+		return
 	}
 	now := time.Now()
 	for _, r := range h.recentReports {
@@ -136,7 +143,6 @@
 			})
 		}
 	}
-	return sub
 }
 
 // gatewayCount returns the number of connected gateways.
--- a/pkg/coordinator/softstate.go
+++ b/pkg/coordinator/softstate.go
@@ -75,7 +75,7 @@
 }
 
 // restore loads the newer file and returns its sequence number. It skips entries that
-// are expired or in the future according to now.
+// are expired or in the future according to now. Subscribers that were faster get the state too.
 func (h *hub) restore(folder string, now time.Time) (uint64, error) {
 	var newest softState
 	var errs []error
@@ -107,5 +107,9 @@
 			h.recentReports = append(h.recentReports, r)
 		}
 	}
+	for sub := range h.subscribers {
+		h.enqueueState(sub)
+		wake(sub.changed)
+	}
 	return newest.Sequence, errors.Join(errs...)
 }
