coordinator: only founding members grant the slots of the first group

Cause: a member without a member table took itself for one that founds the group. One that had just been given a slot, and had no data yet, granted other coordinators with empty disks their founding slots; these confirmed each other's slots from then on and never asked the leader. Change: a slot assignment says whether the instance took the slot as a founder; only founders grant slots before there is a member table.

--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -197,7 +197,7 @@
 		return slotAssignment{}, err
 	}
 	if g.settings.FirstStart && !former && slices.Contains(g.settings.PeerSeeds(), g.settings.PeerAddress) {
-		assignment = slotAssignment{Slot: g.settings.PeerAddress, Slots: slices.Sorted(slices.Values(g.settings.PeerSeeds()))}
+		assignment = slotAssignment{Slot: g.settings.PeerAddress, Slots: slices.Sorted(slices.Values(g.settings.PeerSeeds())), Founder: true}
 		return assignment, writeAssignment(g.settings.DataFolder, assignment)
 	}
 	if err := clearFolder(g.settings.DataFolder); err != nil {
@@ -350,6 +350,9 @@
 		response.Holders[string(slot)] = peerAddressOf(holderDisk)
 	}
 	if len(status.Members) == 0 {
+		if !g.assignment.Founder {
+			return response
+		}
 		// The first member table is not agreed on yet.
 		response.Slots = g.assignment.Slots
 		if slices.Contains(g.assignment.Slots, r.Address) {
--- a/pkg/coordinator/lostdisks_test.go
+++ b/pkg/coordinator/lostdisks_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -108,3 +110,35 @@
 	g.publish(4, 3, "three")
 	g.expectPublication(5, 3, "three")
 }
+
+// Guards against coordinators without data that take each other for founding members: one that had
+// just been given a slot granted others their former slots, which they never held, and asked no
+// further.
+func TestMemberWithoutDataGrantsNoSlots(t *testing.T) {
+	g := newGrowingTestGroup(t, 6, 3, 2)
+	g.publish(1, 1, "one")
+	for i := 1; i <= 6; i++ {
+		g.stop(i)
+	}
+	g.loseDisk(2)
+	g.loseDisk(3)
+	// 2 ends once it has stored the slot that the group gave it, before it receives any data.
+	qt.Assert(t, os.MkdirAll(g.folders[2], 0o755), qt.IsNil)
+	qt.Assert(t, writeAssignment(g.folders[2], slotAssignment{Slot: g.address(2), Slots: []string{g.address(1), g.address(2), g.address(3)}}), qt.IsNil)
+	g.start(2, false)
+	g.start(3, false)
+	time.Sleep(5 * joinInterval)
+	stored, err := readAssignment(g.folders[3])
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, stored.Slot, qt.Equals, "")
+	for _, i := range []int{1, 4, 5, 6} {
+		g.start(i, false)
+	}
+	g.publish(3, 2, "two")
+	holders := g.holders(g.leader())
+	for i := 1; i <= 6; i++ {
+		if holders[g.address(i)] {
+			g.expectPublication(i, 2, "two")
+		}
+	}
+}
--- a/pkg/coordinator/slotassignment.go
+++ b/pkg/coordinator/slotassignment.go
@@ -26,6 +26,8 @@
 type slotAssignment struct {
 	Slot  string   `json:"slot"`
 	Slots []string `json:"slots"`
+	// Founder is set if the instance took the slot itself as the deployment started for the first time.
+	Founder bool `json:"founder,omitempty"`
 }
 
 // newSlotName returns the name of the slot by which the control group grows to a size.
