follow: fetch a publication that cannot be put in force once only

A gateway of an older version that cannot parse an accepted publication would fill its link with copies of it. Cause: the fetch succeeds, the revision in force stays, so it is fetched again at once; publications were pushed once before. Evidence: TestUnusablePublicationIsFetchedOnce on the code before: 28 copies of the publication in a second on a link of 10 Mbit/s. Change: the gateway remembers the revision and waits for a newer one.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -30,11 +30,18 @@
 	servers   map[string]directory.Server
 	placement map[string]string
 	reports   []quarantine.Report
+	// unusable is a revision that cannot be put in force, which was tried attempts times.
+	unusable uint64
+	attempts int
 }
 
 func (r *recorder) HandlePublication(revision uint64, _ []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if revision == r.unusable {
+		r.attempts++
+		return
+	}
 	r.revision = max(r.revision, revision)
 }
 
--- a/pkg/coordinator/thinlink_test.go
+++ b/pkg/coordinator/thinlink_test.go
@@ -149,3 +149,25 @@
 	used := link.bytes() - before
 	qt.Assert(t, used < len(p.Content), qt.IsTrue, qt.Commentf("%d bytes for a publication of %d", used, len(p.Content)))
 }
+
+// Guards against a gateway that fills its link as it fetches a publication again and again that it
+// cannot put in force.
+func TestUnusablePublicationIsFetchedOnce(t *testing.T) {
+	g := newTestGroup(t, 3)
+	g.publish(1, 1, "small")
+	r := g.followOverLink(&thinLink{bytesPerSecond: 10_000_000 / 8})
+	g.eventually("the first publication", r.satisfies(func(r *recorder) bool { return r.revision == 1 }))
+	r.satisfies(func(r *recorder) bool { r.unusable = 2; return true })()
+	for revision := uint64(2); revision <= 3; revision++ {
+		p := largePublication(revision)
+		g.eventually("the publication is accepted", func() bool {
+			return g.coordinators[1].Publish(context.Background(), p) == control.Accepted
+		})
+		if revision == r.unusable {
+			g.eventually("an attempt", r.satisfies(func(r *recorder) bool { return r.attempts > 0 }))
+			time.Sleep(time.Second)
+			qt.Assert(t, r.satisfies(func(r *recorder) bool { return r.attempts == 1 })(), qt.IsTrue, qt.Commentf("%d attempts", r.attempts))
+		}
+	}
+	g.eventually("the next publication", r.satisfies(func(r *recorder) bool { return r.revision == 3 }))
+}
--- a/pkg/follow/publications.go
+++ b/pkg/follow/publications.go
@@ -93,6 +93,8 @@
 type publicationOffers struct {
 	// revisions holds the highest revision that each coordinator named, by its address.
 	revisions map[string]uint64
+	// unusable is the highest revision that was fetched and could not be put in force.
+	unusable uint64
 	// fetching is set while runFetches runs.
 	fetching bool
 }
@@ -164,7 +166,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	revision, holders = c.offers.newest()
-	if revision <= c.sink.Revision() || ctx.Err() != nil {
+	if revision <= max(c.sink.Revision(), c.offers.unusable) || ctx.Err() != nil {
 		c.offers.fetching = false
 		return 0, nil, false
 	}
@@ -253,5 +255,11 @@
 	c.log.Info("publication fetched", "revision", p.Revision, "coordinator", holder, "stored", stored, "bytes", len(content),
 		"compressed_bytes", len(p.Compressed), "after_ms", time.Since(startedAt).Milliseconds())
 	c.sink.HandlePublication(p.Revision, content)
+	if c.sink.Revision() < p.Revision {
+		c.log.Warn("the publication is not in force; waiting for a newer one", "revision", p.Revision)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.offers.unusable = max(c.offers.unusable, p.Revision)
+	}
 	return true
 }
