gateway: a request without a usable server does not hold up those behind it

What callers would see: while the limits of all servers are used up, requests wait in order of rank. A stream that has failed at some engines may wait for the last ones; those behind it could use the others, but waited with it, up to half of its objective, and asked for their turn each millisecond. Cause: the order counted every request ahead, also one that has no room itself. Found by reading. Change: a waiting request that excludes servers says until when it has no room at the others, and holds nobody up until then. Result: TestBlockedRequestHoldsUpNoOthers passes; the code before has no such order. The tests of limits in pkg/gateway pass.

--- a/pkg/gateway/serverlimit.go
+++ b/pkg/gateway/serverlimit.go
@@ -90,13 +90,9 @@
 // isWaiting reports whether the request waits; g.mu is held.
 func (l *limitWait) isWaiting() bool { return l.waiter != nil }
 
-// isNext reports whether no other waiting request goes first; g.mu is held.
+// isNext reports whether no other waiting request holds this one up; g.mu is held.
 func (l *limitWait) isNext() bool {
-	queue := l.g.limitQueue(l.req.service.Name)
-	if l.waiter == nil {
-		return queue.AheadOf(l.req.rank) == 0
-	}
-	return queue.Ahead(l.waiter) == 0
+	return l.g.limitQueue(l.req.service.Name).IsNext(l.waiter, l.req.rank, time.Now())
 }
 
 // next returns the time to wait before the next try, or false if the limits do not let the request be
@@ -109,6 +105,10 @@
 	if l.waiter == nil {
 		l.waiter = l.g.limitQueue(l.req.service.Name).Join(l.req.rank)
 	}
+	l.waiter.BlockedUntil = time.Time{}
+	if len(exclude) > 0 {
+		l.waiter.BlockedUntil = now.Add(wait)
+	}
 	return max(wait, time.Millisecond), true
 }
 
--- a/pkg/placement/limit_test.go
+++ b/pkg/placement/limit_test.go
@@ -280,3 +280,16 @@
 	q.Leave(first)
 	qt.Assert(t, q.Ahead(second), qt.Equals, 0)
 }
+
+// Guards against a request whose remaining servers have no room and that holds up those behind it,
+// which may use others.
+func TestBlockedRequestHoldsUpNoOthers(t *testing.T) {
+	var q LimitQueue
+	blocked, second := q.Join(0), q.Join(1)
+	blocked.BlockedUntil = atMillis(100)
+	qt.Assert(t, q.IsNext(second, 1, atMillis(50)), qt.IsTrue)
+	qt.Assert(t, q.IsNext(nil, 1, atMillis(50)), qt.IsFalse)
+	qt.Assert(t, q.IsNext(second, 1, atMillis(100)), qt.IsFalse)
+	qt.Assert(t, q.IsNext(blocked, 0, atMillis(50)), qt.IsTrue)
+	qt.Assert(t, q.IsNext(nil, 0, atMillis(100)), qt.IsFalse)
+}
