gateway: a changed limit of a server wakes the requests that wait for it

What callers would see: a request that waits for a server's limit goes on waiting after the server has withdrawn the limit, and those behind it wait too. Cause: the wait was computed once, from the limit as it was. Evidence: TestWithdrawnLimitEndsTheWait on the code before: answered after 3.5 s, calls and streams, at a limit of 0.3 a second that is withdrawn after 0.2 s. Change: a limit that changes, by a response or by what other gateways were told, wakes the requests as servers that appear do. Result: the test passes, and those of limits, pauses and leaving servers.

--- a/pkg/gateway/serverlimit.go
+++ b/pkg/gateway/serverlimit.go
@@ -48,12 +48,13 @@
 }
 
 // recordLimit records the limit that a server named, or not, in the response to a request sent at
-// sentAt; g.mu is held.
+// sentAt, and wakes the requests that wait if it changed; g.mu is held.
 func (g *Gateway) recordLimit(service, serverID string, limit float64, sentAt time.Time) {
 	g.updateDemand(service, time.Now())
 	if g.pool(service).RecordLimit(serverID, limit, sentAt, time.Now()) {
 		g.log.Info("limit of a backend server changed", "server", serverID, "service", service, "requests_per_second", limit)
 		g.coordinators.ExchangeUsageSoon()
+		g.notifyServersChanged()
 	}
 }
 
@@ -63,12 +64,16 @@
 	for _, l := range reported {
 		sends[l.Server] = l.Sends
 	}
+	changed := false
 	for _, l := range limits {
 		if s, ok := g.servers.Lookup(l.Server); ok {
 			g.updateDemand(s.Service, now)
-			g.pool(s.Service).ApplyPeerLimit(l, sends[l.Server], now)
+			changed = g.pool(s.Service).ApplyPeerLimit(l, sends[l.Server], now) || changed
 		}
 	}
+	if changed {
+		g.notifyServersChanged()
+	}
 }
 
 // limitWait is the wait of one request for the limits of a service's servers.
--- a/pkg/gateway/serverlimit_test.go
+++ b/pkg/gateway/serverlimit_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
 )
 
 // arrivalLog records when requests arrive at a test server.
@@ -102,3 +104,31 @@
 		})
 	}
 }
+
+// Guards against requests that go on waiting for a limit that the server has withdrawn.
+func TestWithdrawnLimitEndsTheWait(t *testing.T) {
+	for _, tt := range []struct{ path, service string }{{"/safe/x", "app"}, {"/once/x", "app"}, {"/stream/x", "pool"}} {
+		t.Run(tt.path, func(t *testing.T) {
+			f := newFixture(t)
+			config := testConfig()
+			for i := range config.Routes {
+				config.Routes[i].Objective, config.Routes[i].Timeout = 10*time.Second, 10*time.Second
+			}
+			f.publish(1, config)
+			var arrivals arrivalLog
+			server := f.addServer(tt.service, "limited", "local", arrivals.handler(0.3, streamHandler(nil)))
+			for range 2 {
+				qt.Assert(t, f.send("POST", tt.path, nil).status, qt.Equals, http.StatusOK)
+			}
+			waited := make(chan callerResponse, 1)
+			go func() { waited <- f.send("POST", tt.path, nil) }()
+			time.Sleep(200 * time.Millisecond)
+			qt.Assert(t, len(server.receivedRequests()), qt.Equals, 2)
+			withdrawn := usage.Limit{Server: "limited", StartedMS: 1}
+			f.HandleUsageTotals(usage.Totals{Reporting: 1, Connected: 1, Settled: true, Limits: []usage.Limit{withdrawn}}, usage.Report{})
+			got := <-waited
+			qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+			qt.Assert(t, got.duration < 500*time.Millisecond, qt.IsTrue, qt.Commentf("answered after %s", got.duration))
+		})
+	}
+}
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -185,16 +185,18 @@
 }
 
 // ApplyPeerLimit applies what all gateways together know of a server: its limit as it was named last,
-// and the requests that all of them sent, of which reported were sent by this gateway.
-func (p *Pool) ApplyPeerLimit(o usage.Limit, reported float64, now time.Time) {
+// and the requests that all of them sent, of which reported were sent by this gateway. It reports
+// whether the limit changed.
+func (p *Pool) ApplyPeerLimit(o usage.Limit, reported float64, now time.Time) (changed bool) {
 	s := p.servers[o.Server]
 	if s == nil || s.StartedMS != o.StartedMS {
-		return
+		return false
 	}
-	p.RecordLimit(o.Server, o.Rate, now.Add(-o.Age), now)
+	changed = p.RecordLimit(o.Server, o.Rate, now.Add(-o.Age), now)
 	if s.limit != nil {
 		s.limit.othersSends, s.limit.othersKnownAt = max(0, o.Sends-reported), now
 	}
+	return changed
 }
 
 // isWithinLimit reports whether this gateway may send one more request to a server.
