--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -272,12 +272,7 @@
 	if event.Confirmed {
 		return c.unconfirmed.of(address), address
 	}
-	connected := 0
-	for _, s := range c.coordinators {
-		if s.connected {
-			connected++
-		}
-	}
+	connected := len(c.connectedAddressesLocked())
 	if 2*connected > len(c.coordinators) {
 		return nil, ""
 	}
@@ -348,17 +343,22 @@
 	}
 }
 
-// connectedCoordinators returns up to maxPlacementTargets coordinators with an open
-// stream, the one with the latest event first.
+// connectedCoordinators returns up to maxPlacementTargets coordinators with an open stream, the one with the
+// latest event first.
 func (c *Client) connectedCoordinators() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var connected []string
+	connected := c.connectedAddressesLocked()
+	slices.SortFunc(connected, func(a, b string) int { return c.coordinators[b].lastEventAt.Compare(c.coordinators[a].lastEventAt) })
+	return connected[:min(len(connected), maxPlacementTargets)]
+}
+
+// connectedAddressesLocked returns the addresses of the coordinators with an open stream in no order; c.mu is held.
+func (c *Client) connectedAddressesLocked() (connected []string) {
 	for address, s := range c.coordinators {
 		if s.connected {
 			connected = append(connected, address)
 		}
 	}
-	slices.SortFunc(connected, func(a, b string) int { return c.coordinators[b].lastEventAt.Compare(c.coordinators[a].lastEventAt) })
-	return connected[:min(len(connected), maxPlacementTargets)]
+	return connected
 }
--- a/pkg/follow/usage.go
+++ b/pkg/follow/usage.go
@@ -88,12 +88,7 @@
 func (c *Client) usageTargets() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var connected []string
-	for address, s := range c.coordinators {
-		if s.connected {
-			connected = append(connected, address)
-		}
-	}
+	connected := c.connectedAddressesLocked()
 	slices.Sort(connected)
 	return connected[:min(len(connected), maxUsageTargets)]
 }
