gateway: what a server said in its responses stays with its process

What callers would see: requests at a server that is leaving, that asked for a pause or that named a limit (DRAIN, BUDGET, LIMIT), after it was cut off from the coordinators, expired and was announced again; or a server that a gateway never uses again, as a late response of its former process said that it was leaving. Cause: these were fields of the entry in the pool, which is removed when the server expires or ends, and were recorded by the ID of the server, which the next process may have too. Found by reading. Change: they are the state of a process. It stays for two minutes after the server was removed, and a response counts for the process that it was sent to.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -290,8 +290,8 @@
 	res := g.exchange(ctx, req, s)
 	g.mu.Lock()
 	pool := g.pool(req.service.Name)
-	pool.RecordRequestEnd(s.ID)
 	now := time.Now()
+	pool.RecordRequestEnd(s.ID, now)
 	if res.notSent {
 		pool.RecordNotSent(s.ID, startedAt)
 	}
@@ -327,7 +327,7 @@
 		return res
 	}
 	res.status, res.header = response.StatusCode, response.Header
-	res.notRun = g.recordResponse(req, s.ID, response, sentAt).NotRun
+	res.notRun = g.recordResponse(req, s, response, sentAt).NotRun
 	res.body, err = io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
 	if err == nil && response.EndsWithConnection() && hasSecondResponse(res.body, g.namesRequest) {
 		err = errSecondResponse
@@ -352,27 +352,27 @@
 
 // recordResponse updates the state of a server from the head of its response to a request sent at
 // sentAt.
-func (g *Gateway) recordResponse(req *callerRequest, serverID string, response *upstream.Response, sentAt time.Time) ResponseFields {
+func (g *Gateway) recordResponse(req *callerRequest, server *placement.Server, response *upstream.Response, sentAt time.Time) ResponseFields {
 	fields := g.protocol.ParseResponse(response.StatusCode, response.Header)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	pool := g.pool(req.service.Name)
 	if fields.Load != nil {
-		pool.RecordLoad(serverID, *fields.Load, time.Now())
+		pool.RecordLoad(server.ID, *fields.Load, time.Now())
 	}
 	if fields.Misdirected {
-		g.markServerGone(serverID)
+		g.markServerGone(server.ID)
 		return fields
 	}
-	if fields.Leaving && pool.RecordLeaving(serverID) {
-		g.log.Info("backend server is leaving", "server", serverID, "service", req.service.Name)
+	if fields.Leaving && pool.RecordLeaving(server.Process()) {
+		g.log.Info("backend server is leaving", "server", server.ID, "service", req.service.Name)
 	}
 	if fields.Pause > 0 {
-		pool.RecordPause(serverID, time.Now().Add(fields.Pause))
-		g.log.Info("backend server asks for a pause", "server", serverID, "service", req.service.Name,
+		pool.RecordPause(server.Process(), time.Now().Add(fields.Pause))
+		g.log.Info("backend server asks for a pause", "server", server.ID, "service", req.service.Name,
 			"request", req.fields.ID, "pause_ms", fields.Pause.Milliseconds())
 	}
-	g.recordLimit(req.service.Name, serverID, fields.Limit, sentAt)
+	g.recordLimit(req.service.Name, server.Process(), fields.Limit, sentAt)
 	return fields
 }
 
--- a/pkg/gateway/serverlimit.go
+++ b/pkg/gateway/serverlimit.go
@@ -49,10 +49,10 @@
 
 // recordLimit records the limit that a server named, or not, in the response to a request sent at
 // sentAt, and wakes the requests that wait if it changed; g.mu is held.
-func (g *Gateway) recordLimit(service, serverID string, limit float64, sentAt time.Time) {
+func (g *Gateway) recordLimit(service string, process placement.Process, limit float64, sentAt time.Time) {
 	g.updateDemand(service, time.Now())
-	if g.pool(service).RecordLimit(serverID, limit, sentAt, time.Now()) {
-		g.log.Info("limit of a backend server changed", "server", serverID, "service", service, "requests_per_second", limit)
+	if g.pool(service).RecordLimit(process, limit, sentAt, time.Now()) {
+		g.log.Info("limit of a backend server changed", "server", process.ID, "service", service, "requests_per_second", limit)
 		g.coordinators.ExchangeUsageSoon()
 		g.notifyServersChanged()
 	}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -348,7 +348,7 @@
 			g.mu.Lock()
 			for _, s := range g.servers.Expire(now) {
 				g.log.Info("backend server expired", "server", s.ID, "service", s.Service, "state", s.State)
-				g.pool(s.Service).Remove(s.ID)
+				g.pool(s.Service).Remove(s.ID, now)
 			}
 			g.logSuspicions(g.quarantine.Expire(now))
 			g.mu.Unlock()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -291,7 +291,7 @@
 // checkResponseHead checks the head of a response. For an error response it reads the
 // body, decides where to retry, and returns an error.
 func (s *streamState) checkResponseHead(abort context.CancelFunc, engine *placement.Server, response *upstream.Response) error {
-	fields := s.g.recordResponse(s.req, engine.ID, response, s.sentAt)
+	fields := s.g.recordResponse(s.req, engine, response, s.sentAt)
 	if response.StatusCode >= http.StatusInternalServerError && !fields.NotRun {
 		s.g.mu.Lock()
 		s.g.pool(s.req.service.Name).RecordFailure(engine.ID)
--- a/pkg/gateway/streamplan.go
+++ b/pkg/gateway/streamplan.go
@@ -141,7 +141,7 @@
 		pool.RecordSend(engine.ID, s.sentAt)
 		pool.Reserve(engine.ID, tokens, 0, prompts)
 	} else {
-		pool.RecordRequestEnd(engine.ID)
+		pool.RecordRequestEnd(engine.ID, time.Now())
 		pool.Reserve(engine.ID, tokens, 0, 0)
 	}
 	if backup != nil {
--- a/pkg/loadmodel/model.go
+++ b/pkg/loadmodel/model.go
@@ -260,7 +260,7 @@
 // release removes a stream and its memory, copy and prefill from the pool of its gateway.
 func (m *model) release(s *streamState) {
 	pool := s.gateway.pool
-	pool.RecordRequestEnd(s.engine.id)
+	pool.RecordRequestEnd(s.engine.id, m.wallTime())
 	prefills := 0
 	if s.task != nil && s.generated == 0 {
 		prefills = -1
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -144,10 +144,10 @@
 	return !p.lastLimitAt.IsZero() && now.Sub(p.lastLimitAt) <= limitTTL
 }
 
-// RecordLimit records the limit that a server named in the response to a request sent at sentAt, or
+// RecordLimit records the limit that a process named in the response to a request sent at sentAt, or
 // that it named none if rate is 0. Of several responses, that to the latest request applies.
-func (p *Pool) RecordLimit(id string, rate float64, sentAt, now time.Time) (changed bool) {
-	s := p.servers[id]
+func (p *Pool) RecordLimit(process Process, rate float64, sentAt, now time.Time) (changed bool) {
+	s := p.serverOf(process)
 	if s == nil || s.limit == nil && rate <= 0 {
 		return false
 	}
@@ -188,11 +188,11 @@
 // and the requests that all of them sent, of which reported were sent by this gateway. It reports
 // whether the limit changed.
 func (p *Pool) ApplyPeerLimit(o usage.Limit, reported float64, now time.Time) (changed bool) {
-	s := p.servers[o.Server]
-	if s == nil || s.StartedMS != o.StartedMS {
+	s := p.serverOf(Process{ID: o.Server, StartedMS: o.StartedMS})
+	if s == nil {
 		return false
 	}
-	changed = p.RecordLimit(o.Server, o.Rate, now.Add(-o.Age), now)
+	changed = p.RecordLimit(s.Process(), o.Rate, now.Add(-o.Age), now)
 	if s.limit != nil {
 		s.limit.othersSends, s.limit.othersKnownAt = max(0, o.Sends-reported), now
 	}
--- a/pkg/placement/limit_test.go
+++ b/pkg/placement/limit_test.go
@@ -77,7 +77,7 @@
 	if told, ok := g.toldAt[server.ID]; ok && now.Sub(told) >= 500*time.Millisecond && now.After(g.excusedUntil) {
 		f.arrivals[server.ID] = append(f.arrivals[server.ID], now)
 	}
-	g.pool.RecordLimit(server.ID, f.limits[server.ID], now, now)
+	g.pool.RecordLimit(server.Process(), f.limits[server.ID], now, now)
 	if _, ok := g.toldAt[server.ID]; !ok && f.limits[server.ID] > 0 {
 		g.toldAt[server.ID] = now
 	}
@@ -263,10 +263,10 @@
 func TestResponsesOutOfOrderKeepTheLimit(t *testing.T) {
 	p := NewPool("local", rand.New(rand.NewPCG(1, 1)))
 	p.Update(directory.Server{ID: "s0", DataCentre: "local", StartedMS: 1}, start)
-	qt.Assert(t, p.RecordLimit("s0", 5, atMillis(100), atMillis(120)), qt.IsTrue)
-	qt.Assert(t, p.RecordLimit("s0", 0, atMillis(50), atMillis(130)), qt.IsFalse)
+	qt.Assert(t, p.RecordLimit(Process{ID: "s0", StartedMS: 1}, 5, atMillis(100), atMillis(120)), qt.IsTrue)
+	qt.Assert(t, p.RecordLimit(Process{ID: "s0", StartedMS: 1}, 0, atMillis(50), atMillis(130)), qt.IsFalse)
 	qt.Assert(t, p.Get("s0").limit.rate, qt.Equals, 5.0)
-	qt.Assert(t, p.RecordLimit("s0", 0, atMillis(140), atMillis(150)), qt.IsTrue)
+	qt.Assert(t, p.RecordLimit(Process{ID: "s0", StartedMS: 1}, 0, atMillis(140), atMillis(150)), qt.IsTrue)
 	qt.Assert(t, p.Get("s0").limit.rate, qt.Equals, 0.0)
 }
 
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -80,12 +80,27 @@
 	allIndex, localIndex int
 	// copyBackoffUntil is the time from which copies may be sent to the server again.
 	copyBackoffUntil time.Time
-	// limit is nil if the server has named none.
+	*processState
+}
+
+// processState is what the process of a server said in its responses to this gateway. It outlives the
+// announcements: a server that was cut off from the coordinators expires and is announced again.
+type processState struct {
+	// startedMS is the start time of the process in Unix milliseconds.
+	startedMS int64
+	// limit is nil if the process has named none.
 	limit *serverLimit
-	// leaving means that the process said in a response that it is about to end.
+	// leaving means that the process is about to end.
 	leaving bool
-	// pausedUntil is the time until which the server takes no requests from this gateway.
+	// pausedUntil is the time until which the process takes no requests from this gateway.
 	pausedUntil time.Time
+	// removedAt is the time at which the server was removed from the pool.
+	removedAt time.Time
+}
+
+// isEmpty reports whether there is nothing to remember of a process.
+func (s *processState) isEmpty() bool {
+	return s.limit == nil && !s.leaving && s.pausedUntil.IsZero()
 }
 
 // Pool holds the backend servers of one service. It is not safe for concurrent use.
@@ -93,6 +108,8 @@
 	dataCentre string
 	rand       *rand.Rand
 	servers    map[string]*Server
+	// removed holds the states of processes whose servers were removed, by the ID of the server.
+	removed map[string]*processState
 	// all contains every server and local those of the gateway's data centre. They allow sampling
 	// in constant time.
 	all, local serverList
@@ -110,9 +127,10 @@
 // NewPool returns an empty pool for a gateway in dataCentre.
 func NewPool(dataCentre string, random *rand.Rand) *Pool {
 	return &Pool{
-		dataCentre: dataCentre, rand: random, servers: map[string]*Server{}, unreachableTimes: map[string][]time.Time{},
-		all:   serverList{index: func(s *Server) *int { return &s.allIndex }},
-		local: serverList{index: func(s *Server) *int { return &s.localIndex }},
+		dataCentre: dataCentre, rand: random, servers: map[string]*Server{}, removed: map[string]*processState{},
+		unreachableTimes: map[string][]time.Time{},
+		all:              serverList{index: func(s *Server) *int { return &s.allIndex }},
+		local:            serverList{index: func(s *Server) *int { return &s.localIndex }},
 	}
 }
 
@@ -124,24 +142,22 @@
 		if s.State == directory.Gone {
 			return false
 		}
-		p.insert(&Server{Server: s, firstSeenAt: now})
+		p.insert(&Server{Server: s, firstSeenAt: now, processState: p.takeRemoved(s)})
 		return true
 	}
 	changed := current.State != s.State || current.StartedMS != s.StartedMS || current.Address != s.Address
 	if current.StartedMS != s.StartedMS {
-		p.insert(&Server{Server: s, firstSeenAt: now, Inflight: current.Inflight})
+		p.insert(&Server{Server: s, firstSeenAt: now, Inflight: current.Inflight, processState: &processState{startedMS: s.StartedMS}})
 		return true
 	}
-	dataCentreChanged := current.DataCentre != s.DataCentre
-	if dataCentreChanged {
-		p.Remove(s.ID)
+	if current.DataCentre != s.DataCentre {
+		p.delete(current)
+		current.Server = s
+		p.insert(current)
 	}
 	current.Server = s
-	switch {
-	case s.State == directory.Gone && current.Inflight == 0:
-		p.Remove(s.ID)
-	case dataCentreChanged:
-		p.insert(current)
+	if s.State == directory.Gone && current.Inflight == 0 {
+		p.Remove(s.ID, now)
 	}
 	return changed
 }
@@ -170,10 +186,30 @@
 // Get returns the server with the given ID, or nil if it is not in the pool.
 func (p *Pool) Get(id string) *Server { return p.servers[id] }
 
-// RecordLeaving records that the process of a server said in a response that it is about to end. It
-// reports whether that is new. Announcements may say so later or not reach this gateway.
-func (p *Pool) RecordLeaving(id string) bool {
-	s := p.servers[id]
+// Process identifies the process of a server, so that a late response of a process that has ended does
+// not count for the next one.
+type Process struct {
+	// ID is the ID of the server.
+	ID string
+	// StartedMS is the start time of the process in Unix milliseconds.
+	StartedMS int64
+}
+
+// Process returns the process that a server was announced with.
+func (s *Server) Process() Process { return Process{ID: s.ID, StartedMS: s.StartedMS} }
+
+// serverOf returns the server whose present process is the given one, nil if there is none.
+func (p *Pool) serverOf(process Process) *Server {
+	if s := p.servers[process.ID]; s != nil && s.StartedMS == process.StartedMS {
+		return s
+	}
+	return nil
+}
+
+// RecordLeaving records that a process said in a response that it is about to end. It reports whether
+// that is new. Announcements may say so later or not reach this gateway.
+func (p *Pool) RecordLeaving(process Process) bool {
+	s := p.serverOf(process)
 	if s == nil || s.leaving {
 		return false
 	}
@@ -181,9 +217,9 @@
 	return true
 }
 
-// RecordPause records that a server takes no requests from this gateway until a time.
-func (p *Pool) RecordPause(id string, until time.Time) {
-	s := p.servers[id]
+// RecordPause records that a process takes no requests from this gateway until a time.
+func (p *Pool) RecordPause(process Process, until time.Time) {
+	s := p.serverOf(process)
 	if s == nil {
 		return
 	}
@@ -195,8 +231,8 @@
 	}
 }
 
-// isPaused reports whether a server takes no requests from this gateway for some time.
-func (s *Server) isPaused(now time.Time) bool { return now.Before(s.pausedUntil) }
+// isPaused reports whether a process takes no requests from this gateway for some time.
+func (s *processState) isPaused(now time.Time) bool { return now.Before(s.pausedUntil) }
 
 // acceptsWork reports whether a server accepts requests of this gateway, a pause and its limit aside.
 func (p *Pool) acceptsWork(s *Server, exclude []string) bool {
@@ -319,14 +355,14 @@
 }
 
 // RecordRequestEnd records that a request at a server ended.
-func (p *Pool) RecordRequestEnd(id string) {
+func (p *Pool) RecordRequestEnd(id string, now time.Time) {
 	s := p.servers[id]
 	if s == nil {
 		return
 	}
 	s.Inflight = max(0, s.Inflight-1)
 	if s.State == directory.Gone && s.Inflight == 0 {
-		p.Remove(id)
+		p.Remove(id, now)
 	}
 }
 
--- a/pkg/placement/sample.go
+++ b/pkg/placement/sample.go
@@ -1,5 +1,12 @@
 package placement
 
+import (
+	"maps"
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+)
+
 const (
 	// maxUnsampledServers is the size of the largest pool of which all servers are considered.
 	maxUnsampledServers = 64
@@ -32,7 +39,7 @@
 
 // insert adds a server and replaces one with the same ID.
 func (p *Pool) insert(s *Server) {
-	p.Remove(s.ID)
+	p.delete(p.servers[s.ID])
 	p.servers[s.ID] = s
 	p.all.add(s)
 	if s.DataCentre == p.dataCentre {
@@ -40,13 +47,41 @@
 	}
 }
 
-// Remove removes a server that expired.
-func (p *Pool) Remove(id string) {
+// removedTTL is how long the state of a process is kept after its server was removed. It exceeds the
+// time by which a partition can delay an announcement.
+const removedTTL = 2 * time.Minute
+
+// Remove removes a server that expired or ended.
+func (p *Pool) Remove(id string, now time.Time) {
 	s := p.servers[id]
 	if s == nil {
 		return
 	}
-	delete(p.servers, id)
+	p.delete(s)
+	maps.DeleteFunc(p.removed, func(_ string, state *processState) bool { return now.Sub(state.removedAt) > removedTTL })
+	if !s.processState.isEmpty() {
+		s.removedAt = now
+		p.removed[id] = s.processState
+	}
+}
+
+// takeRemoved returns the state of the process of a server that is announced again, an empty one if
+// nothing is known of it.
+func (p *Pool) takeRemoved(s directory.Server) *processState {
+	state := p.removed[s.ID]
+	delete(p.removed, s.ID)
+	if state == nil || state.startedMS != s.StartedMS {
+		return &processState{startedMS: s.StartedMS}
+	}
+	return state
+}
+
+// delete removes a server, if it is not nil, from the maps and lists of the pool.
+func (p *Pool) delete(s *Server) {
+	if s == nil {
+		return
+	}
+	delete(p.servers, s.ID)
 	p.all.remove(s)
 	if s.DataCentre == p.dataCentre {
 		p.local.remove(s)
--- a/pkg/placement/sample_test.go
+++ b/pkg/placement/sample_test.go
@@ -53,9 +53,9 @@
 			id := fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "server"))
 			switch rapid.IntRange(0, 3).Draw(t, "kind") {
 			case 0:
-				p.Remove(id)
+				p.Remove(id, start)
 			case 1:
-				p.RecordRequestEnd(id)
+				p.RecordRequestEnd(id, start)
 			case 2:
 				p.RecordRequestStart(id)
 			default:
