placement: a step of the time of day keeps the windows of budgets and limits

What callers would see: while the time of day jumps on machines, repeats beyond what a service allows (BUDGET), or requests beyond the limit of a server (LIMIT). Cause: the buckets of the sliding windows were numbered by the time of day. A step forward by the window empties them, so that the slack is used a second time. Found by reading, in the search for where else the budget can be passed by. Change: buckets are numbered by the monotonic time since their first use.

--- a/pkg/placement/budget.go
+++ b/pkg/placement/budget.go
@@ -21,6 +21,7 @@
 	Service string
 	View    *usage.View
 
+	clock   bucketClock
 	buckets [windowBuckets + 1]budgetBucket
 }
 
@@ -60,6 +61,7 @@
 )
 
 type budgetBucket struct {
+	// index is the number of the bucket by the clock of the budget.
 	index             int64
 	requests, retries float64
 }
@@ -67,7 +69,7 @@
 func (b *RetryBudget) bucketLength() time.Duration { return b.Window / windowBuckets }
 
 func (b *RetryBudget) bucket(now time.Time) *budgetBucket {
-	index := now.UnixNano() / int64(b.bucketLength())
+	index, _ := b.clock.position(now, b.bucketLength())
 	bucket := &b.buckets[index%int64(len(b.buckets))]
 	if bucket.index != index {
 		*bucket = budgetBucket{index: index}
@@ -96,7 +98,7 @@
 			u.Demand += bucket.requests
 		}
 	}
-	sinceBucketStart := time.Duration(now.UnixNano()) - time.Duration(current.index)*b.bucketLength()
+	_, sinceBucketStart := b.clock.position(now, b.bucketLength())
 	u.Demand /= (demandBuckets*b.bucketLength() + sinceBucketStart).Seconds()
 	return u
 }
@@ -128,7 +130,7 @@
 
 // Refund takes back a retry that was allowed at a time and not sent.
 func (b *RetryBudget) Refund(allowedAt time.Time) {
-	index := allowedAt.UnixNano() / int64(b.bucketLength())
+	index, _ := b.clock.position(allowedAt, b.bucketLength())
 	if bucket := &b.buckets[index%int64(len(b.buckets))]; bucket.index == index {
 		bucket.retries--
 	}
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -40,7 +40,8 @@
 	// updatedAt; used is the part of it that was used or has expired.
 	accrued, used float64
 	updatedAt     time.Time
-	// sends counts this gateway's requests by periods of LimitWindow/limitBuckets.
+	// sends counts this gateway's requests by periods of LimitWindow/limitBuckets of clock.
+	clock bucketClock
 	sends [limitBuckets + 1]sendBucket
 	// othersSends is the number of requests that the other gateways sent within LimitWindow, and
 	// othersKnownAt when that was known last.
@@ -56,7 +57,7 @@
 const sendBucketLength = LimitWindow / limitBuckets
 
 func (l *serverLimit) recordSend(now time.Time, count float64) {
-	index := now.UnixNano() / int64(sendBucketLength)
+	index, _ := l.clock.position(now, sendBucketLength)
 	bucket := &l.sends[index%int64(len(l.sends))]
 	if bucket.index != index {
 		*bucket = sendBucket{index: index}
@@ -67,7 +68,7 @@
 
 // ownSends returns the number of this gateway's requests within LimitWindow.
 func (l *serverLimit) ownSends(now time.Time) (sum float64) {
-	index := now.UnixNano() / int64(sendBucketLength)
+	index, _ := l.clock.position(now, sendBucketLength)
 	for _, bucket := range l.sends {
 		if index-bucket.index <= limitBuckets {
 			sum += bucket.count
