gateway: a status that promises no run is not forwarded for a request that may have run

What callers saw, by reports on systems like this one: "not run, try again" for a request that a server had run (REFUSED), or the request ran a second time (TWICE). Cause: only a response that says so means that a request has not run. A 408, 429 or 503 without that was taken as the server's response and forwarded, and its status promises the same to the caller, who sends the request again. Change: for requests that must not run twice such a response is answered with 502, which promises nothing, without the server's headers and body. Others are forwarded as they are. Result: TestStatusOfARunThatPromisesNoRunIsNotForwarded on the code before fails on calls and on streams that are not resumable, in 9 of their 12 cases; it passes.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -50,7 +51,7 @@
 		errReply.servers = state.triedServerIDs
 		return errReply
 	}
-	return g.forwardResponse(ctx, w, res)
+	return g.forwardResponse(ctx, w, req, res)
 }
 
 // maxCallAttempts bounds the attempts of one call, refused ones included.
@@ -405,9 +406,25 @@
 	return s.MaxConnections / gatewaysPerServer
 }
 
-// forwardResponse forwards a response to the caller and returns nil. If the rest of a large response
-// fails, it panics with http.ErrAbortHandler.
-func (g *Gateway) forwardResponse(ctx context.Context, w http.ResponseWriter, res *result) *reply {
+// promisesNotRun reports whether a status tells callers that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// forwardResponse forwards a response to a request that may have run to the caller, and returns nil. If
+// its status would promise that the request has not run, and it must not run twice, it returns a reply
+// instead. If the rest of a large response fails, it panics with http.ErrAbortHandler.
+func (g *Gateway) forwardResponse(ctx context.Context, w http.ResponseWriter, req *callerRequest, res *result) *reply {
+	if promisesNotRun(res.status) && !req.route.Retryable() {
+		if res.unread != nil {
+			res.unread.Abort()
+		}
+		return newReply(http.StatusBadGateway, fmt.Sprintf("the backend server responded with status %d and does not say that the request has not run", res.status))
+	}
 	copyResponseHeaders(w.Header(), res.header)
 	if res.unread == nil {
 		w.Header().Set("Content-Length", strconv.Itoa(len(res.body)))
--- a/pkg/gateway/faultyserver_test.go
+++ b/pkg/gateway/faultyserver_test.go
@@ -108,6 +108,41 @@
 	}
 }
 
+// Guards against a server that runs a request and responds with a status that promises the contrary
+// without saying so: a caller would send a request once more that must not run twice.
+func TestStatusOfARunThatPromisesNoRunIsNotForwarded(t *testing.T) {
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		for _, tt := range []struct {
+			path, service string
+			wantForwarded bool
+		}{{"/once/x", "app", false}, {"/safe/x", "app", true}, {"/fixed/x", "pool", false}, {"/stream/x", "pool", true}} {
+			for _, size := range []int{10, 2 * maxBufferedResponseBytes} {
+				t.Run(fmt.Sprintf("%s %s %d bytes", tt.path, status, size), func(t *testing.T) {
+					f := newFixture(t)
+					f.publish(1, testConfig())
+					var runs atomic.Int64
+					f.addRawServer(tt.service, "faulty", "local", func(c net.Conn, r *http.Request) bool {
+						runs.Add(1)
+						_, _ = io.WriteString(c, rawResponse(r, status, strings.Repeat("x", size)))
+						return true
+					})
+					got := f.send("POST", tt.path, map[string]string{"X-Patience": "500"})
+					qt.Assert(t, runs.Load() > 0, qt.IsTrue)
+					if tt.wantForwarded && size < maxBufferedResponseBytes {
+						qt.Assert(t, fmt.Sprintf("%d %s", got.status, http.StatusText(got.status)), qt.Equals, status)
+						return
+					}
+					if !tt.wantForwarded {
+						qt.Assert(t, got.status, qt.Equals, http.StatusBadGateway)
+						qt.Assert(t, got.body, qt.Equals, "")
+						qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against the text or the head of an error in the middle of a stream, and against a stream that
 // looks complete: it began at one engine and broke off, and the next engine fails.
 func TestErrorAfterABrokenStreamIsNotForwarded(t *testing.T) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -154,7 +154,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if s.errorResult != nil {
-		return s.g.forwardResponse(s.ctx, s.w, s.errorResult)
+		return s.g.forwardResponse(s.ctx, s.w, s.req, s.errorResult)
 	}
 	switch {
 	case s.possibleRuns == 0 && errors.Is(err, errQuarantined):
