gateway: all gateways together keep to the connections that a server accepts

What callers would see: connections that a server resets, with the requests on them, when its queue is long and many gateways send to it. Cause: the connections that a server accepts from all gateways were divided by four however many gateways there are; for fewer than four the result was 0, no limit. It is the class of the retry budget and of server limits, a limit for all, kept by each, found in the search for where else it lives. Change: one half of the connections is shared equally among the gateways that are known, the rest by their demand, at least two for each. A gateway that does not know the others yet opens a sixteenth.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -401,9 +401,23 @@
 	}
 }
 
-// connectionLimit returns the number of connections that this gateway may open to one server.
+// connectionLimit returns the number of connections that this gateway may open to one server of a
+// service, 0 for no limit. Of the connections that the server accepts from all gateways together, one
+// half is shared equally, so that a gateway whose demand begins has some, and the rest by demand.
 func (g *Gateway) connectionLimit(s *routing.Service) int {
-	return s.MaxConnections / gatewaysPerServer
+	if s.MaxConnections <= 0 {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	gateways := g.usage.Gateways()
+	if gateways == 0 {
+		return max(minConnections, s.MaxConnections/assumedGateways)
+	}
+	now := time.Now()
+	equal := max(minConnections, s.MaxConnections/2/gateways)
+	rest := max(0, s.MaxConnections-equal*gateways)
+	return equal + int(float64(rest)*g.usage.Share(s.Name, g.budget(s.Name).Usage(now).Demand, now))
 }
 
 // promisesNotRun reports whether a status tells callers that the request has not run and never will.
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -80,7 +80,10 @@
 	probeInterval = 60 * time.Millisecond
 	// maxConcurrentProbes bounds the probes in flight.
 	maxConcurrentProbes = 64
-	// gatewaysPerServer is the number of gateways that the connections of one server
-	// suffice for: each gateway opens at most 1/gatewaysPerServer of them.
-	gatewaysPerServer = 4
+	// assumedGateways is the number of gateways that share the connections of a server, as long as a
+	// gateway that has started does not know it.
+	assumedGateways = 16
+	// minConnections is the number of connections that a gateway may always open to a server: one for a
+	// run and one for the request to copy it.
+	minConnections = 2
 )
--- a/pkg/usage/share.go
+++ b/pkg/usage/share.go
@@ -58,6 +58,9 @@
 	return 1 / float64(v.connected)
 }
 
+// Gateways returns the number of gateways, 0 if it is unknown.
+func (v *View) Gateways() int { return v.connected }
+
 // Common is the usage of a service by all gateways, as one gateway knows it.
 type Common struct {
 	// Total is the usage at the time of the last exchange, but with the present requests and demand of
