--- a/pkg/configwatch/store.go
+++ b/pkg/configwatch/store.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -38,8 +39,8 @@
 }
 
 // openStore opens the store in a folder and returns the stored document, or nil if
-// there is none. An incomplete last line of the journal is dropped:
-// save had not succeeded for it.
+// there is none. An incomplete last line of the journal is dropped: save had not succeeded for it. A
+// damaged line before that is an error: what follows it may have been obeyed.
 func openStore(folder string) (*documentStore, *document.Document, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, nil, eris.Wrap(err, "create the data folder")
@@ -91,10 +92,19 @@
 	reader := bufio.NewReader(file)
 	for lines := 0; ; lines++ {
 		raw, err := reader.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return d, lines, nil
+		}
+		if err != nil {
+			return nil, 0, eris.Wrap(err, "read the configuration journal")
+		}
 		var line journalLine
 		var ops []document.Op
-		if err != nil || json.Unmarshal(raw, &line) != nil || json.Unmarshal(line.Ops, &ops) != nil {
-			return d, lines, nil
+		if err := errors.Join(json.Unmarshal(raw, &line), json.Unmarshal(line.Ops, &ops)); err != nil {
+			if _, peekErr := reader.Peek(1); errors.Is(peekErr, io.EOF) {
+				return d, lines, nil
+			}
+			return nil, 0, eris.Wrapf(err, "decode line %d of the configuration journal, which has more lines", lines+1)
 		}
 		if line.Version <= d.Version {
 			continue // The whole document already includes this change.
--- a/pkg/configwatch/store_test.go
+++ b/pkg/configwatch/store_test.go
@@ -1,6 +1,7 @@
 package configwatch
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -67,6 +68,29 @@
 	})
 }
 
+// Guards against a damaged line of the journal that passes for its end: the instance would start with an
+// older configuration than it had obeyed.
+func TestDamagedLineIsNotTheEndOfTheJournal(t *testing.T) {
+	path := t.TempDir()
+	store, _, err := openStore(path)
+	qt.Assert(t, err, qt.IsNil)
+	d := document.Empty()
+	for i := range 3 {
+		u, err := new(eventDecoder).decode(d, &wire.WatchEvent{Version: d.Version + 1, Ops: testOps(1 + i)})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, store.save(u), qt.IsNil)
+		d = u.document
+	}
+	store.close()
+	journal, err := os.ReadFile(filepath.Join(path, journalFile))
+	qt.Assert(t, err, qt.IsNil)
+	second := bytes.IndexByte(journal, '\n') + 1
+	journal[second+2] = 0
+	qt.Assert(t, os.WriteFile(filepath.Join(path, journalFile), journal, 0o600), qt.IsNil)
+	_, got, err := openStore(path)
+	qt.Assert(t, err, qt.ErrorMatches, "(?s).*decode line 2 .*", qt.Commentf("read %+v", got))
+}
+
 // Guards against a watch that accepts events that cannot be applied to the current
 // document, and against input that crashes the instance.
 func TestEventDecoderRejectsInapplicableEvents(t *testing.T) {
