gateway: a stream goes on with the same media type

What callers would see: streams broken off while the engines of a service are replaced by a version that writes its content type in another way. Cause: lets a stream go on only with the very text of its content type. Change: the media types are compared, without parameters and case.

--- a/pkg/gateway/faultyserver_test.go
+++ b/pkg/gateway/faultyserver_test.go
@@ -189,6 +189,38 @@
 	}
 }
 
+// Guards against a stream that is broken off as the next engine, of another software version, writes the
+// same content type in another way.
+func TestStreamGoesOnWithTheSameMediaType(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, testConfig())
+	breaks := f.addServer("pool", "begins", "local", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Last") != "" {
+			abortConnection(w, r)
+		}
+		streamHandler(func(i int) bool {
+			if i == 4 {
+				panic(http.ErrAbortHandler)
+			}
+			return true
+		})(w, r)
+	})
+	f.addRawServer("pool", "goes-on", "remote", func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, rawResponse(r, "200 OK", expectedEvents(5), "Content-Type: Text/Event-Stream; charset=utf-8"))
+		return true
+	})
+	for deadline := time.Now().Add(5 * time.Second); len(breaks.receivedRequests()) == 0 && time.Now().Before(deadline); {
+		got := f.send("POST", "/stream/x", map[string]string{"X-Prompt": "100", "X-Patience": "1500"})
+		if len(breaks.receivedRequests()) == 0 {
+			continue
+		}
+		qt.Assert(t, got.err, qt.IsNil)
+		qt.Assert(t, got.body, qt.Equals, expectedEvents(1))
+		return
+	}
+	t.Fatal("no stream began at the engine that breaks off")
+}
+
 // Guards against the text of an error, or a late second response on a kept connection, in the response
 // to a call that broke off at another server, and against a short body that looks complete.
 func TestErrorAfterABrokenCallIsNotForwarded(t *testing.T) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -298,7 +299,7 @@
 		s.g.mu.Unlock()
 	}
 	if response.StatusCode < http.StatusMultipleChoices {
-		if contentType := response.Header.Get("Content-Type"); s.headSent && contentType != s.contentType {
+		if contentType := response.Header.Get("Content-Type"); s.headSent && !isSameMediaType(contentType, s.contentType) {
 			s.exclude(engine, false)
 			return eris.Wrapf(errFailed, "the stream would go on with the content type %q", contentType)
 		}
@@ -326,6 +327,14 @@
 	return errFailed
 }
 
+// isSameMediaType reports whether two values of Content-Type name the same media type. Parameters, such
+// as a charset, do not change the format of the events.
+func isSameMediaType(a, b string) bool {
+	typeA, _, _ := strings.Cut(a, ";")
+	typeB, _, _ := strings.Cut(b, ";")
+	return strings.EqualFold(strings.TrimSpace(typeA), strings.TrimSpace(typeB))
+}
+
 // forwardEvents forwards events to the caller until the stream is complete.
 func (s *streamState) forwardEvents(
 	ctx context.Context, cancel context.CancelFunc, engine *placement.Server, response *upstream.Response, watch *firstEventWatch,
