gateway: tell callers when the pause of the only servers ends

What callers would see: after a server has asked for a pause, a second refusal, as the first one told them to come back before the pause ends. Cause: the Retry-After of pauses and limits was bounded at 2 s. Change: it is bounded at 10 s. What callers do with a longer time than they have left is theirs. Result: TestRefusalSaysWhenThePauseEnds on the code before: 2 for a pause of 5 s; it passes, with the other tests of pauses and limits.

--- a/pkg/gateway/pause_test.go
+++ b/pkg/gateway/pause_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -54,3 +55,25 @@
 		})
 	}
 }
+
+// Guards against callers who are told to come back while the pause of the only server goes on: they are
+// refused again.
+func TestRefusalSaysWhenThePauseEnds(t *testing.T) {
+	for _, tt := range []struct{ pause, least, most float64 }{{5, 4, 5}, {60, 10, 10}} {
+		t.Run(fmt.Sprint(tt.pause), func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, testConfig())
+			f.addServer("app", "busy", "local", func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Pause", fmt.Sprint(tt.pause))
+				respondNotRun(w, r)
+			})
+			for range 2 {
+				got := f.send("POST", "/once/x", nil)
+				qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+				retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, retryAfter >= tt.least && retryAfter <= tt.most, qt.IsTrue, qt.Commentf("Retry-After %g", retryAfter))
+			}
+		})
+	}
+}
--- a/pkg/gateway/serverlimit.go
+++ b/pkg/gateway/serverlimit.go
@@ -17,10 +17,10 @@
 	// resumeLimitPatience bounds the wait of a stream that has begun. Callers abandon a stream after a
 	// gap of two seconds.
 	resumeLimitPatience = time.Second
-	// minLimitRetryAfter and maxLimitRetryAfter bound the Retry-After time of a request that a limit
-	// keeps from the servers.
+	// minLimitRetryAfter and maxLimitRetryAfter bound the Retry-After time of a request that a limit or
+	// a pause keeps from the servers. Servers may appear or recover before a longer time has passed.
 	minLimitRetryAfter = 50 * time.Millisecond
-	maxLimitRetryAfter = 2 * time.Second
+	maxLimitRetryAfter = 10 * time.Second
 )
 
 var errServerLimits = eris.New("the limits of all servers are used up")
