gateway: a gateway that is cut off keeps to the retries that the others had sent

What callers would see: repeats beyond what a service allows (BUDGET), as gateways lose the coordinators in a storm. Cause: a gateway without new totals used its own part of the budget, which the others had been lent just before; what it knew of them was dropped after 1.5 s, while their retries stay in the window for 10 s. Change: for the length of the window the last totals bound a gateway that is cut off, besides its own part.

--- a/pkg/gateway/serverlimit.go
+++ b/pkg/gateway/serverlimit.go
@@ -41,7 +41,7 @@
 	}
 	own := g.budget(service).Usage(now)
 	d := placement.ServiceDemand{Share: g.usage.Share(service, own.Demand, now)}
-	if common, ok := g.usage.Common(service, own, now); ok {
+	if common, ok := g.usage.Common(service, own, now, usage.TotalsTTL); ok {
 		d.PerServer = common.Total.Demand / float64(max(1, pool.CountReady()))
 	}
 	pool.SetDemand(d)
--- a/pkg/placement/budget.go
+++ b/pkg/placement/budget.go
@@ -116,11 +116,13 @@
 func (b *RetryBudget) isWithinBudget(now time.Time, purpose RetryPurpose) bool {
 	own, share := b.Usage(now), budgetShares[purpose]
 	part := b.View.Share(b.Service, own.Demand, now)
-	common, ok := b.View.Common(b.Service, own, now)
-	if !ok {
-		return own.Retries+1 <= share*(b.RetryRatio*own.Requests+b.RetrySlack*part)
-	}
+	// Older totals still tell which retries of the others are in the window.
+	common, ok := b.View.Common(b.Service, own, now, b.Window)
 	left := share*(b.RetryRatio*common.Total.Requests+b.RetrySlack*common.Coverage) - common.Total.Retries
+	if !ok || common.Age > usage.TotalsTTL {
+		isWithinOwn := own.Retries+1 <= share*(b.RetryRatio*own.Requests+b.RetrySlack*part)
+		return isWithinOwn && (!ok || common.NewRetries+1 <= part*left)
+	}
 	lease := min(1, leaseFactors[purpose]*part) * left
 	if left >= float64(common.Gateways) {
 		lease = max(1, lease)
--- a/pkg/placement/budget_test.go
+++ b/pkg/placement/budget_test.go
@@ -80,6 +80,33 @@
 	qt.Assert(t, b.AllowRetry(atMillis(12001), Restart), qt.IsTrue)
 }
 
+// Guards against a gateway that loses the coordinators while the others have used up the budget, and that
+// uses its own part on top of that: what it knew last holds until the retries have left the window.
+func TestGatewayThatIsCutOffKeepsToTheRetriesOfTheOthers(t *testing.T) {
+	b := RetryBudget{RetryRatio: 0.8, RetrySlack: 150, Window: 10 * time.Second, Service: "s", View: &usage.View{}}
+	table := usage.NewTable(start.Add(-time.Minute))
+	table.Record("other", usage.Report{Services: usage.Services{"s": {Requests: 100, Retries: 230, Demand: 10}}}, start)
+	for range 40 {
+		b.RecordRequest(start)
+	}
+	own := usage.Report{Services: usage.Services{"s": b.Usage(start)}}
+	table.Record("own", own, start)
+	b.View.Update(table.Totals(start, 2), own, start)
+	allowedAt := func(ms int) (count int) {
+		for b.AllowRetry(atMillis(ms), Resume) {
+			count++
+		}
+		return count
+	}
+	qt.Assert(t, allowedAt(1000), qt.Equals, 0)
+	qt.Assert(t, allowedAt(4000), qt.Equals, 0)
+	// The retries of the others have left the window.
+	for range 40 {
+		b.RecordRequest(atMillis(11000))
+	}
+	qt.Assert(t, allowedAt(11500) > 30, qt.IsTrue)
+}
+
 // gatewayFleet plays the gateways of a deployment that share the budget of one service.
 type gatewayFleet struct {
 	budgets []*RetryBudget
--- a/pkg/placement/limit_test.go
+++ b/pkg/placement/limit_test.go
@@ -88,7 +88,7 @@
 func (g *limitedGateway) setDemand(now time.Time) {
 	own := g.demand.Usage(now)
 	d := ServiceDemand{Share: g.view.Share("s", own.Demand, now)}
-	if common, ok := g.view.Common("s", own, now); ok {
+	if common, ok := g.view.Common("s", own, now, usage.TotalsTTL); ok {
 		d.PerServer = common.Total.Demand / float64(g.pool.CountReady())
 	}
 	g.pool.SetDemand(d)
--- a/pkg/usage/share.go
+++ b/pkg/usage/share.go
@@ -63,6 +63,8 @@
 
 // Common is the usage of a service by all gateways, as one gateway knows it.
 type Common struct {
+	// Age is the time since the last exchange.
+	Age time.Duration
 	// Total is the usage at the time of the last exchange, but with the present requests and demand of
 	// this gateway. NewRetries is the number of retries that this gateway added since.
 	Total      Service
@@ -73,15 +75,15 @@
 }
 
 // Common returns the usage of a service by all gateways, given the present usage by this one. It
-// reports false if the usage is unknown or too old.
-func (v *View) Common(service string, own Service, now time.Time) (Common, bool) {
-	if !v.isKnown(now, TotalsTTL) {
+// reports false if the usage is unknown or older than maxAge.
+func (v *View) Common(service string, own Service, now time.Time, maxAge time.Duration) (Common, bool) {
+	if !v.isKnown(now, maxAge) {
 		return Common{}, false
 	}
 	total, reported := v.totals.Services[service], v.reported.Services[service]
 	total.Requests += own.Requests - reported.Requests
 	total.Demand += own.Demand - reported.Demand
 	return Common{
-		Total: total, NewRetries: max(0, own.Retries-reported.Retries), Gateways: v.totals.Reporting, Coverage: v.coverage(),
+		Age: now.Sub(v.receivedAt), Total: total, NewRetries: max(0, own.Retries-reported.Retries), Gateways: v.totals.Reporting, Coverage: v.coverage(),
 	}, true
 }
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -83,12 +83,12 @@
 	table.Record("a", r, start)
 	var v View
 	v.Update(table.Totals(start, 1), r, start)
-	_, ok := v.Common("s", r.Services["s"], start)
+	_, ok := v.Common("s", r.Services["s"], start, TotalsTTL)
 	qt.Assert(t, ok, qt.IsFalse)
 	later := start.Add(settleTime)
 	table.Record("b", r, later.Add(-time.Second))
 	v.Update(table.Totals(later, 2), r, later)
-	common, ok := v.Common("s", Service{Requests: 14, Retries: 3, Demand: 2}, later)
+	common, ok := v.Common("s", Service{Requests: 14, Retries: 3, Demand: 2}, later, TotalsTTL)
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, common, qt.Equals, Common{
 		Total: Service{Requests: 24, Retries: 2, Demand: 3}, NewRetries: 2, Gateways: 2, Coverage: 1,
