usage: the requests of gateways that ended count in the retry budget

Cause: the retries of ended processes counted on for the window, their requests did not, so that the budget shrank as gateways were killed. Change: the requests of an ended process count on too, less as they leave the window.

--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -61,9 +61,9 @@
 const (
 	// reportTTL is how long a report is included, several times the interval between two reports.
 	reportTTL = 5 * time.Second
-	// retriesTTL is how long the retries of a gateway count that ended or started again: as long as the
-	// usual window of a retry budget.
-	retriesTTL = 10 * time.Second
+	// endedTTL is how long the requests and retries of a gateway count that ended or started again: as
+	// long as the usual window of a retry budget.
+	endedTTL = 10 * time.Second
 	// settleTime is the time after which a coordinator that has started knows its gateways. It covers
 	// the reconnection of all gateways and one report of each.
 	settleTime = 3 * time.Second
@@ -106,10 +106,12 @@
 			totals.Services[name] = totals.Services[name].add(s)
 		}
 	}
-	t.ended = slices.DeleteFunc(t.ended, func(r timedReport) bool { return now.Sub(r.receivedAt) > retriesTTL })
+	t.ended = slices.DeleteFunc(t.ended, func(r timedReport) bool { return now.Sub(r.receivedAt) > endedTTL })
 	for _, r := range t.ended {
+		// The requests leave the window one after the other; the retries may all be recent.
+		inWindow := 1 - float64(now.Sub(r.receivedAt))/float64(endedTTL)
 		for name, s := range r.Services {
-			totals.Services[name] = totals.Services[name].add(Service{Retries: s.Retries})
+			totals.Services[name] = totals.Services[name].add(Service{Requests: s.Requests * inWindow, Retries: s.Retries})
 		}
 	}
 	totals.Limits = t.limits(now)
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -96,3 +96,19 @@
 	// The report of a gateway that is gone is dropped.
 	qt.Assert(t, table.Totals(later.Add(2*reportTTL), 1).Reporting, qt.Equals, 0)
 }
+
+// Guards against a budget that shrinks as gateways are killed: their requests were sent in the window too.
+func TestRequestsOfEndedProcessesCount(t *testing.T) {
+	table := settledTable()
+	table.Record("a", Report{Incarnation: 1, Services: Services{"s": {Requests: 100, Retries: 30, Demand: 10}}}, start)
+	table.Record("a", Report{Incarnation: 2, Services: Services{"s": {Requests: 1}}}, start)
+	for _, tt := range []struct {
+		after                     time.Duration
+		wantRequests, wantRetries float64
+	}{{0, 101, 30}, {endedTTL / 2, 51, 30}, {endedTTL, 1, 30}, {endedTTL + time.Millisecond, 1, 0}} {
+		now := start.Add(tt.after)
+		table.Record("a", Report{Incarnation: 2, Services: Services{"s": {Requests: 1}}}, now)
+		totals := table.Totals(now, 1).Services["s"]
+		qt.Assert(t, totals, qt.Equals, Service{Requests: tt.wantRequests, Retries: tt.wantRetries})
+	}
+}
