gateway: use more of the retry budget, as less of it is unknown

Change: 0.66 of the budget for hedges and relocations, 0.74 for restarts, 0.82 for streams that have begun.

--- a/pkg/placement/budget.go
+++ b/pkg/placement/budget.go
@@ -46,7 +46,7 @@
 // budgetShares is the share of the budget of all gateways up to which retries of each purpose are
 // allowed. What is left covers arrivals that fall into another window than their sends, and retries
 // that the gateways allow before they know of each other's.
-var budgetShares = [...]float64{Optional: 0.62, Restart: 0.7, Resume: 0.78}
+var budgetShares = [...]float64{Optional: 0.66, Restart: 0.74, Resume: 0.82}
 
 // leaseFactors scales what a gateway may use, until the next exchange, of the budget that is left: 1 is
 // its share. More lets a gateway with many broken streams use what others do not need; the sum over all
