placement: a server that was slow once is tried again

Callers saw: nothing yet; a gateway stopped using a server for calls after one slow response, for as long as another server had room. In a burst the other servers had to hold as many more requests in flight as that response had been slower before the server got its next call.

A dump of the pool in the failing runs showed a limit with 19 requests accrued and 7 used, a server that is not avoided, with a latency of 3 to 34 ms from one request, against a median of 0.16 to 0.58 ms, and so a cost of 8 to 198 against 1.4. Ruled out: the limit, a failed connection, a failure rate.

Cause: the moving average of the latency had no age. A server that is not selected because of it gets no sample that corrects it. In a fixture the first response, on a cold connection beside load, is enough.

Result: TestSlowServerIsTriedAgain and TestServerThatStaysSlowGetsFewCalls fail before and pass now.

--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -38,6 +38,9 @@
 	slowLatencyRatio = 2.5
 	// latencySmoothing is the weight of the latest sample in the moving average of the latency.
 	latencySmoothing = 0.2
+	// latencyTTL is how long a moving average of the latency counts without a new sample. A server that
+	// is not selected because it was slow gets no sample that shows that it no longer is.
+	latencyTTL = 5 * time.Second
 	// warmUpCost is the cost, in requests, of a server that is still slow after its start.
 	warmUpCost = 2.0
 )
@@ -61,9 +64,12 @@
 	lastLoad       LoadReport
 	loadReportedAt time.Time
 	failureRate    float64
-	latencyMS      float64
-	avoidBackoff   time.Duration
-	avoidedUntil   time.Time
+	// latencyMS is the moving average of the latency, 0 without samples, and latencySampledAt the time of
+	// the last one.
+	latencyMS        float64
+	latencySampledAt time.Time
+	avoidBackoff     time.Duration
+	avoidedUntil     time.Time
 	// peerRuns are the runs and copies that other gateways placed on the server.
 	peerRuns []peerRun
 	// prefillStarts are the times at which prompts were sent to the server for prefill.
@@ -206,7 +212,7 @@
 // It returns nil if no server is available.
 func (p *Pool) SelectForCall(now time.Time, exclude []string) *Server {
 	candidates := p.candidates(now, exclude)
-	median := medianLatency(candidates)
+	median := medianLatency(candidates, now)
 	return p.selectCheapest(candidates, func(s *Server) float64 { return p.callCost(s, now, median) })
 }
 
@@ -225,17 +231,25 @@
 	if slots := s.Slots; slots > 0 && openRequests >= float64(slots) {
 		cost *= 2
 	}
-	if median > 0 && s.latencyMS > slowLatencyRatio*median {
-		cost *= s.latencyMS / median
+	if latency := s.recentLatency(now); median > 0 && latency > slowLatencyRatio*median {
+		cost *= latency / median
 	}
 	return cost * (1 + failureWeight*s.failureRate)
 }
 
-func medianLatency(servers []*Server) float64 {
+// recentLatency returns the moving average of the latency in milliseconds, 0 if it does not count.
+func (s *Server) recentLatency(now time.Time) float64 {
+	if now.Sub(s.latencySampledAt) >= latencyTTL {
+		return 0
+	}
+	return s.latencyMS
+}
+
+func medianLatency(servers []*Server, now time.Time) float64 {
 	var latencies []float64
 	for _, s := range servers {
-		if s.latencyMS > 0 {
-			latencies = append(latencies, s.latencyMS)
+		if latency := s.recentLatency(now); latency > 0 {
+			latencies = append(latencies, latency)
 		}
 	}
 	if len(latencies) < 2 {
@@ -315,10 +329,11 @@
 	s.avoidBackoff = 0
 	s.lastAliveAt = now
 	ms := float64(duration) / float64(time.Millisecond)
-	if s.latencyMS == 0 {
+	if s.recentLatency(now) == 0 {
 		s.latencyMS = ms
 	}
 	s.latencyMS += latencySmoothing * (ms - s.latencyMS)
+	s.latencySampledAt = now
 }
 
 // RecordFailure records a response that reports an error, is incomplete or never came.
--- a/pkg/placement/pool_test.go
+++ b/pkg/placement/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -179,3 +180,38 @@
 	qt.Assert(t, p.AllUnreachable(atMillis(4)), qt.IsFalse)
 	qt.Assert(t, newTestPool().AllUnreachable(atMillis(0)), qt.IsTrue)
 }
+
+// Guards against a server that gets no calls any more after a slow response, while others have room.
+func TestSlowServerIsTriedAgain(t *testing.T) {
+	for _, latency := range []time.Duration{60 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second} {
+		t.Run(latency.String(), func(t *testing.T) {
+			p := newTestPool("local1", "local2")
+			p.RecordSuccess("local1", latency, atMillis(0))
+			var selected []string
+			for ms := 100; ms <= 6000; ms += 100 {
+				s := p.SelectForCall(atMillis(ms), nil)
+				selected = append(selected, s.ID)
+				p.RecordSuccess(s.ID, 15*time.Millisecond, atMillis(ms))
+			}
+			qt.Assert(t, slices.Index(selected, "local1") > 10, qt.IsTrue, qt.Commentf("%v", selected))
+			// A quick response shows that it is no longer slow.
+			counts := callCounts(p, atMillis(6100))
+			qt.Assert(t, counts["local1"] > 20, qt.IsTrue, qt.Commentf("%v", counts))
+		})
+	}
+}
+
+// Guards against a server that stays slow and gets more than a few of the calls.
+func TestServerThatStaysSlowGetsFewCalls(t *testing.T) {
+	p := newTestPool("local1", "local2")
+	slow := 0
+	for ms := 0; ms < 60000; ms += 20 {
+		s := p.SelectForCall(atMillis(ms), nil)
+		latency := 15 * time.Millisecond
+		if s.ID == "local1" {
+			latency, slow = 400*time.Millisecond, slow+1
+		}
+		p.RecordSuccess(s.ID, latency, atMillis(ms))
+	}
+	qt.Assert(t, slow >= 5 && slow <= 30, qt.IsTrue, qt.Commentf("%d of 3000 calls", slow))
+}
