gateway: no empty response to a caller that closed its side of the connection

The request may have run.

Evidence: TestHalfClosedCallerGetsNoEmptyResponse sends a request, or a part of it, and closes its own side of the connection. All nine cases got the empty 200 before. Found while a test for slow bodies passed that should not have.

Cause: net/http cancels the context of a request when a read of the connection fails or ends, and the gateway took that for a caller that has left. It returned without a response, which net/http completes with an empty one.

Change: the connection is closed without a response. The caller sees a request without an answer, which may have run.

Result: all nine cases pass.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -70,9 +70,14 @@
 	}
 	callerLeft := r.Context().Err() != nil
 	g.metrics.recordRequest(kindLabel(req), outcomeLabel(errReply, callerLeft), time.Since(startedAt))
-	if errReply == nil || callerLeft {
+	if errReply == nil {
 		return
 	}
+	if callerLeft {
+		// The caller may have closed only its side of the connection, and net/http would send it an empty
+		// response with status 200.
+		panic(http.ErrAbortHandler)
+	}
 	route, service := "", ""
 	if req != nil {
 		route, service = req.route.Name, req.service.Name
