entry: no complete-looking stream to a caller that closed its side

Callers saw: a stream of the older entry path that broke off, but whose transfer was ended as if it were whole.

Change: the handler aborts the connection after a response that could not be sent. An error event, which says that the stream failed, is still sent where the error comes from the generation.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -159,16 +159,19 @@
 // completeRequest counts a request, and sends err to the caller unless a response
 // was already started.
 func (s *Service) completeRequest(w http.ResponseWriter, r *http.Request, route, organisation string, err error) {
-	code := "ok"
+	code, abort := "ok", false
 	if err != nil {
 		e := asAPIError(err)
-		code = e.code
+		code, abort = e.code, e.abort
 		if !e.responseStarted {
 			s.writeError(w, e)
 		}
 	}
 	s.requestCounter.Add(r.Context(), 1, metric.WithAttributes(
 		attribute.String("route", route), attribute.String("code", code)))
+	if abort {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // tryReserve increments counter and reports whether it stayed within limit; if
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -232,3 +235,32 @@
 	qt.Assert(t, response.StatusCode, qt.Equals, 422)
 	qt.Assert(t, text, qt.Contains, `"code":"other_request"`)
 }
+
+// Guards against a stream that ends as if it were complete, when the caller closed only its own side of
+// the connection.
+func TestStreamOfHalfClosedCallerDoesNotLookComplete(t *testing.T) {
+	api := newTestAPI(t)
+	api.runner.gate, api.runner.blockAt = make(chan struct{}), 2
+	conn, err := net.Dial("tcp", api.server.Listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	const body = `{"model":"summary","prompt":"a b c","stream":true}`
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\n%s\r\nContent-Length: %d\r\n\r\n%s", fillKey, len(body), body)
+	qt.Assert(t, err, qt.IsNil)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	qt.Assert(t, err, qt.IsNil)
+	events := bufio.NewReader(response.Body)
+	for line := ""; line != "id: s1.1\n"; {
+		line, err = events.ReadString('\n')
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	qt.Assert(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	rest, err := io.ReadAll(events)
+	if err == nil {
+		qt.Assert(t, string(rest), qt.Contains, "event: error")
+		return
+	}
+	qt.Assert(t, err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
--- a/pkg/entry/errors.go
+++ b/pkg/entry/errors.go
@@ -32,6 +32,8 @@
 	// responseStarted is set if a response was already started, so that this
 	// error cannot be sent as a response.
 	responseStarted bool
+	// abort is set if the connection must be closed, so that the response does not look complete.
+	abort bool
 }
 
 // Error implements error.
@@ -160,5 +162,5 @@
 // callerDisconnected returns the error for a response that could not be sent
 // completely.
 func callerDisconnected(err error) *apiError {
-	return &apiError{responseStarted: true, outcome: outcomeUnknown, code: "caller_gone", message: err.Error()}
+	return &apiError{responseStarted: true, abort: true, outcome: outcomeUnknown, code: "caller_gone", message: err.Error()}
 }
