gateway: the idle timeout does not cut off the body of a request

Evidence: TestIdleLimit with a body that comes 400 ms after the head, idle timeout 200 ms: "unexpected EOF" for the second request of a connection.

Cause: net/http reports that a connection is active only after it has read the head of a request, and removes the read deadline before. The connection was idle until then, so that the removal set the idle timeout anew, from the head on.

Change: only the first deadline of an idle connection is shortened.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -37,7 +37,8 @@
 	return &idleConn{Conn: conn, timeout: l.timeout}, nil
 }
 
-// idleConn shortens the read deadline that net/http sets on an idle connection.
+// idleConn shortens the read deadline that net/http sets on an idle connection, but not the later ones
+// of the next request.
 type idleConn struct {
 	net.Conn
 	timeout func() time.Duration
@@ -46,7 +47,7 @@
 
 // SetReadDeadline implements net.Conn.
 func (c *idleConn) SetReadDeadline(deadline time.Time) error {
-	if timeout := c.timeout(); c.idle.Load() && timeout > 0 {
+	if timeout := c.timeout(); c.idle.CompareAndSwap(true, false) && timeout > 0 {
 		if idleDeadline := time.Now().Add(timeout); deadline.IsZero() || idleDeadline.Before(deadline) {
 			deadline = idleDeadline
 		}
@@ -54,11 +55,11 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// trackConnState records whether a connection is idle. net/http calls it before it sets
+// trackConnState records that a connection becomes idle. net/http calls it before it sets
 // the read deadline of an idle connection.
 func trackConnState(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*idleConn); ok {
-		c.idle.Store(state == http.StateIdle)
+	if c, ok := conn.(*idleConn); ok && state == http.StateIdle {
+		c.idle.Store(true)
 	}
 }
 
--- a/pkg/gateway/limits_test.go
+++ b/pkg/gateway/limits_test.go
@@ -29,7 +29,7 @@
 }
 
 // Guards against idle connections that stay open beyond the configured timeout, and
-// against connections that are closed while a request is served.
+// against connections that are closed while a request is received or served.
 func TestIdleLimit(t *testing.T) {
 	f := newFixture(t)
 	f.addServer("app", "a1", "local", func(w http.ResponseWriter, r *http.Request) {
@@ -49,7 +49,10 @@
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for i := range 2 {
-		_, err = fmt.Fprintf(conn, "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: i%d\r\n\r\n", i)
+		_, err = fmt.Fprintf(conn, "POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: i%d\r\nContent-Length: 3\r\n\r\n", i)
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(400 * time.Millisecond)
+		_, err = fmt.Fprint(conn, "ask")
 		qt.Assert(t, err, qt.IsNil)
 		response, err := http.ReadResponse(reader, nil)
 		qt.Assert(t, err, qt.IsNil)
