gateway: the header timeout of the configuration is in force

Callers saw: headerTimeoutMs of an accepted configuration had no effect; a caller could hold a connection for 10 s with an incomplete head.

Evidence: TestHeaderTimeout, header timeout 200 ms, on a new connection and after one and two requests: the connection was still open after 5 s.

Change: the connection of a caller keeps to the header timeout from the first byte of a request on; a new connection without a byte to the idle timeout. Bodies and responses are not bounded by it.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -20,53 +21,93 @@
 	return size
 }
 
-// idleListener accepts connections that are closed after the idle timeout of the
-// configuration in force, so that callers cannot keep many unused connections open.
-type idleListener struct {
+// timeouts bound how long a caller may keep a connection without a complete request; 0 is no limit.
+type timeouts struct {
+	// header bounds the time to receive the headers of a request, idle the time between requests.
+	header, idle time.Duration
+}
+
+// timeouts returns the timeouts of the configuration in force.
+func (g *Gateway) timeouts() timeouts {
+	if t := g.table.Load(); t != nil {
+		return timeouts{header: t.Config.Limits.HeaderTimeout, idle: t.Config.Limits.IdleTimeout}
+	}
+	return timeouts{}
+}
+
+// callerListener accepts connections that keep to the timeouts in force.
+type callerListener struct {
 	net.Listener
-	// timeout returns the idle timeout in force, 0 for no limit.
-	timeout func() time.Duration
+	timeouts func() timeouts
 }
 
 // Accept implements net.Listener.
-func (l *idleListener) Accept() (net.Conn, error) {
+func (l *callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &idleConn{Conn: conn, timeout: l.timeout}, nil
+	return &callerConn{Conn: conn, timeouts: l.timeouts}, nil
 }
 
-// idleConn shortens the read deadline that net/http sets on an idle connection, but not the later ones
-// of the next request.
-type idleConn struct {
+// The phases of a connection.
+const (
+	// opened is the phase of a new connection until its first byte.
+	opened int32 = iota
+	// receivingHeader ends when net/http removes the read deadline.
+	receivingHeader
+	serving
+	// idle ends when net/http sets the first read deadline, which is for the wait; those that follow are
+	// for the next header.
+	idle
+)
+
+// callerConn shortens the read deadlines that net/http sets.
+type callerConn struct {
 	net.Conn
-	timeout func() time.Duration
-	idle    atomic.Bool
+	timeouts func() timeouts
+	phase    atomic.Int32
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *idleConn) SetReadDeadline(deadline time.Time) error {
-	if timeout := c.timeout(); c.idle.CompareAndSwap(true, false) && timeout > 0 {
-		if idleDeadline := time.Now().Add(timeout); deadline.IsZero() || idleDeadline.Before(deadline) {
-			deadline = idleDeadline
-		}
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	t := c.timeouts()
+	switch phase := c.phase.Load(); {
+	case phase == opened:
+		deadline = earlierDeadline(deadline, t.idle)
+	case phase == idle:
+		c.phase.Store(receivingHeader)
+		deadline = earlierDeadline(deadline, t.idle)
+	case phase == receivingHeader && deadline.IsZero():
+		c.phase.Store(serving)
+	case phase == receivingHeader:
+		deadline = earlierDeadline(deadline, t.header)
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// trackConnState records that a connection becomes idle. net/http calls it before it sets
-// the read deadline of an idle connection.
-func trackConnState(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*idleConn); ok && state == http.StateIdle {
-		c.idle.Store(true)
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.phase.CompareAndSwap(opened, receivingHeader) {
+		err = errors.Join(err, c.SetReadDeadline(time.Now().Add(headerReadTimeout)))
 	}
+	return n, err
 }
 
-// idleTimeout returns the idle timeout of the configuration in force, 0 for no limit.
-func (g *Gateway) idleTimeout() time.Duration {
-	if t := g.table.Load(); t != nil {
-		return t.Config.Limits.IdleTimeout
+// earlierDeadline returns the earlier one of a deadline and the end of a timeout, each of which is
+// none if it is 0.
+func earlierDeadline(deadline time.Time, timeout time.Duration) time.Time {
+	if end := time.Now().Add(timeout); timeout > 0 && (deadline.IsZero() || end.Before(deadline)) {
+		return end
+	}
+	return deadline
+}
+
+// trackConnState records that a connection becomes idle. net/http calls it before it sets the read
+// deadline of an idle connection.
+func trackConnState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		c.phase.Store(idle)
 	}
-	return 0
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -164,7 +164,7 @@
 			g.log.Error("listener failed", "address", l.Addr().String(), "error", err)
 		}
 	}
-	go serve(g.callerServer, &idleListener{Listener: callers, timeout: g.idleTimeout})
+	go serve(g.callerServer, &callerListener{Listener: callers, timeouts: g.timeouts})
 	go serve(g.readinessServer, balancer)
 	return nil
 }
