control: a wait for a version ends when the node stops

Callers saw: a read at a control instance that was stopping lasted until its deadline before it was refused.

Change: it ends with an error when the event loop has ended.

--- a/pkg/control/group_test.go
+++ b/pkg/control/group_test.go
@@ -410,3 +410,21 @@
 	qt.Assert(t, g.node("c1").watch(t.Context(), 0, &second), qt.ErrorIs, errNoLeader)
 	qt.Assert(t, second.events, qt.HasLen, 1)
 }
+
+// Guards against reads that wait for a version at an instance that has stopped.
+func TestWaitForVersionEndsWithTheNode(t *testing.T) {
+	g := newGroup(t, 3, 17)
+	g.leader()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := g.node("c1").waitVersion(t.Context(), 1000)
+		ended <- err
+	}()
+	g.stop("c1")
+	select {
+	case err := <-ended:
+		qt.Assert(t, err, qt.ErrorMatches, "the node stopped .*")
+	case <-time.After(10 * time.Second):
+		t.Fatal("the wait did not end with the node")
+	}
+}
--- a/pkg/control/requests.go
+++ b/pkg/control/requests.go
@@ -177,6 +177,8 @@
 		}
 		select {
 		case <-changed:
+		case <-n.stopped:
+			return nil, eris.Errorf("the node stopped while waiting for version %d", version)
 		case <-ctx.Done():
 			return nil, eris.Wrapf(ctx.Err(), "wait for version %d", version)
 		}
