control: dropped consensus messages have a log line

Callers saw: nothing; on call, a peer whose messages could not be decoded, or were for another member, looked like one that the network does not reach.

Change: a warning with the size and the error, or with the two members.

--- a/pkg/control/watch.go
+++ b/pkg/control/watch.go
@@ -152,7 +152,12 @@
 
 func (s *rpcServer) stepEncoded(ctx context.Context, data []byte) {
 	m, err := consensus.Decode(data)
-	if err != nil || m.To != s.router.self {
+	if err != nil {
+		s.node.log.Warn("dropped a malformed consensus message", "bytes", len(data), "error", err)
+		return
+	}
+	if m.To != s.router.self {
+		s.node.log.Warn("dropped a consensus message for another member", "from", m.From, "to", m.To)
 		return
 	}
 	select {
