internal/testnet: addresses of test servers that nothing else takes

Cause: seven harnesses listened on 127.0.0.1:0, closed the listener and let a server listen there later. Meanwhile Linux gave the port to an outgoing connection of a package that was tested beside it.

--- a/cmd/gp-control/commands_test.go
+++ b/cmd/gp-control/commands_test.go
@@ -4,31 +4,23 @@
 	"context"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 )
 
-// freeAddress returns a loopback address with an unused port.
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // Guards against a process that serves only some of its endpoints, or that does not
 // exit after its context is cancelled.
 func TestRunServesAndStops(t *testing.T) {
 	s := settings.DefaultControl()
 	s.Instance = settings.Instance{ID: "c1", DataCentre: "dc1", Region: "west"}
-	s.PeerAddress, s.OperatorAddress, s.DataFolder = freeAddress(t), freeAddress(t), t.TempDir()
+	s.PeerAddress, s.OperatorAddress, s.DataFolder = testnet.UnusedAddress(t), testnet.UnusedAddress(t), t.TempDir()
 	s.Members = []settings.Peer{{ID: "c1", DataCentre: "dc1", Address: s.PeerAddress}}
 	s.Operators = map[string]string{"rozenn": document.HashKey("key-1")}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/gpctl/client_test.go
+++ b/cmd/gpctl/client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -11,6 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/google/subcommands"
+
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 )
 
 // startServer starts a server that gives the same response to every request, or drops
@@ -33,14 +34,6 @@
 	return server.URL, requests
 }
 
-// unusedAddress returns an address that refuses connections.
-func unusedAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer listener.Close()
-	return "http://" + listener.Addr().String()
-}
-
 const (
 	notRunBody   = `{"error":{"outcome":"not_run","code":"unavailable","message":"no leader"}}`
 	unknownBody  = `{"error":{"outcome":"unknown","code":"unknown","message":"no answer"}}`
@@ -56,7 +49,7 @@
 	undecided, _ := startServer(t, 504, unknownBody)
 	conflicting, _ := startServer(t, 409, conflictBody)
 	nonJSON, _ := startServer(t, 502, "bad gateway")
-	unreachable := unusedAddress(t)
+	unreachable := "http://" + testnet.UnusedAddress(t)
 	cases := []struct {
 		name      string
 		method    string
--- /dev/null
+++ b/internal/testnet/testnet.go
@@ -0,0 +1,29 @@
+// Package testnet provides loopback addresses for tests.
+package testnet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"testing"
+)
+
+// calls counts the calls of UnusedAddress.
+var calls atomic.Int64
+
+// UnusedAddress returns a loopback IP address and port on which no server listens, and which nothing
+// else takes before the test does: Linux gives ports of 127.0.0.1 to outgoing connections, those to
+// other loopback addresses included, and other calls and processes get other IP addresses.
+func UnusedAddress(tb testing.TB) string {
+	tb.Helper()
+	pid, call := os.Getpid(), calls.Add(1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 128+pid>>8&0x7f, pid&0xff, 1+call%254))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	if err := listener.Close(); err != nil {
+		tb.Fatal(err)
+	}
+	return listener.Addr().String()
+}
--- a/pkg/broker/service_test.go
+++ b/pkg/broker/service_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
 	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
@@ -149,10 +150,7 @@
 	c.config.Set(d)
 	for i, dc := range dataCentres {
 		id := fmt.Sprintf("%s-%d", dc, i)
-		unusedPort, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:0", i+1))
-		qt.Assert(t, err, qt.IsNil)
-		address := unusedPort.Addr().String()
-		_ = unusedPort.Close()
+		address := testnet.UnusedAddress(t)
 		n := &instance{cluster: c, id: id, counters: &rpc.Counters{}}
 		n.proxy = newProxy(t, address)
 		c.members[id] = membership.Member{ID: id, DataCentre: dc, Region: "r", PeerAddress: n.proxy.listener.Addr().String()}
--- a/pkg/control/loopback_test.go
+++ b/pkg/control/loopback_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
 	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
@@ -24,14 +25,6 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/wal"
 )
 
-// freeAddress returns a loopback address with a port that is currently unused.
-func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // loopback is a control group over loopback TCP. Its stores outlive restarts of
 // the instances.
 type loopback struct {
@@ -54,14 +47,14 @@
 		t: t, onDisk: onDisk, services: make([]*Service, size), kernels: make([]*kernel.Kernel, size), cancels: make([]context.CancelFunc, size),
 	}
 	for i := range size {
-		l.peers = append(l.peers, settings.Peer{ID: fmt.Sprint("c", i+1), DataCentre: fmt.Sprint("dc", i%3+1), Address: freeAddress(t)})
+		l.peers = append(l.peers, settings.Peer{ID: fmt.Sprint("c", i+1), DataCentre: fmt.Sprint("dc", i%3+1), Address: testnet.UnusedAddress(t)})
 		l.stores = append(l.stores, &memoryStore{})
 		l.disks = append(l.disks, consensus.DiskID("disk-"+fmt.Sprint(i)))
 	}
 	for i, p := range l.peers {
 		s := settings.DefaultControl()
 		s.Instance = settings.Instance{ID: p.ID, DataCentre: p.DataCentre, Region: "west"}
-		s.PeerAddress, s.OperatorAddress, s.Members, s.DataFolder = p.Address, freeAddress(t), l.peers, t.TempDir()
+		s.PeerAddress, s.OperatorAddress, s.Members, s.DataFolder = p.Address, testnet.UnusedAddress(t), l.peers, t.TempDir()
 		s.HeartbeatIntervalMS, s.ElectionTimeoutMS, s.CompactAfterEntries = 40, 200, 100
 		l.settings = append(l.settings, s)
 		l.start(i)
@@ -304,7 +297,7 @@
 	for i := range 3 {
 		l.stop(i)
 	}
-	address := freeAddress(t)
+	address := testnet.UnusedAddress(t)
 	server := rpc.NewServer(nil, &rpc.Counters{}, slog.New(slog.DiscardHandler))
 	qt.Assert(t, first.Register(server.Mux()), qt.IsNil)
 	qt.Assert(t, server.Listen(t.Context(), address), qt.IsNil)
--- a/pkg/entry/services_test.go
+++ b/pkg/entry/services_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
 	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
 	"github.com/geraniumpitch/geraniumpitch/pkg/once"
@@ -33,14 +34,6 @@
 	return backends
 }
 
-// unusedAddress returns an address on which no server listens.
-func unusedAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // TestCalls guards against calls that run more often than allowed and against responses
 // that say not_run for a call that ran. For each kind of failure it checks how often a
 // call runs, which response the caller gets, and how the claim of the key ends. "Broken
@@ -78,7 +71,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			api := newTestAPI(t)
 			if test.firstUnreachable {
-				api.slots.addresses = append(api.slots.addresses, unusedAddress(t))
+				api.slots.addresses = append(api.slots.addresses, testnet.UnusedAddress(t))
 			}
 			servers := api.startBackends(t, test.servers...)
 			method, path, _ := strings.Cut(test.call, " ")
--- a/pkg/gateway/probe_test.go
+++ b/pkg/gateway/probe_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 )
 
@@ -16,10 +17,7 @@
 func TestLostServerIsProbed(t *testing.T) {
 	f := newFixture(t)
 	f.publish(1, testConfig())
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	address := listener.Addr().String()
-	qt.Assert(t, listener.Close(), qt.IsNil)
+	address := testnet.UnusedAddress(t)
 	f.HandleAnnouncements([]directory.Server{{
 		ID: "a1", Service: "app", Address: address, DataCentre: "local", StartedMS: 1, Sequence: 1, State: directory.Ready, Slots: 6,
 	}})
@@ -36,7 +34,7 @@
 	go f.runProbes(ctx)
 	time.Sleep(300 * time.Millisecond)
 	qt.Assert(t, allUnreachable(), qt.IsTrue)
-	listener, err = net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", address)
 	qt.Assert(t, err, qt.IsNil)
 	defer listener.Close()
 	for deadline := time.Now().Add(2 * time.Second); allUnreachable(); time.Sleep(10 * time.Millisecond) {
--- a/pkg/generation/harness_test.go
+++ b/pkg/generation/harness_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 	"github.com/geraniumpitch/geraniumpitch/pkg/broker"
 	"github.com/geraniumpitch/geraniumpitch/pkg/configwatch"
 	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
@@ -185,12 +185,8 @@
 		c.addBackend(o, i)
 	}
 	for i, dc := range o.dataCentres {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, quicktest.IsNil)
-		address := l.Addr().String()
-		c.Assert(l.Close(), quicktest.IsNil)
 		c.membershipList.members = append(c.membershipList.members, membership.Member{
-			ID: fmt.Sprintf("n%d", i+1), DataCentre: dc, PeerAddress: address,
+			ID: fmt.Sprintf("n%d", i+1), DataCentre: dc, PeerAddress: testnet.UnusedAddress(c),
 		})
 	}
 	for _, m := range c.membershipList.members {
--- a/pkg/once/service_test.go
+++ b/pkg/once/service_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"log/slog"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
@@ -77,16 +77,9 @@
 	kill   context.CancelFunc
 }
 
-func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func (t *membershipList) start(tb testing.TB, id, dataCentre string) *instance {
 	tb.Helper()
-	m := membership.Member{ID: id, DataCentre: dataCentre, PeerAddress: freeAddress(tb)}
+	m := membership.Member{ID: id, DataCentre: dataCentre, PeerAddress: testnet.UnusedAddress(tb)}
 	t.set(m)
 	log := slog.New(slog.DiscardHandler)
 	counters := &rpc.Counters{}
--- a/pkg/streamrecord/service_test.go
+++ b/pkg/streamrecord/service_test.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 	"github.com/geraniumpitch/geraniumpitch/pkg/membership"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 )
@@ -72,12 +72,9 @@
 	g := &group{C: quicktest.New(tb), membershipList: &membershipList{}, services: map[string]*Service{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	for i, dc := range dataCentres {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Assert(err, quicktest.IsNil)
 		g.membershipList.members = append(g.membershipList.members, membership.Member{
-			ID: fmt.Sprint("n", i+1), DataCentre: dc, PeerAddress: l.Addr().String(),
+			ID: fmt.Sprint("n", i+1), DataCentre: dc, PeerAddress: testnet.UnusedAddress(tb),
 		})
-		g.Assert(l.Close(), quicktest.IsNil)
 	}
 	for i, m := range slices.Clone(g.membershipList.members) {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 )
 
 // scriptedServer is a TCP server that runs a script for each connection. The script
@@ -271,10 +273,10 @@
 func TestUnresponsive(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
 	c := NewClient(nil)
 	qt.Assert(t, c.Unresponsive(t.Context(), l.Addr().String()), qt.IsFalse)
-	qt.Assert(t, l.Close(), qt.IsNil)
-	qt.Assert(t, c.Unresponsive(t.Context(), l.Addr().String()), qt.IsFalse)
+	qt.Assert(t, c.Unresponsive(t.Context(), testnet.UnusedAddress(t)), qt.IsFalse)
 	// A listener whose accept queue is full drops the SYN packets of new connections.
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	qt.Assert(t, err, qt.IsNil)
@@ -295,12 +297,9 @@
 // Guards against a failed connection attempt that is not reported as not sent, and
 // against more connections than the limit.
 func TestNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	address := l.Addr().String()
-	qt.Assert(t, l.Close(), qt.IsNil)
+	address := testnet.UnusedAddress(t)
 	c := NewClient(nil)
-	_, err = exchange(c, address, "1")
+	_, err := exchange(c, address, "1")
 	qt.Assert(t, isNotSent(err), qt.IsTrue)
 
 	s := newScriptedServer(t, func(_ int, _ net.Conn, r *bufio.Reader) { readRequest(r); time.Sleep(time.Second) })
