--- a/pkg/gateway/halfclosed_test.go
+++ b/pkg/gateway/halfclosed_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -41,3 +42,26 @@
 		}
 	}
 }
+
+// Guards against a stream that ends as if it were complete, to a caller that closed its own side of the
+// connection.
+func TestStreamOfHalfClosedCallerDoesNotLookComplete(t *testing.T) {
+	f := newFixture(t)
+	f.publish(1, testConfig())
+	f.addServer("pool", "e", "local", streamHandler(func(int) bool { time.Sleep(50 * time.Millisecond); return true }))
+	conn, err := net.Dial("tcp", f.gatewayServer.Listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nX-Id: half\r\nContent-Length: 3\r\n\r\nask")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)), qt.IsNil)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	qt.Assert(t, err, qt.IsNil)
+	events := bufio.NewReader(response.Body)
+	_, err = events.ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	_, err = io.ReadAll(events)
+	qt.Assert(t, err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
