coordinator: no publication is accepted during an election before the group has grown

Callers saw: a change that was confirmed could be lost with the disks whose loss the settings tolerate (CONFIG), if it was published as a leader was elected in the first seconds of a deployment.

Cause: publications waited only at an instance whose status said that it leads a group that grows. The status follows the node's role with a delay; in between the node accepted what its status still called a follower's. Where else: reads at a leader are confirmed by a round of the group, whatever the status says.

Change: an instance accepts publications only if its status says that it leads, and that the group is complete or not expected to grow soon.

--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -463,33 +463,38 @@
 	return 0
 }
 
-// isGrowing reports whether this instance leads a control group that lacks members and whose
-// next member is expected soon. A publication that is accepted before would be lost with the
-// disks whose loss the complete group tolerates.
-func (g *group) isGrowing(now time.Time) bool {
+// acceptsPublications reports whether this instance leads a control group that has all its members, or
+// that lacks some which are not expected soon. A publication that is accepted before would be lost with
+// the disks whose loss the complete group tolerates.
+func (g *group) acceptsPublications(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	age := now.Sub(g.startedAt)
-	if g.node == nil || age > growthTimeout {
+	if g.node == nil {
 		return false
 	}
+	// A node acts as the leader shortly before its status says so. The status decides, as the members are
+	// known from it.
 	status := g.node.Status()
-	if status.Role != consensus.Leader || len(status.Members) >= g.settings.GroupSize() {
+	if status.Role != consensus.Leader {
 		return false
 	}
-	if g.settings.FirstStart && age < firstGrowthWait {
+	age := now.Sub(g.startedAt)
+	if len(status.Members) >= g.settings.GroupSize() || age > growthTimeout {
 		return true
 	}
+	if g.settings.FirstStart && age < firstGrowthWait {
+		return false
+	}
 	holders := map[string]bool{}
 	for _, disk := range status.Members {
 		holders[peerAddressOf(disk)] = true
 	}
 	for address, seenAt := range g.candidates {
 		if !holders[address] && now.Sub(seenAt) < candidateTTL {
-			return true
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // addCoordinators records the peer addresses of other coordinators as seen now.
--- a/pkg/coordinator/lostdisks_test.go
+++ b/pkg/coordinator/lostdisks_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +46,33 @@
 	qt.Assert(t, g.coordinators[leader].group.memberCount(), qt.Equals, 5)
 }
 
+// Guards against a publication that a member accepts at the moment of its election, before the group has
+// grown.
+func TestPublicationDuringAnElectionWaitsForTheGroupToGrow(t *testing.T) {
+	for range 5 {
+		g := newGrowingTestGroup(t, 6, 3, 2)
+		var publishers sync.WaitGroup
+		var accepted atomic.Bool
+		var members atomic.Int64
+		for _, s := range g.coordinators {
+			publishers.Go(func() {
+				for !accepted.Load() {
+					if s.publishAtLeader(t.Context(), control.Publication{Revision: 1, Content: []byte("one")}) == control.Accepted {
+						accepted.Store(true)
+						members.Store(int64(s.group.memberCount()))
+					}
+					time.Sleep(100 * time.Microsecond)
+				}
+			})
+		}
+		publishers.Wait()
+		qt.Assert(t, members.Load(), qt.Equals, int64(5))
+		for i := range 6 {
+			g.stop(i + 1)
+		}
+	}
+}
+
 // Guards against a group that never accepts a publication because fewer coordinators exist
 // than it has room for.
 func TestGroupWithoutFurtherCoordinators(t *testing.T) {
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -201,10 +201,7 @@
 // is not the leader, or if the group is still growing.
 func (s *Service) publishAtLeader(ctx context.Context, p control.Publication) control.Outcome {
 	node := s.group.currentNode()
-	if node == nil {
-		return control.Unavailable
-	}
-	if s.group.isGrowing(time.Now()) {
+	if node == nil || !s.group.acceptsPublications(time.Now()) {
 		return control.Unavailable
 	}
 	return node.Publish(ctx, p)
