coordinator: test groups wait for the address of a stopped member

Cause: the peer listener is closed in the background once its context has ended, so that it may still be open when Stop returns. A process ends then; a test starts the same address again at once.

Change: the harness starts a coordinator when its address is free, and fails the test if it does not become free.

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -71,6 +72,11 @@
 	if g.folders[i] == "" {
 		g.folders[i] = g.t.TempDir()
 	}
+	// The listener of a coordinator may still be open when Stop returns.
+	g.eventually("the address is free", func() bool {
+		listener, err := net.Listen("tcp", g.address(i))
+		return err == nil && listener.Close() == nil
+	})
 	s := settings.DefaultCoordinator()
 	s.Instance = settings.Instance{ID: fmt.Sprint(i), Region: "r", DataCentre: "d"}
 	s.OperatorAddress, s.PeerAddress = fmt.Sprintf("127.0.3.%d:1", i), g.address(i)
