platform: an odd announcement no longer ends the streams of gateways

What callers saw: after one heartbeat whose identifier is not UTF-8 (%FF in the path), no gateway learned of any change of the backend servers; requests got 503 once the known ones were gone. While a caller sent prompt parts that are not UTF-8, no placement of its gateway reached the others.

Cause: what one process accepts cannot be encoded for the next. The event fails to encode, the stream ends, and the first event after the next connect holds the same entry. Other odd fields were taken too: ports out of range, negative slots (huge on the wire), a warm-up of 1e300 ms (another integer on each kind of processor), a start in the far future (shut out the true server).

Tests of pkg/coordinator and pkg/directory use valid addresses now.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -100,10 +101,10 @@
 	r, c := g.followAt(g.address(1))
 	g.eventually("the publication", r.satisfies(func(r *recorder) bool { return r.revision == 1 }))
 	g.eventually("streams of all coordinators", func() bool { recent, _ := c.CountCoordinators(time.Now(), time.Second); return recent == 3 })
-	server := directory.Server{ID: "s", Service: "p", Address: "a:1", DataCentre: "d", StartedMS: 1, Sequence: 1, Slots: 6, WarmingMS: 3}
+	server := directory.Server{ID: "s", Service: "p", Address: "10.0.0.1:1", DataCentre: "d", StartedMS: 1, Sequence: 1, Slots: 6, WarmingMS: 3}
 	for i := 1; i <= 3; i++ {
 		server.Sequence++
-		server.Address = fmt.Sprintf("a:%d", i)
+		server.Address = fmt.Sprintf("10.0.0.1:%d", i)
 		qt.Assert(t, g.coordinators[i].Announce(server), qt.Equals, directory.Changed)
 		g.eventually("the announcement", r.satisfies(func(r *recorder) bool { return r.servers["s"] == server }))
 	}
@@ -139,7 +140,7 @@
 // during a network partition: coordinators must exchange the announcements they receive.
 func TestCoordinatorsExchangeAnnouncements(t *testing.T) {
 	g := newTestGroup(t, 3)
-	server := directory.Server{ID: "s", Service: "p", Address: "a:1", DataCentre: "d", StartedMS: 1, Sequence: 1}
+	server := directory.Server{ID: "s", Service: "p", Address: "10.0.0.1:1", DataCentre: "d", StartedMS: 1, Sequence: 1}
 	g.eventually("streams between coordinators", func() bool {
 		for _, s := range g.coordinators {
 			if recent, _ := s.peerClient.CountCoordinators(time.Now(), time.Second); recent != 2 {
@@ -213,7 +214,7 @@
 	folder := t.TempDir()
 	ctx, cancel := context.WithCancel(t.Context())
 	before := newHub(time.Minute)
-	before.announce(directory.Server{ID: "e1", Service: "p", Address: "a:1", StartedMS: 1, Sequence: 1})
+	before.announce(directory.Server{ID: "e1", Service: "p", Address: "10.0.0.1:1", StartedMS: 1, Sequence: 1})
 	before.addPlacements([]*wire.Placement{{Subject: "s", Server: "e1"}}, false)
 	before.addPromptReports([]*wire.PromptReport{{Parts: []string{"bad"}, Engine: "e1"}}, time.Now())
 	done := make(chan struct{})
@@ -264,7 +265,7 @@
 func TestRenewalsAreThinned(t *testing.T) {
 	h := newHub(time.Minute)
 	gateway, peer := h.subscribe(false), h.subscribe(true)
-	server := directory.Server{ID: "s", Service: "p", Address: "a:1", StartedMS: 1}
+	server := directory.Server{ID: "s", Service: "p", Address: "10.0.0.1:1", StartedMS: 1}
 	drainCount := func(sub *subscriber) int {
 		announcements, _ := sub.drain()
 		return len(announcements)
@@ -377,7 +378,7 @@
 	done := make(chan struct{})
 	go func() { stopped.persistState(ctx, folder, slog.New(slog.DiscardHandler)); close(done) }()
 	update := func(server, subject, file string) {
-		stopped.announce(directory.Server{ID: server, Service: "p", Address: server, StartedMS: 1, Sequence: 1})
+		stopped.announce(directory.Server{ID: server, Service: "p", Address: "10.0.0." + strconv.Itoa(len(server)) + ":1", StartedMS: 1, Sequence: 1})
 		stopped.addPlacements([]*wire.Placement{{Subject: subject, Server: "engine", Backup: "backup"}}, true)
 		for deadline := time.Now().Add(waitTimeout); ; time.Sleep(10 * time.Millisecond) {
 			if data, err := os.ReadFile(filepath.Join(folder, file)); err == nil && strings.Contains(string(data), subject) && json.Valid(data) {
@@ -411,3 +412,48 @@
 	qt.Assert(t, os.WriteFile(filepath.Join(folder, first), nil, 0o600), qt.IsNil)
 	check(time.Now(), 0, 0)
 }
+
+// Guards against a stored file of which one odd entry makes all others useless.
+func TestOddEntryInTheSoftState(t *testing.T) {
+	folder, now := t.TempDir(), time.Now()
+	server := func(id, address string) string {
+		return fmt.Sprintf(`{"server":{"ID":%q,"Service":"p","Address":%q,"StartedMS":1,"Sequence":1},"heard":%q}`, id, address, now.Format(time.RFC3339Nano))
+	}
+	deep := strings.Repeat("[", 9000) + strings.Repeat("]", 9000)
+	file := fmt.Sprintf(`{"written":3,"servers":[%s],"placements":[%s],"reports":[%s]}`,
+		strings.Join([]string{
+			server("a", "10.0.0.1:1"), `{"server":{"ID":7}}`, `{"server":{"ID":"n","Slots":1e99}}`, server("port", "10.0.0.1:99999"), deep, "null", server("b", "10.0.0.2:1"),
+		}, ","),
+		strings.Join([]string{
+			`{"placement":{"subject":7}}`, `{"placement":{"subject":"s","server":"a"},"at":"yesterday"}`,
+			fmt.Sprintf(`{"placement":{"subject":"s","server":"a"},"at":%q}`, now.Format(time.RFC3339Nano)),
+		}, ","),
+		`[1],{"report":{"engine":7}}`)
+	qt.Assert(t, os.WriteFile(filepath.Join(folder, softStateFiles[1]), []byte(file), 0o600), qt.IsNil)
+	h := newHub(time.Minute)
+	sequence, err := h.restore(folder, now.Add(time.Second))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, sequence, qt.Equals, uint64(3))
+	announcements, placements := h.subscribe(false).drain()
+	ids := []string{}
+	for _, a := range announcements {
+		ids = append(ids, a.Id)
+	}
+	slices.Sort(ids)
+	qt.Assert(t, ids, qt.DeepEquals, []string{"a", "b"})
+	qt.Assert(t, placements, qt.HasLen, 1)
+}
+
+// Guards against entries of another coordinator that name no server to use, and against one that hides
+// the others.
+func TestInvalidAnnouncementsAreSkipped(t *testing.T) {
+	g := newTestGroup(t, 1)
+	r, _ := g.followAt(g.address(1))
+	announce := func(id, address string) {
+		g.coordinators[1].Announce(directory.Server{ID: id, Service: "p", Address: address, StartedMS: 1, Sequence: 1})
+	}
+	announce("odd", "10.0.0.1:99999")
+	announce("sound", "10.0.0.1:1")
+	g.eventually("the sound server", r.satisfies(func(r *recorder) bool { return r.servers["sound"].ID != "" }))
+	g.eventually("no odd server", r.satisfies(func(r *recorder) bool { return r.servers["odd"].ID == "" }))
+}
--- a/pkg/coordinator/softstate.go
+++ b/pkg/coordinator/softstate.go
@@ -29,10 +29,29 @@
 // softState is the content of one soft-state file.
 type softState struct {
 	// Sequence is the number of the write; the file with the higher one is newer.
-	Sequence   uint64            `json:"written"`
-	Servers    []directory.Entry `json:"servers"`
-	Placements []recentPlacement `json:"placements"`
-	Reports    []recentReport    `json:"reports"`
+	Sequence   uint64                   `json:"written"`
+	Servers    entries[directory.Entry] `json:"servers"`
+	Placements entries[recentPlacement] `json:"placements"`
+	Reports    entries[recentReport]    `json:"reports"`
+}
+
+// entries is a list whose entries are decoded one by one: those that cannot be decoded are left out.
+type entries[T any] []T
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (e *entries[T]) UnmarshalJSON(data []byte) error {
+	var encoded []json.RawMessage
+	if err := json.Unmarshal(data, &encoded); err != nil {
+		return err
+	}
+	*e = make(entries[T], 0, len(encoded))
+	for _, item := range encoded {
+		var entry T
+		if json.Unmarshal(item, &entry) == nil {
+			*e = append(*e, entry)
+		}
+	}
+	return nil
 }
 
 // persistState restores the state of the previous process and then writes changes until
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -216,11 +216,11 @@
 	return entries
 }
 
-// Restore applies announcements that another process received, except those that are expired or
+// Restore applies announcements that another process received, except those that are invalid, expired or
 // lie in the future at now.
 func (d *Directory) Restore(entries []Entry, now time.Time) {
 	for _, e := range entries {
-		if age := now.Sub(e.ReceivedAt); age >= 0 && age <= d.ttl {
+		if age := now.Sub(e.ReceivedAt); age >= 0 && age <= d.ttl && e.Server.Validate(now) == nil {
 			d.Apply(e.Server, e.ReceivedAt)
 		}
 	}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -88,8 +88,8 @@
 // servers that become available again.
 func TestRestore(t *testing.T) {
 	d := New(time.Second)
-	d.Apply(announcement("a", "1:1", 10, 1), start)
-	d.Apply(announcement("b", "1:2", 10, 1), start)
+	d.Apply(announcement("a", "10.0.0.1:1", 10, 1), start)
+	d.Apply(announcement("b", "10.0.0.1:2", 10, 1), start)
 	d.Apply(Server{ID: "b", State: Gone}, start)
 	entries := d.Entries()
 	qt.Assert(t, entries, qt.HasLen, 2)
@@ -97,7 +97,7 @@
 	restored.Restore(entries, start.Add(500*time.Millisecond))
 	s, ok := restored.Lookup("a")
 	qt.Assert(t, ok, qt.IsTrue)
-	qt.Assert(t, s, qt.Equals, announcement("a", "1:1", 10, 1))
+	qt.Assert(t, s, qt.Equals, announcement("a", "10.0.0.1:1", 10, 1))
 	s, _ = restored.Lookup("b")
 	qt.Assert(t, s.State, qt.Equals, Gone)
 	qt.Assert(t, restored.Expire(start.Add(1500*time.Millisecond)), qt.HasLen, 1)
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -219,13 +219,7 @@
 // handleEvent passes the content of an event to the sink.
 func (c *Client) handleEvent(ctx context.Context, address string, event *wire.FollowEvent) {
 	if len(event.Announcements) > 0 {
-		servers := make([]directory.Server, 0, len(event.Announcements))
-		for _, a := range event.Announcements {
-			if s, ok := DecodeAnnouncement(a); ok {
-				servers = append(servers, s)
-			}
-		}
-		c.sink.HandleAnnouncements(servers)
+		c.sink.HandleAnnouncements(c.decodeAnnouncements(address, event.Announcements))
 	}
 	for _, p := range event.Placements {
 		c.sink.HandlePlacement(placement.Placement{
@@ -256,6 +250,21 @@
 	}
 }
 
+// decodeAnnouncements returns the valid ones of the announcements that a coordinator sent.
+func (c *Client) decodeAnnouncements(coordinator string, announcements []*wire.Announcement) []directory.Server {
+	now := time.Now()
+	servers := make([]directory.Server, 0, len(announcements))
+	for _, a := range announcements {
+		s, err := DecodeAnnouncement(a, now)
+		if err != nil {
+			c.log.Warn("skipped an announcement of a coordinator", "coordinator", coordinator, "server", a.Id, "error", err)
+			continue
+		}
+		servers = append(servers, s)
+	}
+	return servers
+}
+
 // publicationToAdopt returns the publication to adopt after an event and the coordinator that holds
 // it, nil if there is none. A gateway without a configuration does not take an unconfirmed
 // publication as long as it reaches most coordinators: a leader among them will confirm one, and if
--- a/pkg/follow/convert.go
+++ b/pkg/follow/convert.go
@@ -1,6 +1,10 @@
 package follow
 
 import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
@@ -18,12 +22,16 @@
 	}
 }
 
-// DecodeAnnouncement converts an announcement from its wire format. It returns false if this version
-// does not know the state of the server.
-func DecodeAnnouncement(a *wire.Announcement) (directory.Server, bool) {
+// DecodeAnnouncement converts an announcement from its wire format. It returns an error if this version
+// does not know the state of the server, or if the announcement is not valid at now.
+func DecodeAnnouncement(a *wire.Announcement, now time.Time) (directory.Server, error) {
 	state, ok := stateFromWire[a.State]
-	return directory.Server{
+	if !ok {
+		return directory.Server{}, eris.Errorf("unknown state %d", a.State)
+	}
+	s := directory.Server{
 		ID: a.Id, Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, StartedMS: a.StartedMs,
 		Sequence: a.Sequence, State: state, Slots: int(a.Slots), WarmingMS: int(a.WarmingMs),
-	}, ok
+	}
+	return s, s.Validate(now)
 }
