gateway: a planned stop answers every request that it has read

What callers saw: requests that came late in the grace period of a planned stop, on connections opened before, ended without an answer, calls that must not run twice among them; so did requests in flight at its end.

Cause: nothing weighed the time that a request may take against what is left; http.Server.Shutdown closes connections right after it has read a request; Close cut what was in flight.

Change: placement.FitsBeforeStop decides what a stopping gateway takes; other requests get 503 at once. Open connections are served until no request is in flight. Requests that are in flight 450 ms before the end of the grace period get a final response.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -55,13 +55,17 @@
 // serve handles one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	startedAt := time.Now()
-	if g.stopping.Load() || g.isolated.Load() {
+	if g.stopping() || g.isolated.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	req, errReply := g.admit(w, r, startedAt)
+	if errReply == nil {
+		errReply = g.checkStop(req)
+	}
 	if errReply == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 		defer cancel()
+		defer context.AfterFunc(g.requestsEnded, cancel)()
 		if req.route.Kind == routing.Stream {
 			errReply = g.serveStream(ctx, w, req)
 		} else {
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -54,7 +54,11 @@
 	configuredAt time.Time
 	// configured is closed when the first configuration takes effect.
 	configured chan struct{}
-	stopping   atomic.Bool
+	// stopsAt is when a planned stop ends the requests in flight, nil before its start.
+	stopsAt atomic.Pointer[time.Time]
+	// requestsEnded is done when the requests in flight are to end, which endRequests does.
+	requestsEnded context.Context
+	endRequests   context.CancelFunc
 	// isolated means that callers should use another gateway; see updateIsolation.
 	isolated atomic.Bool
 
@@ -70,6 +74,8 @@
 	promptLocations placement.PromptLocations
 	quarantine      *quarantine.Tracker
 	limitQueues     map[string]*placement.LimitQueue
+	// durations are moving averages of the durations of streams by route.
+	durations map[string]time.Duration
 	// unstarted holds the streams that wait for the first event of their engine, with the function
 	// that aborts the attempt.
 	unstarted map[*streamState]func()
@@ -77,6 +83,8 @@
 	serversChanged chan struct{}
 
 	callerServer, readinessServer *http.Server
+	callerListener                net.Listener
+	activeConns                   activeConns
 	cancel                        context.CancelFunc
 }
 
@@ -87,8 +95,10 @@
 		servers: directory.New(serverTTL(s)), pools: map[string]*placement.Pool{},
 		budgets: map[string]*placement.RetryBudget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		serversChanged: make(chan struct{}), configured: make(chan struct{}), unstarted: map[*streamState]func(){},
-		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{},
+		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{}, durations: map[string]time.Duration{},
+		activeConns: activeConns{conns: map[net.Conn]bool{}},
 	}
+	g.requestsEnded, g.endRequests = context.WithCancel(context.Background())
 	g.quarantine = quarantine.NewTracker(g.rand)
 	g.coordinators = follow.NewClient(s.Instance.ID, dialer, g, log)
 	return g
@@ -154,24 +164,29 @@
 	}
 	g.callerServer = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: maxIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug), ConnState: trackConnState,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			trackConnState(conn, state)
+			g.activeConns.track(conn, state)
+		},
 	}
 	r := chi.NewRouter()
 	r.Get("/*", g.serveReady)
 	g.readinessServer = &http.Server{Handler: r, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: maxIdleTimeout}
 	serve := func(s *http.Server, l net.Listener) {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !g.stopping() {
 			g.log.Error("listener failed", "address", l.Addr().String(), "error", err)
 		}
 	}
-	go serve(g.callerServer, &callerListener{Listener: callers, timeouts: g.timeouts})
+	g.callerListener = &callerListener{Listener: callers, timeouts: g.timeouts}
+	go serve(g.callerServer, g.callerListener)
 	go serve(g.readinessServer, balancer)
 	return nil
 }
 
 // Ready reports whether the load balancer should send new callers to this gateway.
 func (g *Gateway) Ready() bool {
-	if g.stopping.Load() || g.table.Load() == nil || g.isolated.Load() {
+	if g.stopping() || g.table.Load() == nil || g.isolated.Load() {
 		return false
 	}
 	g.mu.Lock()
@@ -355,25 +370,3 @@
 		}
 	}
 }
-
-// Stop finishes the requests in flight. The load balancer sends new callers for a while
-// after the readiness check fails; their connections are closed after the response.
-func (g *Gateway) Stop(ctx context.Context) error {
-	g.stopping.Store(true)
-	g.log.Info("planned stop: no longer ready")
-	deadline := time.Now().Add(time.Duration(g.settings.GracePeriodS*float64(time.Second)) - shutdownMargin)
-	g.callerServer.SetKeepAlivesEnabled(false)
-	select {
-	case <-time.After(balancerDelay):
-	case <-ctx.Done():
-	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	err := g.callerServer.Shutdown(ctx)
-	if err != nil {
-		g.log.Warn("planned stop: requests were still in flight at the end of the grace period")
-		err = g.callerServer.Close()
-	}
-	g.cancel()
-	return errors.Join(err, g.readinessServer.Close())
-}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -62,12 +62,6 @@
 	// coordinatorTimeout is the time without an event after which a coordinator counts
 	// as unreachable: two heartbeat intervals plus some delay.
 	coordinatorTimeout = 900 * time.Millisecond
-	// balancerDelay is how long a gateway accepts new connections after the start of a
-	// planned stop: until then the load balancer may not have noticed it.
-	balancerDelay = 2500 * time.Millisecond
-	// shutdownMargin is the part of the grace period that is reserved for the exit of the
-	// process.
-	shutdownMargin = 300 * time.Millisecond
 	// maxStreamAttempts bounds the attempts of one stream, refused ones included.
 	maxStreamAttempts = 16
 	// maxRetriesAtSameEngine bounds how often in a row one stream is retried at an engine
--- /dev/null
+++ b/pkg/gateway/stop.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
+)
+
+const (
+	// balancerDelay is how long a gateway accepts new connections after the start of a
+	// planned stop: until then the load balancer may not have noticed it.
+	balancerDelay = 2500 * time.Millisecond
+	// shutdownMargin is the part of the grace period that is reserved for the exit of the
+	// process.
+	shutdownMargin = 300 * time.Millisecond
+	// finalResponseMargin is the time to send final responses to the requests that are ended before the
+	// connections are closed.
+	finalResponseMargin = 150 * time.Millisecond
+	// stopRetryAfter is the Retry-After time of requests that a stopping gateway does not take. Other
+	// gateways take them at once; the delay spreads those that were waiting.
+	stopRetryAfter = 50 * time.Millisecond
+	// activeCheckInterval is the interval at which a stopping gateway looks for requests in flight.
+	activeCheckInterval = 20 * time.Millisecond
+	// durationSmoothing is the weight of the latest stream in the moving average of their durations.
+	durationSmoothing = 0.2
+)
+
+// Stop finishes the requests in flight. The load balancer sends new callers for a while
+// after the readiness check fails; their connections are closed after the response. Requests that are
+// still in flight at the end of the grace period get a final response.
+//
+// Until no request is in flight, requests on open connections are answered too, if only by a refusal:
+// http.Server.Shutdown would close such a connection after it has read the request.
+func (g *Gateway) Stop(ctx context.Context) error {
+	closesAt := time.Now().Add(time.Duration(g.settings.GracePeriodS*float64(time.Second)) - shutdownMargin)
+	endsAt := closesAt.Add(-finalResponseMargin)
+	g.stopsAt.Store(&endsAt)
+	g.log.Info("planned stop: no longer ready", "ends_requests_after_ms", time.Until(endsAt).Milliseconds())
+	endRequests := time.AfterFunc(time.Until(endsAt), g.endRequests)
+	defer endRequests.Stop()
+	ctx, cancel := context.WithDeadline(ctx, closesAt)
+	defer cancel()
+	sleepContext(ctx, balancerDelay)
+	err := g.callerListener.Close()
+	for g.activeConns.count() > 0 && sleepContext(ctx, activeCheckInterval) {
+	}
+	if active := g.activeConns.count(); active > 0 {
+		g.log.Warn("planned stop: requests were still in flight at the end of the grace period", "requests", active)
+	}
+	g.endRequests()
+	err = errors.Join(err, g.callerServer.Close())
+	g.cancel()
+	return errors.Join(err, g.readinessServer.Close())
+}
+
+// activeConns holds the connections of callers on which a request is in flight.
+type activeConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// track records the state of a connection as net/http reports it. A connection is active until the whole
+// response has been written.
+func (a *activeConns) track(conn net.Conn, state http.ConnState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if state == http.StateActive {
+		a.conns[conn] = true
+	} else {
+		delete(a.conns, conn)
+	}
+}
+
+func (a *activeConns) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns)
+}
+
+// stopping reports whether a planned stop has begun.
+func (g *Gateway) stopping() bool { return g.stopsAt.Load() != nil }
+
+// checkStop returns a refusal if a planned stop leaves no time for the request.
+func (g *Gateway) checkStop(req *callerRequest) *reply {
+	stopsAt := g.stopsAt.Load()
+	if stopsAt == nil {
+		return nil
+	}
+	r := placement.StopRequest{
+		Left: time.Until(*stopsAt), Limit: time.Until(req.deadline), UsualDuration: g.usualDuration(req.route.Name),
+		Resumable: req.route.Kind == routing.Stream && req.route.Resumable,
+	}
+	if placement.FitsBeforeStop(r) {
+		return nil
+	}
+	return newRefusal("the gateway stops before the request would end", stopRetryAfter)
+}
+
+// recordDuration adds a complete stream to the moving average of its route.
+func (g *Gateway) recordDuration(route string, d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if usual, ok := g.durations[route]; ok {
+		d = usual + time.Duration(durationSmoothing*float64(d-usual))
+	}
+	g.durations[route] = d
+}
+
+// usualDuration returns the moving average of the durations of a route's streams, 0 if none has ended.
+func (g *Gateway) usualDuration(route string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.durations[route]
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -151,7 +151,7 @@
 	}
 	if s.headSent {
 		s.g.log.Warn("stream broken off", "request", s.req.fields.ID, "last_event", s.lastEventID, "cause", err.Error(),
-			"engine", s.engineID, "tries", s.attempts, "stopping", s.g.stopping.Load())
+			"engine", s.engineID, "tries", s.attempts, "stopping", s.g.stopping())
 		panic(http.ErrAbortHandler)
 	}
 	if s.errorResult != nil {
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -19,6 +19,9 @@
 // logCompleted logs and records the delays of a complete stream.
 func (s *streamState) logCompleted() {
 	s.g.metrics.recordStream(s.pauseStats)
+	if s.req.fields.LastEventID == "" {
+		s.g.recordDuration(s.req.route.Name, time.Since(s.req.startedAt))
+	}
 	s.g.log.Info("stream served", "request", s.req.fields.ID, "route", s.req.route.Name, "engine", s.engineID, "tries", s.attempts,
 		"first_event_ms", s.pauseStats.firstEvent.Milliseconds(), "longest_pause_ms", s.pauseStats.longest.Milliseconds(),
 		"pause_cause", s.pauseStats.longestCause, "first_engine", s.firstEngineID, "resumed_by_caller", s.req.fields.LastEventID != "",
