gateway: a gateway that is cut off refuses at once what it cannot serve

Cause: an isolated gateway knew that no server of the service could be reached, and tried two of them all the same, each with a dial that times out.

Change: while a gateway is isolated, it refuses requests for a service of which it can reach no server, and names the time until the balancer sends callers elsewhere, at most a quarter of what the caller has left.

TestIsolation fails on the code before (302 ms, Retry-After 0.5).

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -411,9 +412,20 @@
 	w := httptest.NewRecorder()
 	f.serveReady(w, nil)
 	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+	// Requests for the service that cannot be reached are refused at once, others are served.
+	for range 5 {
+		refused := f.send("POST", "/once/x", map[string]string{"X-Patience": "600"})
+		qt.Assert(t, refused.status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, refused.duration < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%s", refused.duration))
+		retryAfter, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, retryAfter < 0.2, qt.IsTrue, qt.Commentf("a caller with 0.6 s left waits for at most a third of it, not %g s", retryAfter))
+	}
+	qt.Assert(t, f.send("POST", "/stream/x", nil).status, qt.Equals, http.StatusOK)
 	f.addServer("app", "a2", "local", respondDone)
 	f.updateIsolation(time.Now())
 	qt.Assert(t, f.Ready(), qt.IsTrue)
+	qt.Assert(t, f.send("POST", "/once/x", nil).status, qt.Equals, http.StatusOK)
 }
 
 func FuzzEvents(f *testing.F) {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -62,6 +62,9 @@
 	if errReply == nil {
 		errReply = g.checkStop(req)
 	}
+	if errReply == nil {
+		errReply = g.checkIsolation(req)
+	}
 	if errReply == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 		defer cancel()
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -52,6 +52,8 @@
 	table atomic.Pointer[routing.Table]
 	// configuredAt is the time of the first configuration; mu guards it.
 	configuredAt time.Time
+	// isolatedSince is the start of the present isolation; mu guards it.
+	isolatedSince time.Time
 	// configured is closed when the first configuration takes effect.
 	configured chan struct{}
 	// stopsAt is when a planned stop ends the requests in flight, nil before its start.
@@ -62,7 +64,7 @@
 	// isolated means that callers should use another gateway; see updateIsolation.
 	isolated atomic.Bool
 
-	// mu guards configuredAt and the fields from servers to serversChanged.
+	// mu guards configuredAt, isolatedSince and the fields from servers to serversChanged.
 	mu      sync.Mutex
 	servers *directory.Directory
 	pools   map[string]*placement.Pool
@@ -197,36 +199,6 @@
 	return len(g.pools) > 0
 }
 
-// updateIsolation marks this gateway as isolated when most coordinators are silent and
-// a service has no reachable server. This indicates a partition of its data centre, while
-// gateways in other data centres can probably still serve callers. When only the
-// coordinators or only the servers have failed, all gateways are affected alike and stay
-// ready.
-func (g *Gateway) updateIsolation(now time.Time) {
-	recent, followed := g.coordinators.CountCoordinators(now, coordinatorTimeout)
-	isolated := 2*recent < followed && g.hasUnreachableService(now)
-	if g.isolated.Swap(isolated) != isolated {
-		g.log.Warn("isolation changed", "isolated", isolated, "coordinators_heard", recent, "coordinators_known", followed)
-	}
-}
-
-// hasUnreachableService reports whether a service of the configuration has no reachable
-// server.
-func (g *Gateway) hasUnreachableService(now time.Time) bool {
-	table := g.table.Load()
-	if table == nil {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range table.Config.Services {
-		if p := g.pools[s.Name]; p != nil && p.AllUnreachable(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // serveReady answers the readiness checks of the load balancer.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if g.Ready() {
--- a/pkg/placement/retryafter.go
+++ b/pkg/placement/retryafter.go
@@ -14,6 +14,9 @@
 	// before a slot is free; after a longer one, it is too late for them to use it.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// elsewhereShare is the share of its remaining time that a caller may wait before it tries another
+	// gateway. Callers wait for up to a third of it.
+	elsewhereShare = 0.25
 	// retryAfterLoadTTL is the maximum age of a load report that RetryAfter uses.
 	retryAfterLoadTTL = time.Second
 )
@@ -39,3 +42,10 @@
 	}
 	return min(maxRetryAfter, max(minRetryAfter, shortest))
 }
+
+// RetryElsewhereAfter returns the delay after which a rejected caller should retry because another gateway
+// can serve it. The load pattern is a data centre that is cut off: until the balancer notices, after
+// untilNoticed, it sends callers to gateways there. timeLeft is the remaining time of the caller.
+func RetryElsewhereAfter(untilNoticed, timeLeft time.Duration) time.Duration {
+	return max(minRetryAfter, min(untilNoticed, time.Duration(elsewhereShare*float64(timeLeft))))
+}
--- a/pkg/placement/retryafter_test.go
+++ b/pkg/placement/retryafter_test.go
@@ -29,3 +29,16 @@
 	// Expired load reports are ignored.
 	qt.Assert(t, p.RetryAfter(atMillis(5000)), qt.Equals, defaultRetryAfter)
 }
+
+// Guards against callers in a data centre that is cut off who come back before the balancer has noticed it
+// although they have time, or after a delay that they do not wait for.
+func TestRetryElsewhereAfter(t *testing.T) {
+	for _, test := range []struct{ untilNoticed, timeLeft, want time.Duration }{
+		{2 * time.Second, 25 * time.Second, 2 * time.Second},
+		{2 * time.Second, 600 * time.Millisecond, 150 * time.Millisecond},
+		{-time.Second, 25 * time.Second, minRetryAfter},
+		{2 * time.Second, 40 * time.Millisecond, minRetryAfter},
+	} {
+		qt.Check(t, RetryElsewhereAfter(test.untilNoticed, test.timeLeft), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
