gateway: streams wait for a place at an engine, and gateways claim places

Cause: each stream went at once into the queue of some engine. An engine that starts again is announced to all gateways at once, and each sends its streams there before it knows of the others' (ten to twelve within 10 ms, by the logs).

Change: a stream waits at its gateway until an engine can begin its prefill, in the order of placement.AdmissionQueue; while streams wait, each gateway claims places with a probability that follows its share of the demand. A stream that cannot end before its deadline is refused.

--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -17,6 +17,7 @@
 	requests, retries, resumes, copyRequests       metric.Int64Counter
 	quarantined, retriesDenied                     metric.Int64Counter
 	requestDuration, firstEventDelay, longestPause metric.Float64Histogram
+	admissionWait                                  metric.Float64Histogram
 }
 
 // latencyBuckets are the histogram boundaries for latencies in seconds, from a typical
@@ -46,6 +47,7 @@
 	m.requestDuration = histogram("gp_gateway_request_duration", "Time to the end of an answer, by kind of route.")
 	m.firstEventDelay = histogram("gp_gateway_first_event", "Time to the first event of a stream.")
 	m.longestPause = histogram("gp_gateway_longest_pause", "Longest pause between events of a served stream.")
+	m.admissionWait = histogram("gp_gateway_admission_wait", "Time that a stream waited at the gateway for a place at an engine.")
 	gauge := func(name, description string, value func() int64) {
 		_, err := meter.Int64ObservableGauge(name, metric.WithDescription(description),
 			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
@@ -79,6 +81,7 @@
 		}
 		return int64(total)
 	})
+	gauge("gp_gateway_waiting_streams", "Streams that wait for a place at an engine.", func() int64 { return int64(g.waitingStreams()) })
 	return m, eris.Wrap(errors.Join(errs...), "register the metrics of the gateway")
 }
 
@@ -160,6 +163,13 @@
 	m.longestPause.Record(context.Background(), p.longest.Seconds())
 }
 
+// recordAdmissionWait records how long a stream waited for a place.
+func (m *metrics) recordAdmissionWait(d time.Duration) {
+	if m != nil {
+		m.admissionWait.Record(context.Background(), d.Seconds())
+	}
+}
+
 // kindLabel returns the label of the route's kind, "none" for a request without a route.
 func kindLabel(req *callerRequest) string {
 	if req == nil {
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -76,6 +76,7 @@
 	promptLocations placement.PromptLocations
 	quarantine      *quarantine.Tracker
 	limitQueues     map[string]*placement.LimitQueue
+	admissionQueues map[string]*placement.AdmissionQueue
 	// durations are moving averages of the durations of streams by route.
 	durations map[string]time.Duration
 	// unstarted holds the streams that wait for the first event of their engine, with the function
@@ -97,7 +98,7 @@
 		servers: directory.New(serverTTL(s)), pools: map[string]*placement.Pool{},
 		budgets: map[string]*placement.RetryBudget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		serversChanged: make(chan struct{}), configured: make(chan struct{}), unstarted: map[*streamState]func(){},
-		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{}, durations: map[string]time.Duration{},
+		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{}, durations: map[string]time.Duration{}, admissionQueues: map[string]*placement.AdmissionQueue{},
 		activeConns: activeConns{conns: map[net.Conn]bool{}},
 	}
 	g.requestsEnded, g.endRequests = context.WithCancel(context.Background())
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -74,8 +74,8 @@
 	probeInterval = 60 * time.Millisecond
 	// maxConcurrentProbes bounds the probes in flight.
 	maxConcurrentProbes = 64
-	// assumedGateways is the number of gateways that share the connections of a server, as long as a
-	// gateway that has started does not know it.
+	// assumedGateways is the number of gateways that share the connections of a server and the places at
+	// engines, as long as a gateway that has started does not know it.
 	assumedGateways = 16
 	// minConnections is the number of connections that a gateway may always open to a server: one for a
 	// run and one for the request to copy it.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -49,6 +49,9 @@
 	controller *http.ResponseController
 	sends      *sendLedger
 	limit      *limitWait
+	// pending is the place of the stream in the admission queue. waitsForPlace is set by selectEngine.
+	pending       placement.PendingStream
+	waitsForPlace bool
 
 	// headSent means that the head of the response was sent to the caller, with contentType.
 	headSent    bool
@@ -96,6 +99,8 @@
 	defer s.sends.release()
 	s.limit = g.newLimitWait(req, time.Duration(float64(req.route.Objective)*limitPatienceShare))
 	defer s.endLimitWait()
+	s.pending = placement.PendingStream{Rank: req.rank, OnTimeUntil: placement.LatestPlacement(req.startedAt, req.route.Objective)}
+	defer s.leaveAdmissionQueue()
 	if s.lastEventID != "" {
 		g.mu.Lock()
 		engines := g.promptLocations.CandidateEngines(req.fields.SessionPart, req.startedAt)
@@ -110,7 +115,7 @@
 			return nil
 		}
 		s.pauseStats.nextCause = err.Error()
-		if errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined) || errors.Is(err, errRetryBudget) || errors.Is(err, errServerLimits) || !s.canContinue() {
+		if errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined) || errors.Is(err, errRetryBudget) || errors.Is(err, errServerLimits) || errors.Is(err, errNoTimeLeft) || !s.canContinue() {
 			errReply := s.fail(err)
 			if errReply != nil {
 				errReply.servers = append(s.excludedIDs, s.engineID)
@@ -175,6 +180,13 @@
 		return errRetryBudget
 	}
 	engine, resumeCopy := s.selectEngine()
+	if s.waitsForPlace {
+		var err error
+		if engine, resumeCopy, err = s.waitForPlace(); err != nil {
+			s.sends.cancel()
+			return err
+		}
+	}
 	if engine == nil {
 		s.sends.cancel()
 		return errors.Join(eris.Errorf("no engine available for service %q", s.req.service.Name), s.waitForEngine())
--- a/pkg/gateway/streamplan.go
+++ b/pkg/gateway/streamplan.go
@@ -37,7 +37,8 @@
 }
 
 // selectEngine returns the engine for the next attempt, nil if there is none, and the
-// copy from which it resumes the run, nil if the engine has to prefill the prompt.
+// copy from which it resumes the run, nil if the engine has to prefill the prompt. If waitsForPlace is set
+// afterwards, there are engines, but the stream has to wait for a place at one.
 func (s *streamState) selectEngine() (*placement.Server, *runCopy) {
 	now := time.Now()
 	g := s.g
@@ -45,6 +46,7 @@
 	defer g.mu.Unlock()
 	pool := g.pool(s.req.service.Name)
 	g.updateDemand(s.req.service.Name, now)
+	s.waitsForPlace = false
 	if !s.limit.isNext() {
 		return nil, nil
 	}
@@ -59,7 +61,10 @@
 	if s.req.fields.SessionPart != "" {
 		run.Prefer = append(run.Prefer, g.promptLocations.CandidateEngines(s.req.fields.SessionPart, now)...)
 	}
-	selected := pool.SelectEngine(now, run)
+	selected := s.selectPlace(pool, run, now)
+	if s.waitsForPlace {
+		return nil, nil
+	}
 	if selected == nil && len(s.excludedIDs) > 0 {
 		// All engines have failed this run; the one excluded first may have recovered.
 		s.excludedIDs = s.excludedIDs[1:]
--- a/pkg/loadmodel/model.go
+++ b/pkg/loadmodel/model.go
@@ -29,6 +29,8 @@
 	backupDelay = 300 * time.Millisecond
 	// retryDelay is the delay before a stream is dispatched again when no engine is available.
 	retryDelay = 300 * time.Millisecond
+	// holdInterval is the interval at which a held stream is dispatched again.
+	holdInterval = 20 * time.Millisecond
 	// promptCacheTTL is how long an engine caches a prompt, about the time in which ten other
 	// prompts evict it.
 	promptCacheTTL = 10 * time.Second
@@ -42,18 +44,26 @@
 	Name string
 	// Relocate moves streams away from engines that do prefills.
 	Relocate bool
+	// Hold makes streams wait at their gateway until an engine can begin their prefill.
+	Hold bool
+	// Herd makes the gateways of held streams claim every place that they see.
+	Herd bool
 	// HidePlacements keeps gateways from sending each other their placements.
 	HidePlacements bool
 }
 
 // Policies returns all policies that can be compared. With "apart", streams run apart from the
 // prefills of other prompts, as they are relocated after their own; with "together", they stay where
-// they began; with "blind", the gateways also do not see each other's placements.
+// they began; with "blind", the gateways also do not see each other's placements. With "held", streams
+// run apart and wait at their gateway while no engine can begin their prefill; with "herd", the gateways
+// also claim every place that they see.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "apart", Relocate: true},
 		{Name: "together"},
 		{Name: "blind", HidePlacements: true},
+		{Name: "held", Relocate: true, Hold: true},
+		{Name: "herd", Relocate: true, Hold: true, Herd: true},
 	}
 }
 
@@ -83,6 +93,7 @@
 type gateway struct {
 	pool            *placement.Pool
 	promptLocations placement.PromptLocations
+	admission       placement.AdmissionQueue
 }
 
 // streamState is the state of one stream across its runs: one run on each engine that executes it.
@@ -102,6 +113,7 @@
 	backup                                 *engine
 	backupIncarnation                      int
 	excluded                               []string
+	pending                                placement.PendingStream
 	result                                 Stream
 }
 
@@ -217,6 +229,8 @@
 			}
 			m.schedule(elapsed, func() {
 				s.arrivedAt = m.now
+				s.pending.Rank = k.Rank
+				s.pending.OnTimeUntil = placement.LatestPlacement(m.wallTime(), milliseconds(k.FirstEventMS))
 				m.openStreams++
 				m.dispatch(s)
 			})
@@ -296,7 +310,18 @@
 	g, now := s.gateway, m.wallTime()
 	request := s.placementRun(m.load.Engine.MemoryTokens)
 	request.Prefer = g.promptLocations.CandidateEngines(s.subject, now)
-	selected := g.pool.SelectEngine(now, request)
+	var selected *placement.Server
+	if m.policy.Hold && g.pool.SelectCachingEngine(now, request) == nil && g.pool.CanWait(now, request) {
+		if selected = m.selectPlace(s, request); selected == nil {
+			g.admission.Join(&s.pending)
+			m.schedule(holdInterval, func() { m.dispatch(s) })
+			return
+		}
+	}
+	g.admission.Leave(&s.pending)
+	if selected == nil {
+		selected = g.pool.SelectEngine(now, request)
+	}
 	if selected == nil {
 		s.excluded = nil
 		m.schedule(retryDelay, func() { m.dispatch(s) })
@@ -318,6 +343,20 @@
 	m.startTask(s, e, prefillTokens, !relocates, relocates)
 }
 
+// selectPlace returns an engine that can begin the prefill of a stream, nil if there is none or another
+// stream is next at its gateway.
+func (m *model) selectPlace(s *streamState, request placement.Run) *placement.Server {
+	queue, pool, now := &s.gateway.admission, s.gateway.pool, m.wallTime()
+	s.pending.Resumes = s.generated > 0
+	switch {
+	case !queue.IsNext(&s.pending, now):
+		return nil
+	case queue.Len() == 0 || m.policy.Herd:
+		return pool.SelectFreeEngine(now, request)
+	}
+	return pool.ClaimFreeEngine(now, request, 1/float64(len(m.gateways)))
+}
+
 // continueFromCopy continues a stream on an engine that has a copy of its memory.
 func (m *model) continueFromCopy(s *streamState, e *engine) { m.startTask(s, e, 0, true, false) }
 
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -63,18 +63,19 @@
 // other data centres cost more. This spreads a burst of prompts, whose prefills would otherwise run
 // one after the other on one engine. It returns nil if no engine accepts work.
 func (p *Pool) SelectEngine(now time.Time, r Run) *Server {
-	for _, id := range r.Prefer {
-		if s := p.servers[id]; s != nil && p.isSelectable(s, now, r.Exclude) && !p.isAvoided(s, now) && hasLocalRoom(s, r) {
-			return s
-		}
+	if s := p.SelectCachingEngine(now, r); s != nil {
+		return s
 	}
-	return p.selectCheapest(p.candidates(now, r.Exclude), func(s *Server) float64 {
-		cost := p.engineCost(s, now, r)
-		if s.DataCentre != p.dataCentre {
-			cost += remoteEngineCost
-		}
-		return cost
-	})
+	return p.selectCheapest(p.candidates(now, r.Exclude), func(s *Server) float64 { return p.placementCost(s, now, r) })
+}
+
+// placementCost returns the cost of an engine for a run whose prompt it prefills.
+func (p *Pool) placementCost(s *Server, now time.Time, r Run) float64 {
+	cost := p.engineCost(s, now, r)
+	if s.DataCentre != p.dataCentre {
+		cost += remoteEngineCost
+	}
+	return cost
 }
 
 // SelectBackup selects the engine that stores a copy of a run's memory. It is in another data centre
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -84,6 +84,9 @@
 	probeBackoff time.Duration
 	// allIndex and localIndex are the positions in Pool.all and Pool.local.
 	allIndex, localIndex int
+	// claimDrawnAt is when it was drawn whether this gateway may claim a place, and claimable the result.
+	claimDrawnAt time.Time
+	claimable    bool
 	// copyBackoffUntil is the time from which copies may be sent to the server again.
 	copyBackoffUntil time.Time
 	*processState
