gateway: an engine that is only slow keeps its run

What callers saw: a stream that cannot be resumed was broken off when its engine paused for more than 0.35 s; others were sent again, without a copy, and the engine counted as unreachable for all requests.

Cause: the event timeout ended each attempt, whatever could follow.

Change: after the timeout a run is given up at once only if a copy exists or the engine accepts no connection, otherwise after twice the pause of the route, and only if it may run again and the retry budget allows it.

--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -50,6 +50,10 @@
 	// maxEventSilenceShare bounds the time without an event to a share of the pause that
 	// the route allows.
 	maxEventSilenceShare = 0.5
+	// slowEventShare is the multiple of the pause that the route allows after which a run is given up at an
+	// engine that can be reached. An engine that preempts a run prefills it again, which takes about a
+	// second.
+	slowEventShare = 2
 	// firstEventCheckInterval is the interval at which the gateway checks that an engine
 	// which has not sent the first event can still be reached.
 	firstEventCheckInterval = 400 * time.Millisecond
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -353,7 +353,8 @@
 ) error {
 	reader := newEventReader(response)
 	// The timeout begins with the first event; watch checks the engine before that.
-	silenceTimer := time.AfterFunc(time.Hour, cancel)
+	silence := &silenceWatch{s: s, ctx: ctx, abort: cancel, engine: engine}
+	silenceTimer := time.AfterFunc(time.Hour, silence.handleTimeout)
 	defer silenceTimer.Stop()
 	for {
 		e, err := reader.next()
@@ -365,7 +366,7 @@
 			return s.completeStream(response)
 		}
 		if err != nil {
-			return s.handleBrokenStream(ctx, engine, err)
+			return s.handleBrokenStream(ctx, engine, silence.engineSlow.Load(), err)
 		}
 		watch.recordFirstEvent()
 		if s.firstEventAt.IsZero() {
@@ -373,6 +374,7 @@
 			s.recordStarted()
 		}
 		s.recordWriting(false)
+		silence.events.Add(1)
 		silenceTimer.Reset(s.eventTimeout())
 		if e.id != "" && !isAfter(e.id, s.lastEventID) {
 			continue
@@ -384,14 +386,14 @@
 }
 
 // handleBrokenStream handles a stream that ended early. An engine that became silent is
-// excluded. One that broke off the stream may still have the prompt cached, so it is
+// excluded, and counts as unreachable unless it is only slow. One that broke off the stream may still have the prompt cached, so it is
 // retried up to maxRetriesAtSameEngine times, unless there is a copy.
-func (s *streamState) handleBrokenStream(ctx context.Context, engine *placement.Server, err error) error {
+func (s *streamState) handleBrokenStream(ctx context.Context, engine *placement.Server, engineSlow bool, err error) error {
 	if s.quarantined.Load() {
 		return errQuarantined
 	}
 	if s.ctx.Err() == nil && ctx.Err() != nil {
-		s.exclude(engine, true)
+		s.exclude(engine, !engineSlow)
 		return errSilent
 	}
 	if !s.scheduleRetry(engine) {
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 )
 
-// eventTimeout returns the time without an event after which an engine counts as silent
-// and the attempt ends.
+// eventTimeout returns the time without an event after which an engine counts as silent.
 func (s *streamState) eventTimeout() time.Duration {
 	if p := s.req.route.MaxPause; p > 0 {
 		return min(maxEventSilence, time.Duration(float64(p)*maxEventSilenceShare))
@@ -16,6 +16,59 @@
 	return maxEventSilence
 }
 
+// slowEventTimeout returns the time without an event after which a run is given up at an engine that can be
+// reached. The pause is too long by then, and the connection may have stopped carrying data for good.
+func (s *streamState) slowEventTimeout() time.Duration {
+	return max(s.eventTimeout(), time.Duration(float64(s.req.route.MaxPause)*slowEventShare))
+}
+
+// silenceWatch decides what becomes of a run whose engine has sent no event for the event timeout.
+type silenceWatch struct {
+	s      *streamState
+	ctx    context.Context
+	abort  context.CancelFunc
+	engine *placement.Server
+	// events counts the events that have arrived. Bytes that are no whole event do not count.
+	events atomic.Int64
+	// engineSlow is set if the run is given up at an engine that can be reached.
+	engineSlow atomic.Bool
+}
+
+// handleTimeout aborts the run if it can go on elsewhere: at once from a copy or if the engine cannot be
+// reached, otherwise after slowEventTimeout, because the prompt has to be prefilled again. A run that
+// cannot go on elsewhere stays where it is until the deadline of the request, however slow the engine.
+func (w *silenceWatch) handleTimeout() {
+	seen := w.events.Load()
+	if !w.s.mayRunAgain() {
+		return
+	}
+	if !w.s.hasUsableCopy() && !w.s.g.client.Unresponsive(w.ctx, w.engine.Address) {
+		if !sleepContext(w.ctx, w.s.slowEventTimeout()-w.s.eventTimeout()) || w.events.Load() != seen {
+			return
+		}
+		w.engineSlow.Store(true)
+	}
+	if w.events.Load() == seen && w.s.sends.reserve(placement.Resume) {
+		w.abort()
+	}
+}
+
+// mayRunAgain reports whether the route allows another run of the stream.
+func (s *streamState) mayRunAgain() bool {
+	return s.req.route.Retryable() && s.possibleRuns < s.req.route.MaxPossibleRuns
+}
+
+// hasUsableCopy reports whether there is a copy from which the run can be resumed.
+func (s *streamState) hasUsableCopy() bool {
+	c := s.latestCopy.get()
+	if c == nil {
+		return false
+	}
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	return s.g.copyAvailable(s.req.service.Name, c)
+}
+
 // logCompleted logs and records the delays of a complete stream.
 func (s *streamState) logCompleted() {
 	s.g.metrics.recordStream(s.pauseStats)
