gateway: a silent engine keeps a run that must not be made again

What callers saw: a stream that cannot be resumed got 502 when its engine's host did not answer one connection attempt before the first event, although the run went on.

Cause: the watch of the first event gave every run up after one attempt.

Change: a run that must not be made again is given up after 5 s out of reach. The watches read what the route allows once, before they run beside the attempt.

--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -57,6 +57,9 @@
 	// firstEventCheckInterval is the interval at which the gateway checks that an engine
 	// which has not sent the first event can still be reached.
 	firstEventCheckInterval = 400 * time.Millisecond
+	// onceSilenceTimeout is how long an engine may be out of reach before a run is given up that must not be
+	// made again. Hosts that freeze, and short partitions, are back within seconds.
+	onceSilenceTimeout = 5 * time.Second
 	// maxDirectoryWait bounds how long a new gateway that has a configuration waits for
 	// announcements before it is ready.
 	maxDirectoryWait = 1500 * time.Millisecond
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -1,13 +1,18 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 )
 
 // pausingHandler sends a stream that pauses once, after its fourth event.
@@ -92,3 +97,57 @@
 	qt.Assert(t, response.body, qt.Equals, expectedEvents(1))
 	qt.Assert(t, time.Since(startedAt) < 700*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(startedAt)))
 }
+
+// Guards against a run that must not be made again and is given up because its engine accepts no
+// connections for a while before the first event.
+func TestSilentEngineKeepsARunThatMustNotBeMadeAgain(t *testing.T) {
+	f := newFixture(t)
+	c := testConfig()
+	c.Routes[3].Timeout = 10 * time.Second
+	f.publish(1, c)
+	// A socket whose queue of new connections is full drops further ones without an answer.
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = syscall.Close(fd) }()
+	qt.Assert(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	qt.Assert(t, syscall.Listen(fd, 0), qt.IsNil)
+	bound, err := syscall.Getsockname(fd)
+	qt.Assert(t, err, qt.IsNil)
+	address := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+	f.HandleAnnouncements([]directory.Server{{ID: "e", Service: "pool", Address: address, DataCentre: "local", StartedMS: 1, Sequence: 1, Slots: 6}})
+	served := make(chan error, 1)
+	go func() {
+		connFD, _, err := syscall.Accept(fd)
+		if err != nil {
+			served <- err
+			return
+		}
+		// The run goes on while the host takes no connections.
+		for range 3 {
+			filler, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+			if err == nil {
+				defer filler.Close()
+			}
+		}
+		conn := &fdConn{connFD}
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			time.Sleep(1200 * time.Millisecond)
+			body := expectedEvents(1)
+			_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s",
+				request.Header.Get("X-Id"), len(body), body)
+		}
+		served <- err
+		_ = syscall.Close(connFD)
+	}()
+	response := f.send("POST", "/fixed/x", nil)
+	qt.Check(t, response.status, qt.Equals, http.StatusOK)
+	qt.Check(t, response.body, qt.Equals, expectedEvents(1))
+	qt.Assert(t, <-served, qt.IsNil)
+}
+
+// fdConn reads from and writes to the file descriptor of a connection.
+type fdConn struct{ fd int }
+
+func (c *fdConn) Read(p []byte) (int, error)  { return syscall.Read(c.fd, p) }
+func (c *fdConn) Write(p []byte) (int, error) { return syscall.Write(c.fd, p) }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -353,7 +353,7 @@
 ) error {
 	reader := newEventReader(response)
 	// The timeout begins with the first event; watch checks the engine before that.
-	silence := &silenceWatch{s: s, ctx: ctx, abort: cancel, engine: engine}
+	silence := &silenceWatch{s: s, ctx: ctx, abort: cancel, engine: engine, mayRunAgain: s.mayRunAgain()}
 	silenceTimer := time.AfterFunc(time.Hour, silence.handleTimeout)
 	defer silenceTimer.Stop()
 	for {
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -28,6 +28,8 @@
 	ctx    context.Context
 	abort  context.CancelFunc
 	engine *placement.Server
+	// mayRunAgain is set if the route allows another run after this one.
+	mayRunAgain bool
 	// events counts the events that have arrived. Bytes that are no whole event do not count.
 	events atomic.Int64
 	// engineSlow is set if the run is given up at an engine that can be reached.
@@ -39,7 +41,7 @@
 // cannot go on elsewhere stays where it is until the deadline of the request, however slow the engine.
 func (w *silenceWatch) handleTimeout() {
 	seen := w.events.Load()
-	if !w.s.mayRunAgain() {
+	if !w.mayRunAgain {
 		return
 	}
 	if !w.s.hasUsableCopy() && !w.s.g.client.Unresponsive(w.ctx, w.engine.Address) {
@@ -126,13 +128,19 @@
 }
 
 // watchFirstEvent checks an engine until its first event, and calls abort if the engine
-// does not respond to connection attempts.
+// does not respond to connection attempts: at once if the run may be made again, otherwise after
+// onceSilenceTimeout.
 func (s *streamState) watchFirstEvent(ctx context.Context, abort context.CancelFunc, engine *placement.Server) *firstEventWatch {
 	watchCtx, cancel := context.WithCancel(ctx)
 	w := &firstEventWatch{cancel: cancel, ctx: watchCtx, s: s, reservedEngineID: engine.ID}
+	mayRunAgain := s.mayRunAgain()
 	go func() {
+		respondedAt := time.Now()
 		for sleepContext(watchCtx, firstEventCheckInterval) {
-			if s.g.client.Unresponsive(watchCtx, engine.Address) && watchCtx.Err() == nil {
+			switch {
+			case !s.g.client.Unresponsive(watchCtx, engine.Address) || watchCtx.Err() != nil:
+				respondedAt = time.Now()
+			case mayRunAgain || time.Since(respondedAt) > onceSilenceTimeout:
 				w.engineGone = true
 				abort()
 				return
