gateway: a stream of an engine out of reach ends also without a retry budget

What callers saw: with the retry budget used up, which is usual after the end of a data centre of engines, a stream whose engine had fallen silent and accepted no connection stayed there until its deadline, instead of being broken off so that the caller could go on at another gateway.

Cause: the run was given up only if the budget let it go on.

Change: the budget is asked for copies and for engines that are only slow.

--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -105,16 +105,7 @@
 	c := testConfig()
 	c.Routes[3].Timeout = 10 * time.Second
 	f.publish(1, c)
-	// A socket whose queue of new connections is full drops further ones without an answer.
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = syscall.Close(fd) }()
-	qt.Assert(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
-	qt.Assert(t, syscall.Listen(fd, 0), qt.IsNil)
-	bound, err := syscall.Getsockname(fd)
-	qt.Assert(t, err, qt.IsNil)
-	address := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
-	f.HandleAnnouncements([]directory.Server{{ID: "e", Service: "pool", Address: address, DataCentre: "local", StartedMS: 1, Sequence: 1, Slots: 6}})
+	fd := f.addSilentEngine()
 	served := make(chan error, 1)
 	go func() {
 		connFD, _, err := syscall.Accept(fd)
@@ -123,12 +114,7 @@
 			return
 		}
 		// The run goes on while the host takes no connections.
-		for range 3 {
-			filler, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
-			if err == nil {
-				defer filler.Close()
-			}
-		}
+		fillQueue(t, fd)
 		conn := &fdConn{connFD}
 		request, err := http.ReadRequest(bufio.NewReader(conn))
 		if err == nil {
@@ -146,6 +132,62 @@
 	qt.Assert(t, <-served, qt.IsNil)
 }
 
+// Guards against a stream that stays at an engine out of reach because the retry budget is used up: the
+// caller could go on at another gateway.
+func TestStreamOfAnEngineOutOfReachEndsWithoutBudget(t *testing.T) {
+	f := newFixture(t)
+	c := testConfig()
+	c.Routes[2].Timeout = 10 * time.Second
+	f.publish(1, c)
+	f.limitRetries("pool", 0)
+	fd := f.addSilentEngine()
+	go func() {
+		connFD, _, err := syscall.Accept(fd)
+		if err != nil {
+			return
+		}
+		fillQueue(t, fd)
+		conn := &fdConn{connFD}
+		if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: token 1\n\n", request.Header.Get("X-Id"))
+		}
+	}()
+	startedAt := time.Now()
+	response := f.send("POST", "/stream/x", nil)
+	qt.Assert(t, response.err, qt.IsNotNil)
+	qt.Assert(t, time.Since(startedAt) < 3*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(startedAt)))
+}
+
+// addSilentEngine announces an engine whose socket has the shortest queue of new connections; the caller
+// accepts them from the returned file descriptor.
+func (f *fixture) addSilentEngine() (fd int) {
+	f.t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	qt.Assert(f.t, err, qt.IsNil)
+	f.t.Cleanup(func() { _ = syscall.Close(fd) })
+	qt.Assert(f.t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	qt.Assert(f.t, syscall.Listen(fd, 0), qt.IsNil)
+	f.HandleAnnouncements([]directory.Server{{ID: "e", Service: "pool", Address: listenAddress(fd), DataCentre: "local", StartedMS: 1, Sequence: 1, Slots: 6}})
+	return fd
+}
+
+func listenAddress(fd int) string {
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+}
+
+// fillQueue fills the queue of new connections: Linux drops further ones without an answer.
+func fillQueue(t *testing.T, fd int) {
+	for range 3 {
+		if filler, err := net.DialTimeout("tcp", listenAddress(fd), 50*time.Millisecond); err == nil {
+			t.Cleanup(func() { _ = filler.Close() })
+		}
+	}
+}
+
 // fdConn reads from and writes to the file descriptor of a connection.
 type fdConn struct{ fd int }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -386,7 +386,8 @@
 }
 
 // handleBrokenStream handles a stream that ended early. An engine that became silent is
-// excluded, and counts as unreachable unless it is only slow. One that broke off the stream may still have the prompt cached, so it is
+// excluded, and counts as unreachable unless it is only slow. One that broke off the stream may still have
+// the prompt cached, so it is
 // retried up to maxRetriesAtSameEngine times, unless there is a copy.
 func (s *streamState) handleBrokenStream(ctx context.Context, engine *placement.Server, engineSlow bool, err error) error {
 	if s.quarantined.Load() {
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -36,21 +36,23 @@
 	engineSlow atomic.Bool
 }
 
-// handleTimeout aborts the run if it can go on elsewhere: at once from a copy or if the engine cannot be
-// reached, otherwise after slowEventTimeout, because the prompt has to be prefilled again. A run that
-// cannot go on elsewhere stays where it is until the deadline of the request, however slow the engine.
+// handleTimeout aborts the run if the route allows another one: at once if the engine cannot be reached, or
+// if a copy lets the run go on without a prefill; otherwise after slowEventTimeout. At an engine that can be
+// reached, a run that could not go on elsewhere stays until the deadline of the request.
 func (w *silenceWatch) handleTimeout() {
 	seen := w.events.Load()
 	if !w.mayRunAgain {
 		return
 	}
-	if !w.s.hasUsableCopy() && !w.s.g.client.Unresponsive(w.ctx, w.engine.Address) {
-		if !sleepContext(w.ctx, w.s.slowEventTimeout()-w.s.eventTimeout()) || w.events.Load() != seen {
-			return
-		}
+	switch {
+	case w.s.hasUsableCopy() && w.s.sends.reserve(placement.Resume):
+	case w.s.g.client.Unresponsive(w.ctx, w.engine.Address):
+	case !sleepContext(w.ctx, w.s.slowEventTimeout()-w.s.eventTimeout()) || w.events.Load() != seen || !w.s.sends.reserve(placement.Resume):
+		return
+	default:
 		w.engineSlow.Store(true)
 	}
-	if w.events.Load() == seen && w.s.sends.reserve(placement.Resume) {
+	if w.events.Load() == seen {
 		w.abort()
 	}
 }
