review: case 5, a run goes on at two engines after a preemption

Cause: with a usable copy a silent run is given up after 350 ms, also at an engine that can be reached, and ended there by the closed connection only.

--- a/review/cmd/case-1/main.go
+++ b/review/cmd/case-1/main.go
@@ -41,7 +41,7 @@
 		unframed := func() bool {
 			return rig.Trouble() && i < affected && inSpell.Load() && answers.Add(1)%unframedEvery == 0
 		}
-		r.StartEngine(fmt.Sprintf("i-e%d", i+1), "pool", events, prefill, eventInterval, unframed)
+		r.StartEngine(fmt.Sprintf("i-e%d", i+1), "pool", "quimper", events, prefill, eventInterval, unframed)
 	}
 	if !r.ReplaceUntil("version 1", config, time.Second, 20*time.Second) {
 		r.Abort(fmt.Errorf("version 1 was not acknowledged"))
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,10 +19,29 @@
 	// Events is the number of events of a stream, Interval the time between them, Prefill the time before the first.
 	Events            int
 	Interval, Prefill time.Duration
+	// Preempts tells of a run whether it is preempted after its event, for PreemptedFor. It may be nil.
+	Preempts     func(id string, event int) bool
+	PreemptedFor time.Duration
+	// Stays means that a run goes on after its channel was closed.
+	Stays bool
 
 	mu       sync.Mutex
 	sessions map[string]*engineRun
 	handles  int
+	work     []Work
+}
+
+// Work is the time in which an engine worked on a request.
+type Work struct {
+	Engine, Request string
+	From, To        time.Time
+}
+
+// WorkDone returns the runs that have ended.
+func (e *Engine) WorkDone() []Work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Work(nil), e.work...)
 }
 
 type engineRun struct {
@@ -29,17 +49,18 @@
 	made int
 }
 
-// StartEngine starts an engine of a service.
-func (r *Rig) StartEngine(id, service string, events int, prefill, interval time.Duration, unframed func() bool) *Engine {
+// StartEngine starts an engine of a service in a zone.
+func (r *Rig) StartEngine(id, service, zone string, events int, prefill, interval time.Duration, unframed func() bool) *Engine {
 	e := &Engine{Unframed: unframed, Events: events, Interval: interval, Prefill: prefill, sessions: map[string]*engineRun{}}
-	e.Server = r.startServer(id, service, e.stream, e.control)
+	e.Server = r.startServer(id, service, zone, e.stream, e.control)
 	return e
 }
 
 // control serves the calls of the system to engines. It reports false for other requests.
 func (e *Engine) control(w http.ResponseWriter, r *http.Request) bool {
 	if r.URL.Path != "/v1/kv-move" {
-		return false
+		// The other calls, such as those that free a copy, are acknowledged and have no effect.
+		return strings.HasPrefix(r.URL.Path, "/v1/")
 	}
 	var order struct {
 		ID   string `json:"id"`
@@ -81,6 +102,12 @@
 	e.mu.Lock()
 	e.sessions[id] = run
 	e.mu.Unlock()
+	startedAt := time.Now()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.work = append(e.work, Work{Engine: e.ID, Request: id, From: startedAt, To: time.Now()})
+	}()
 	if from := r.Header.Get("Kv-From"); from != "" {
 		e.rig.Logf("engine %s: request %s goes on after event %d from %s", e.ID, id, last, from)
 	} else {
@@ -91,21 +118,31 @@
 		return
 	}
 	for event := last + 1; event <= e.Events; event++ {
-		if write(Event(event)) != nil {
+		if write(Event(event)) != nil && !e.Stays {
 			abort()
 			return
 		}
 		e.mu.Lock()
 		run.made = event
 		e.mu.Unlock()
+		pause := e.Interval
+		if e.Preempts != nil && e.Preempts(id, event) {
+			e.rig.Logf("engine %s: request %s is preempted after event %d, and read in again", e.ID, id, event)
+			pause = e.PreemptedFor
+		}
+		left := r.Context().Done()
+		if e.Stays {
+			left = nil
+		}
 		select {
 		case <-run.stop:
 			e.rig.Logf("engine %s: stream of request %s closed without its end, after event %d", e.ID, id, event)
 			abort()
 			return
-		case <-r.Context().Done():
+		case <-left:
+			e.rig.Logf("engine %s: drops request %s, whose channel is closed", e.ID, id)
 			return
-		case <-time.After(e.Interval):
+		case <-time.After(pause):
 		}
 	}
 	e.mu.Lock()
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -30,14 +30,20 @@
 
 // Values of a small deployment, as in the settings example of the users' pages.
 const (
-	HeartbeatMS        = 1200
-	GraceS             = 8
-	ConfigApply        = 2 * time.Second
-	GatewayMemoryMB    = 284
-	CoordinatorsMemory = 280
-	toleratedDisks     = 1
+	HeartbeatMS         = 1200
+	GraceS              = 8
+	ConfigApply         = 2 * time.Second
+	GatewayMemoryMB     = 284
+	CoordinatorMemoryMB = 280
+	toleratedDisks      = 1
 )
 
+// homeZone is the zone of all gateways and coordinators, and of the servers for which no other one is given.
+const homeZone = "quimper"
+
+// maxDuration bounds a run; cases may take 120 seconds.
+const maxDuration = 116 * time.Second
+
 // Rig is one deployment in a temporary folder.
 type Rig struct {
 	Coordinators, Gateways int
@@ -85,6 +91,7 @@
 		}
 	}
 	r.chooseAddresses()
+	time.AfterFunc(maxDuration, func() { r.Abort(fmt.Errorf("it takes longer than %s", maxDuration)) })
 	return r
 }
 
@@ -154,10 +161,10 @@
 		seeds = append(seeds, r.Control(s))
 	}
 	r.start(CoordinatorName(i), "gp-coordinator", map[string]any{
-		"instance":         map[string]any{"id": CoordinatorName(i), "region": "bretagne", "data_centre": "quimper"},
+		"instance":         map[string]any{"id": CoordinatorName(i), "region": "bretagne", "data_centre": homeZone},
 		"operator_address": r.Control(i), "peer_address": fmt.Sprintf("%s:%d", r.coordinatorIP(i), r.port+2), "seeds": seeds,
 		"first_start": firstStart, "tolerated_disks": toleratedDisks, "data_folder": filepath.Join(r.folder, fmt.Sprint("data-", i)),
-		"announce_ms": HeartbeatMS, "metrics_address": fmt.Sprintf("%s:%d", r.coordinatorIP(i), r.port+3), "memory_mb": CoordinatorsMemory,
+		"announce_ms": HeartbeatMS, "metrics_address": fmt.Sprintf("%s:%d", r.coordinatorIP(i), r.port+3), "memory_mb": CoordinatorMemoryMB,
 	})
 }
 
@@ -168,7 +175,7 @@
 		seeds = append(seeds, r.Control(s))
 	}
 	r.start(GatewayName(i), "gp-gateway", map[string]any{
-		"instance":       map[string]any{"id": GatewayName(i), "region": "bretagne", "data_centre": "quimper"},
+		"instance":       map[string]any{"id": GatewayName(i), "region": "bretagne", "data_centre": homeZone},
 		"caller_address": r.Front(i), "ready_address": r.Ready(i), "peer_port": r.port + 2, "seeds": seeds,
 		"announce_ms": HeartbeatMS, "grace_s": GraceS, "retry_ratio": 0.8, "retry_slack": 150, "retry_window_s": 10,
 		"metrics_address": fmt.Sprintf("%s:%d", r.gatewayIP(i), r.port+3), "memory_mb": GatewayMemoryMB,
@@ -242,19 +249,6 @@
 	}
 }
 
-// HasEnded reports whether a process has ended.
-func (r *Rig) HasEnded(name string) bool {
-	r.mu.Lock()
-	p := r.processes[name]
-	r.mu.Unlock()
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // ResidentMB returns the resident memory of a process in megabytes, 0 if it has ended.
 func (r *Rig) ResidentMB(name string) int {
 	r.mu.Lock()
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -1,53 +1,43 @@
 package rig
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 )
 
 // Server is a stand-in backend server that announces itself to the coordinators.
 type Server struct {
-	ID, Service string
+	ID, Service, Zone string
 
 	rig      *Rig
 	listener net.Listener
 	server   *http.Server
-	cancel   context.CancelFunc
-
-	mu    sync.Mutex
-	state string
-	beats int
-	runs  map[string]int
 }
 
 // StartServer starts a backend server of a service. It refuses requests for another instance and passes the
 // others to run, which answers them.
 func (r *Rig) StartServer(id, service string, run http.HandlerFunc) *Server {
-	return r.startServer(id, service, run, func(http.ResponseWriter, *http.Request) bool { return false })
+	return r.startServer(id, service, homeZone, run, func(http.ResponseWriter, *http.Request) bool { return false })
 }
 
 // startServer starts a backend server; control serves the calls that are no requests of clients.
-func (r *Rig) startServer(id, service string, run http.HandlerFunc, control func(http.ResponseWriter, *http.Request) bool) *Server {
+func (r *Rig) startServer(id, service, zone string, run http.HandlerFunc, control func(http.ResponseWriter, *http.Request) bool) *Server {
 	listener, err := net.Listen("tcp", r.network+".200:0")
 	if err != nil {
 		r.Abort(err)
 	}
-	s := &Server{ID: id, Service: service, rig: r, listener: listener, state: "ready", runs: map[string]int{}}
+	s := &Server{ID: id, Service: service, Zone: zone, rig: r, listener: listener}
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if !control(w, request) {
 			s.serve(w, request, run)
 		}
 	})}
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
 	go func() { _ = s.server.Serve(listener) }()
-	go s.announce(ctx)
+	go s.announce()
 	return s
 }
 
@@ -65,31 +55,18 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	s.mu.Lock()
-	s.runs[id]++
-	s.mu.Unlock()
 	s.rig.Logf("server %s (%s) runs request %s: %s %s", s.ID, s.Service, id, r.Method, r.URL.Path)
 	w.Header().Set("Server-Stamp", s.ID+"."+id)
 	run(w, r)
 }
 
-// Runs returns how often the server ran a request.
-func (s *Server) Runs(id string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.runs[id]
-}
-
 // announce sends a heartbeat each HeartbeatMS, to the next coordinator if one does not acknowledge it.
-func (s *Server) announce(ctx context.Context) {
+func (s *Server) announce() {
 	born := time.Now().UnixMilli()
-	for seq := 1; ctx.Err() == nil; seq++ {
-		s.mu.Lock()
-		state := s.state
-		s.mu.Unlock()
+	for seq := 1; ; seq++ {
 		body, err := json.Marshal(map[string]any{
-			"service": s.Service, "address": s.listener.Addr().String(), "zone": "quimper", "version": "v1", "slots": 24,
-			"state": state, "coldLeftMs": 0, "seq": seq, "born": born,
+			"service": s.Service, "address": s.listener.Addr().String(), "zone": s.Zone, "version": "v1", "slots": 24,
+			"state": "ready", "coldLeftMs": 0, "seq": seq, "born": born,
 		})
 		if err != nil {
 			s.rig.Abort(err)
@@ -100,9 +77,6 @@
 				break
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(HeartbeatMS * time.Millisecond):
-		}
+		time.Sleep(HeartbeatMS * time.Millisecond)
 	}
 }
