--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,6 @@
 #!/bin/sh
-# Runs the case; see claim.txt. TROUBLE=0 leaves the disruption out.
+# Runs the case and writes record.txt beside this file; see claim.txt. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-CASE_FOLDER="$(pwd)/review/1" exec target/review/case-1
+RECORD="$(pwd)/review/1/record.txt"
+export RECORD
+exec target/review/case-1
--- a/review/cmd/case-3/main.go
+++ b/review/cmd/case-3/main.go
@@ -66,12 +66,15 @@
 		}
 		time.Sleep(settleTime)
 		held := ""
-		r.Eventually("configuration read back", 10*time.Second, func() bool { held = r.Read(1); return held != "" })
+		r.Eventually("one configuration read back at all coordinators", 10*time.Second, func() bool {
+			held = r.Read(1)
+			return held != "" && r.Read(2) == held && r.Read(3) == held
+		})
 		inForce, other := one, two
 		if held == config(version, two) {
 			inForce, other = two, one
 		}
-		r.Logf("round %d: version %d read back has the route /%s/, not /%s/", round, version, inForce, other)
+		r.Logf("round %d: version %d read back at all coordinators has the route /%s/, not /%s/", round, version, inForce, other)
 		for i := 1; i <= r.Gateways; i++ {
 			if held, lost := status(i, "/"+inForce+"/x"), status(i, "/"+other+"/x"); held == http.StatusNotFound && lost == http.StatusOK {
 				r.Finish(true, fmt.Sprintf("round %d: gateway %d answers 404 on the route /%s/ of the version %d that is held, and serves /%s/, which is not in it",
