directory: Version

Cause: a rollout moves traffic between versions, and the directory did not know them.

Change: announcements carry the version of the server, in Go and on the wire; it is checked like other names.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -18,6 +18,8 @@
 	leaving := announcement("a", "1:1", 10, 5)
 	leaving.State = Leaving
 	gone := Server{ID: "a", State: Gone}
+	versioned := announcement("a", "1:1", 10, 5)
+	versioned.Version = "v2"
 	tests := []struct {
 		name    string
 		earlier []Server
@@ -30,6 +32,7 @@
 		{"duplicate", []Server{announcement("a", "1:1", 10, 2)}, announcement("a", "1:1", 10, 2), Stale, Ready},
 		{"delayed after leaving", []Server{leaving}, announcement("a", "1:1", 10, 4), Stale, Leaving},
 		{"leaving", []Server{announcement("a", "1:1", 10, 4)}, leaving, Changed, Leaving},
+		{"version becomes known", []Server{announcement("a", "1:1", 10, 4)}, versioned, Changed, Ready},
 		{"end without a start time", []Server{leaving}, gone, Changed, Gone},
 		{"delayed after the end", []Server{leaving, gone}, announcement("a", "1:1", 10, 9), Stale, Gone},
 		{"restarted with the same ID", []Server{leaving, gone}, announcement("a", "1:1", 20, 1), Changed, Ready},
--- a/pkg/directory/validate_test.go
+++ b/pkg/directory/validate_test.go
@@ -22,6 +22,7 @@
 		"service is missing":     func(s *Server) { s.Service = "" },
 		"service is not":         func(s *Server) { s.Service = "a\r\nb" },
 		"data centre is not":     func(s *Server) { s.DataCentre = "a\x00" },
+		"version is not":         func(s *Server) { s.Version = "v2\n" },
 		"address.*99999":         func(s *Server) { s.Address = "10.0.0.1:99999" },
 		"address.*:0":            func(s *Server) { s.Address = "10.0.0.1:0" },
 		"address.*name":          func(s *Server) { s.Address = "name:80" },
--- a/pkg/follow/convert.go
+++ b/pkg/follow/convert.go
@@ -18,7 +18,7 @@
 func EncodeAnnouncement(s directory.Server) *wire.Announcement {
 	return &wire.Announcement{
 		Id: s.ID, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, StartedMs: s.StartedMS,
-		Sequence: s.Sequence, State: stateToWire[s.State], Slots: uint32(s.Slots), WarmingMs: uint32(s.WarmingMS),
+		Sequence: s.Sequence, State: stateToWire[s.State], Slots: uint32(s.Slots), WarmingMs: uint32(s.WarmingMS), Version: s.Version,
 	}
 }
 
@@ -31,7 +31,7 @@
 	}
 	s := directory.Server{
 		ID: a.Id, Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, StartedMS: a.StartedMs,
-		Sequence: a.Sequence, State: state, Slots: int(a.Slots), WarmingMS: int(a.WarmingMs),
+		Sequence: a.Sequence, State: state, Slots: int(a.Slots), WarmingMS: int(a.WarmingMs), Version: a.Version,
 	}
 	return s, s.Validate(now)
 }
