--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -50,7 +50,7 @@
 type proposal struct {
 	data []byte
 	// changeID and digest identify the proposed change. They are empty for lease
-	// requests and publications.
+	// requests, publications and rollouts.
 	changeID, digest string
 	term             uint64
 	done             chan proposalResult
@@ -119,7 +119,7 @@
 	pendingReadTerm uint64
 
 	// openWatches counts the open watches, inFlightProposals the running calls of
-	// ProposeLocal and Publish.
+	// ProposeLocal, Publish and of the methods that change rollouts.
 	openWatches, inFlightProposals atomic.Int64
 	// draining is set before a planned stop; new proposals are then rejected.
 	draining atomic.Bool
@@ -127,7 +127,7 @@
 	mu     sync.RWMutex
 	state  *State
 	status consensus.Status
-	// changed is closed and replaced when a newer version or publication is applied.
+	// changed is closed and replaced when a newer version or publication, or a change of a rollout, is applied.
 	changed chan struct{}
 	loopErr error
 
@@ -291,11 +291,11 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	version, revision := n.state.document.Version, n.state.publication.Revision
+	version, revision, rolloutChanges := n.state.document.Version, n.state.publication.Revision, n.state.rolloutChanges
 	for _, e := range entries {
 		n.applyEntry(e)
 	}
-	if n.state.document.Version != version || n.state.publication.Revision != revision {
+	if n.state.document.Version != version || n.state.publication.Revision != revision || n.state.rolloutChanges != rolloutChanges {
 		n.notifyWatchers()
 	}
 }
--- a/pkg/control/publication.go
+++ b/pkg/control/publication.go
@@ -172,7 +172,7 @@
 }
 
 // PublicationAndChange returns the applied publication and a channel that is
-// closed when a newer publication or configuration version is applied.
+// closed when a newer publication or configuration version, or a change of a rollout, is applied.
 func (n *Node) PublicationAndChange() (Publication, <-chan struct{}) {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 )
 
 // Outcome is the outcome of a proposed change or publication.
@@ -112,7 +113,9 @@
 	Change *document.Change `json:"change,omitempty"`
 	Lease  *LeaseRequest    `json:"lease,omitempty"`
 	// Publication takes effect only if its revision is higher than the one in force.
-	Publication *Publication `json:"publication,omitempty"`
+	Publication  *Publication  `json:"publication,omitempty"`
+	RolloutOrder *RolloutOrder `json:"rollout_order,omitempty"`
+	RolloutStep  *RolloutStep  `json:"rollout_step,omitempty"`
 }
 
 // commandOutput is the output of the state machine for one command.
@@ -141,11 +144,18 @@
 	// evicted holds the entries removed from audit and not yet taken by takeEvicted.
 	evicted     []AuditEntry
 	publication Publication
+	// rollouts holds the latest rollout of each service that ever had an order, and lastRollout the highest
+	// number of an order. rolloutChanges counts their changes since the state was created or decoded.
+	rollouts       map[string]rollout.Record
+	lastRollout    uint64
+	rolloutChanges uint64
 }
 
 // NewState returns the initial state, before the first command.
 func NewState() *State {
-	return &State{document: document.Empty(), seqByChangeID: map[string]uint64{}, keyOwners: map[string]string{}}
+	return &State{
+		document: document.Empty(), seqByChangeID: map[string]uint64{}, keyOwners: map[string]string{}, rollouts: map[string]rollout.Record{},
+	}
 }
 
 // Document returns the document in force. The caller must not modify it.
@@ -168,6 +178,10 @@
 		return commandOutput{lease: lease, granted: granted}
 	case c.Publication != nil:
 		return commandOutput{result: s.applyPublication(c.Time, *c.Publication)}
+	case c.RolloutOrder != nil:
+		return commandOutput{result: s.applyRolloutOrder(c.Time, *c.RolloutOrder)}
+	case c.RolloutStep != nil:
+		return commandOutput{result: s.applyRolloutStep(*c.RolloutStep)}
 	}
 	return commandOutput{result: Result{Outcome: Invalid, Message: "the log entry is an unknown command"}}
 }
@@ -417,12 +431,17 @@
 	Lease     Lease    `json:"lease"`
 	// Publication is the publication in force.
 	Publication Publication `json:"publication"`
+	// Rollouts are the latest rollouts of all services, and LastRollout the highest number of an order.
+	// Snapshots of earlier versions have neither.
+	Rollouts    []rollout.Record `json:"rollouts,omitempty"`
+	LastRollout uint64           `json:"last_rollout,omitempty"`
 }
 
 // encode returns the state as snapshot data.
 func (s *State) encode() ([]byte, error) {
 	out := stateSnapshot{
 		Document: s.document, Audit: s.audit, LastSeq: s.lastSeq, Lease: s.lease, Publication: s.publication,
+		Rollouts: s.sortedRollouts(), LastRollout: s.lastRollout,
 	}
 	for _, e := range s.audit {
 		if s.seqByChangeID[e.Result.ChangeID] != e.Seq {
@@ -444,7 +463,10 @@
 		return nil, eris.Wrap(err, "decode the control state")
 	}
 	s.document, s.audit, s.lastSeq, s.lease = in.Document, in.Audit, in.LastSeq, in.Lease
-	s.publication = in.Publication
+	s.publication, s.lastRollout = in.Publication, in.LastRollout
+	for _, r := range in.Rollouts {
+		s.rollouts[r.Service] = r
+	}
 	for name, o := range s.document.Organisations {
 		for _, hash := range o.KeyHashes {
 			s.keyOwners[hash] = name
