--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -29,6 +29,8 @@
 	MetricsAddress string `json:"metrics_address"`
 	// MemoryMB is the memory available to the process, in megabytes; 0 means no limit.
 	MemoryMB int `json:"memory_mb"`
+	// Rollouts enables rollouts of services to new versions and bounds them. It is optional.
+	Rollouts *Rollouts `json:"rollouts"`
 }
 
 // Gateway holds the settings of a gateway.
@@ -101,6 +103,7 @@
 	f.checkAtLeast("announce_ms", int64(s.AnnounceIntervalMS), 1)
 	f.checkOptionalAddress("metrics_address", s.MetricsAddress)
 	f.checkAtLeast("memory_mb", int64(s.MemoryMB), 0)
+	f.checkRollouts(s.Rollouts)
 	return f.faults
 }
 
