directory: versions of backend servers

Heartbeats carry the version of the software of a server, which was not read. A version that becomes known counts as a change, so that gateways receive it at once.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -115,7 +115,7 @@
 	r, c := g.followAt(g.address(1))
 	g.eventually("the publication", r.satisfies(func(r *recorder) bool { return r.revision == 1 }))
 	g.eventually("streams of all coordinators", func() bool { recent, _ := c.CountCoordinators(time.Now(), time.Second); return recent == 3 })
-	server := directory.Server{ID: "s", Service: "p", Address: "10.0.0.1:1", DataCentre: "d", StartedMS: 1, Sequence: 1, Slots: 6, WarmingMS: 3}
+	server := directory.Server{ID: "s", Service: "p", Address: "10.0.0.1:1", DataCentre: "d", StartedMS: 1, Sequence: 1, Slots: 6, WarmingMS: 3, Version: "v1"}
 	for i := 1; i <= 3; i++ {
 		server.Sequence++
 		server.Address = fmt.Sprintf("10.0.0.1:%d", i)
@@ -429,7 +429,7 @@
 	done := make(chan struct{})
 	go func() { stopped.persistState(ctx, folder, slog.New(slog.DiscardHandler)); close(done) }()
 	update := func(server, subject, file string) {
-		stopped.announce(directory.Server{ID: server, Service: "p", Address: "10.0.0." + strconv.Itoa(len(server)) + ":1", StartedMS: 1, Sequence: 1})
+		stopped.announce(directory.Server{ID: server, Service: "p", Address: "10.0.0." + strconv.Itoa(len(server)) + ":1", StartedMS: 1, Sequence: 1, Version: "v1"})
 		stopped.addPlacements([]*wire.Placement{{Subject: subject, Server: "engine", Backup: "backup"}}, true)
 		for deadline := time.Now().Add(waitTimeout); ; time.Sleep(10 * time.Millisecond) {
 			if data, err := os.ReadFile(filepath.Join(folder, file)); err == nil && strings.Contains(string(data), subject) && json.Valid(data) {
@@ -449,6 +449,9 @@
 		_, _ = restarted.restore(folder, now)
 		servers, placements := restarted.subscribe(false).drain()
 		qt.Assert(t, servers, qt.HasLen, wantServers)
+		for _, s := range servers {
+			qt.Assert(t, s.Version, qt.Equals, "v1")
+		}
 		qt.Assert(t, placements, qt.HasLen, wantPlacements)
 	}
 	check(time.Now(), 2, 2)
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -50,6 +50,8 @@
 	// WarmingMS is the rest of the warm-up at the time of the announcement, during which the
 	// server is slow, in milliseconds.
 	WarmingMS int
+	// Version is the version of the server's software, empty if unknown.
+	Version string
 }
 
 // Effect is the result of applying an announcement.
@@ -62,8 +64,8 @@
 	// Renewed announcements extend the lifetime of the entry and may change its data centre, its
 	// slots or its warm-up time.
 	Renewed
-	// Changed announcements add a server, or change its address, its service, its start or
-	// whether it accepts work.
+	// Changed announcements add a server, or change its address, its service, its start, its version
+	// or whether it accepts work.
 	Changed
 )
 
@@ -121,7 +123,8 @@
 		return Changed, displaced
 	}
 	effect = Renewed
-	if current.StartedMS != s.StartedMS || current.State != s.State || current.Address != s.Address || current.Service != s.Service {
+	if current.StartedMS != s.StartedMS || current.State != s.State || current.Address != s.Address || current.Service != s.Service ||
+		current.Version != s.Version {
 		effect = Changed
 	}
 	if current.Address != s.Address && d.idsByAddress[current.Address] == s.ID {
--- a/pkg/directory/validate.go
+++ b/pkg/directory/validate.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxNameBytes bounds identifiers and the names of services and data centres, which are sent to every
-	// instance. Those in use have a few dozen bytes.
+	// maxNameBytes bounds identifiers, versions and the names of services and data centres, which are sent
+	// to every instance. Those in use have a few dozen bytes.
 	maxNameBytes = 256
 	// maxSlots and maxWarmUp are far above what servers announce.
 	maxSlots  = 1 << 20
@@ -25,7 +25,7 @@
 // server, or nil. now is the local time of day. Announcements enter from the network and from files:
 // an invalid one must not pass, because instances could not forward it to each other.
 func (s *Server) Validate(now time.Time) error {
-	for _, name := range []struct{ field, value string }{{"identifier", s.ID}, {"service", s.Service}, {"data centre", s.DataCentre}} {
+	for _, name := range []struct{ field, value string }{{"identifier", s.ID}, {"service", s.Service}, {"data centre", s.DataCentre}, {"version", s.Version}} {
 		if !isName(name.value) {
 			return eris.Errorf("the %s is not a printable text of at most %d bytes: %.40q", name.field, maxNameBytes, name.value)
 		}
