--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -24,6 +24,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
@@ -75,6 +76,8 @@
 	r.reports = append(r.reports, report)
 }
 
+func (r *recorder) HandleRollouts([]rollout.Record, time.Duration) {}
+
 func (r *recorder) Revision() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -17,6 +17,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/settings"
 	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
@@ -110,6 +111,10 @@
 // several coordinators themselves.
 func (peerSink) HandlePromptReport(quarantine.Report) {}
 
+// HandleRollouts implements follow.Sink. It does nothing, because coordinators replicate rollouts by
+// consensus.
+func (peerSink) HandleRollouts([]rollout.Record, time.Duration) {}
+
 // Revision implements follow.Sink.
 func (peerSink) Revision() uint64 { return 0 }
 
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -16,6 +16,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
@@ -55,6 +56,10 @@
 	HandlePlacement(p placement.Placement)
 	// HandlePromptReport receives what became of an engine as it began to answer a prompt.
 	HandlePromptReport(r quarantine.Report)
+	// HandleRollouts receives rollouts, which may be older than those that are known, and the time since a
+	// leader last confirmed to the coordinator that it leads. It is called with each event, mostly without
+	// rollouts.
+	HandleRollouts(records []rollout.Record, leaderAge time.Duration)
 	// Revision returns the revision in force, 0 if there is none.
 	Revision() uint64
 }
@@ -233,8 +238,9 @@
 	if len(event.Coordinators) > 0 {
 		c.Add(ctx, event.Coordinators)
 	}
+	c.sink.HandleRollouts(DecodeRollouts(event.Rollouts, time.Now()), time.Duration(event.LeaderAgeMs)*time.Millisecond)
 	// The publication is passed on last: requests that wait for it need the backend
-	// servers and placements of the same event.
+	// servers, placements and rollouts of the same event.
 	if p, holder := c.publicationToAdopt(address, event, time.Now()); p != nil {
 		c.adopt(ctx, holder, p, nil)
 	}
