placement: selections of one version

Selections considered all servers of a service, whatever their version. A pool can now be restricted to the servers of one version, which holds for calls, engines, backups, relocations, caching engines, claims, waits and Retry-After. Large pools are sampled from the servers of the version, so that a few new ones are found among thousands.

--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -84,6 +84,8 @@
 	probeBackoff time.Duration
 	// allIndex and localIndex are the positions in Pool.all and Pool.local.
 	allIndex, localIndex int
+	// versionIndex and versionLocalIndex are the positions in the group of the server's version.
+	versionIndex, versionLocalIndex int
 	// claimDrawnAt is when it was drawn whether this gateway may claim a place, and claimable the result.
 	claimDrawnAt time.Time
 	claimable    bool
@@ -111,6 +113,7 @@
 	// lastLimitAt is the latest time at which a limit of any server was recorded, and lastPauseEnd the
 	// latest end of a pause.
 	lastLimitAt, lastPauseEnd time.Time
+	versions                  versionState
 }
 
 // NewPool returns an empty pool for a gateway in dataCentre.
@@ -134,12 +137,15 @@
 		p.insert(&Server{Server: s, firstSeenAt: now, processState: p.takeRemoved(s)})
 		return true
 	}
-	changed := current.State != s.State || current.StartedMS != s.StartedMS || current.Address != s.Address
+	changed := current.State != s.State || current.StartedMS != s.StartedMS || current.Address != s.Address || current.Version != s.Version
 	if current.StartedMS != s.StartedMS {
 		p.insert(&Server{Server: s, firstSeenAt: now, Inflight: current.Inflight, processState: &processState{startedMS: s.StartedMS}})
 		return true
 	}
-	if current.DataCentre != s.DataCentre {
+	if changed {
+		p.versions.readyKnown = false
+	}
+	if current.DataCentre != s.DataCentre || current.Version != s.Version {
 		p.delete(current)
 		current.Server = s
 		p.insert(current)
@@ -177,7 +183,7 @@
 
 // acceptsWork reports whether a server accepts requests of this gateway, a pause and its limit aside.
 func (p *Pool) acceptsWork(s *Server, exclude []string) bool {
-	return s.State == directory.Ready && !s.leaving && !slices.Contains(exclude, s.ID)
+	return s.State == directory.Ready && !s.leaving && p.allowsVersion(s) && !slices.Contains(exclude, s.ID)
 }
 
 // isSelectable reports whether a request may be sent to a server.
--- a/pkg/placement/process.go
+++ b/pkg/placement/process.go
@@ -68,7 +68,7 @@
 	if s == nil || s.leaving {
 		return false
 	}
-	s.leaving = true
+	s.leaving, p.versions.readyKnown = true, false
 	return true
 }
 
--- a/pkg/placement/sample.go
+++ b/pkg/placement/sample.go
@@ -40,6 +40,7 @@
 	p.delete(p.servers[s.ID])
 	p.servers[s.ID] = s
 	p.all.add(s)
+	p.addVersion(s)
 	if s.DataCentre == p.dataCentre {
 		p.local.add(s)
 	}
@@ -66,17 +67,19 @@
 	}
 	delete(p.servers, s.ID)
 	p.all.remove(s)
+	p.removeVersion(s)
 	if s.DataCentre == p.dataCentre {
 		p.local.remove(s)
 	}
 }
 
-// candidateSample returns the servers that a decision considers: all servers of a small pool, or
-// a random sample of a large one, so that the cost of a decision does not grow with the pool, for
+// candidateSample returns the servers that a decision considers, of the version that selections are
+// restricted to: all servers of a small pool, or a random sample of a large one, so that the cost of a decision does not grow with the pool, for
 // example from 24 to 11,000 servers.
 func (p *Pool) candidateSample() []*Server {
-	if len(p.all.servers) <= maxUnsampledServers {
-		return p.all.servers
+	all, local := p.selectable()
+	if len(all) <= maxUnsampledServers {
+		return all
 	}
 	selected := make([]*Server, 0, sampleSize)
 	seen := make(map[*Server]bool, sampleSize)
@@ -88,9 +91,9 @@
 			}
 		}
 	}
-	if len(p.local.servers) > 0 {
-		drawFrom(p.local.servers, localSampleSize)
+	if len(local) > 0 {
+		drawFrom(local, localSampleSize)
 	}
-	drawFrom(p.all.servers, sampleSize-localSampleSize)
+	drawFrom(all, sampleSize-localSampleSize)
 	return selected
 }
--- a/pkg/rollout/version_test.go
+++ b/pkg/rollout/version_test.go
@@ -91,7 +91,9 @@
 
 // Guards against a record that is replaced by an older one from a coordinator that lags behind.
 func TestReplaces(t *testing.T) {
-	at := func(number uint64, state State, step int) *Record { return &Record{Number: number, State: state, Step: step} }
+	at := func(number uint64, state State, step int) *Record {
+		return &Record{Number: number, State: state, Step: step}
+	}
 	for _, tt := range []struct {
 		name             string
 		received, stored *Record
