gateway: choice of the version for each request

A new version of a service received requests like any other. Streams at old engines are moved in the last step. Without the object nothing changes; the tests of the gateway pass as before.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -26,6 +26,8 @@
 	body            []byte
 	// unread carries the rest of a response that is too large to be buffered as a whole.
 	unread *upstream.Response
+	// cut watches the forwarding of unread for rollouts, nil if they are off.
+	cut *cutWatch
 }
 
 // summary returns the error or the status of the attempt, for logs.
@@ -41,8 +43,8 @@
 
 // serveCall serves a request whose route is not of kind Stream.
 func (g *Gateway) serveCall(ctx context.Context, w http.ResponseWriter, req *callerRequest) *reply {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errAnswered)
 	state := &callState{g: g, req: req, ctx: ctx, results: make(chan *result, maxCallAttempts), sends: g.newSendLedger(req.service.Name)}
 	defer state.discardPending()
 	defer state.sends.release()
@@ -188,7 +190,7 @@
 	if !c.sends.begin(purpose) {
 		return newRefusal(errRetryBudget.Error(), c.g.retryAfter(c.req))
 	}
-	server := c.g.selectServer(c.ctx, c.req, c.triedServerIDs, c.attempts == 0)
+	server, send := c.g.selectServer(c.ctx, c.req, c.triedServerIDs, c.attempts == 0)
 	if server == nil {
 		c.sends.cancel()
 		return newRefusal("no backend server available for service "+c.req.service.Name, c.g.retryAfter(c.req))
@@ -197,7 +199,7 @@
 	c.attempts++
 	c.possibleRuns++
 	c.inFlight++
-	go func() { c.results <- c.g.sendAttempt(c.ctx, c.req, server) }()
+	go func() { c.results <- c.g.sendAttempt(c.ctx, c.req, server, send) }()
 	return nil
 }
 
@@ -234,7 +236,7 @@
 // selectServer returns the server for an attempt, nil if there is none. The initial attempt of a call
 // waits up to maxServerWait for a server to appear, and for the limit of a server as long as it can be
 // served on time.
-func (g *Gateway) selectServer(ctx context.Context, req *callerRequest, tried []string, initial bool) *placement.Server {
+func (g *Gateway) selectServer(ctx context.Context, req *callerRequest, tried []string, initial bool) (*placement.Server, *versionSend) {
 	deadline := time.Now().Add(maxServerWait)
 	limit := g.newLimitWait(req, time.Duration(float64(req.route.Objective)*limitPatienceShare))
 	g.mu.Lock()
@@ -244,22 +246,20 @@
 		now := time.Now()
 		pool := g.pool(req.service.Name)
 		g.updateDemand(req.service.Name, now)
-		if !initial || limit.isNext() {
-			if server := pool.SelectForCall(now, tried); server != nil {
-				pool.RecordRequestStart(server.ID)
-				pool.RecordSend(server.ID, now)
-				selected := *server
-				return &selected
-			}
+		if server := g.selectForCall(req, tried, func() bool { return !initial || limit.isNext() }, now); server != nil {
+			pool.RecordRequestStart(server.ID)
+			pool.RecordSend(server.ID, now)
+			selected := *server
+			return &selected, g.beginSend(req, server, now)
 		}
 		if !initial {
-			return nil
+			return nil, nil
 		}
 		wait, limited := limit.next(now, tried)
 		if !limited {
 			wait = deadline.Sub(now)
-			if _, _, isLimited := pool.LimitWait(now, tried); isLimited || wait <= 0 {
-				return nil
+			if _, _, isLimited := g.waitingPool(req, now).LimitWait(now, tried); isLimited || wait <= 0 {
+				return nil, nil
 			}
 		}
 		changed := g.serversChanged
@@ -267,7 +267,7 @@
 		active := waitFor(ctx, wait, changed)
 		g.mu.Lock()
 		if !active {
-			return nil
+			return nil, nil
 		}
 	}
 }
@@ -280,13 +280,13 @@
 	if retryAfter, limited := g.limitRetryAfter(req, now); limited {
 		return retryAfter
 	}
-	return g.pool(req.service.Name).RetryAfter(now)
+	return g.waitingPool(req, now).RetryAfter(now)
 }
 
 // sendAttempt makes one attempt and records its outcome in the pool of the service. If ctx ended
 // during the attempt, because another attempt succeeded, the caller disconnected or the deadline
 // passed, it counts as a failure of the server only if it lasted longer than the hedge delay.
-func (g *Gateway) sendAttempt(ctx context.Context, req *callerRequest, s *placement.Server) *result {
+func (g *Gateway) sendAttempt(ctx context.Context, req *callerRequest, s *placement.Server, send *versionSend) *result {
 	startedAt := time.Now()
 	res := g.exchange(ctx, req, s)
 	g.mu.Lock()
@@ -305,6 +305,7 @@
 	case ctx.Err() == nil || now.Sub(startedAt) > time.Duration(float64(req.route.Objective)*hedgeDelayShare):
 		pool.RecordFailure(s.ID)
 	}
+	g.endCallSend(ctx, req, send, res, now)
 	g.mu.Unlock()
 	if res.err != nil && !res.notSent && ctx.Err() != nil {
 		g.client.CloseIdle(s.Address)
@@ -448,7 +449,9 @@
 	}
 	w.WriteHeader(res.status)
 	_, err := w.Write(res.body)
-	if err == nil {
+	if err == nil && res.cut != nil {
+		_, err = io.Copy(w, res.cut)
+	} else if err == nil {
 		_, err = io.Copy(w, res.unread)
 	}
 	if err != nil {
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -35,6 +35,8 @@
 	// requested means that maintainCopy requested the copy, which stays until it is used,
 	// released or expires. The copy of a relocation is used at once and not marked.
 	requested bool
+	// sourceVersion is the version of the engine that made a requested copy.
+	sourceVersion string
 }
 
 // latestCopy holds the copy from which a run can be resumed.
@@ -93,8 +95,11 @@
 		current := s.latestCopy.get()
 		s.g.mu.Lock()
 		available := current != nil && s.g.copyAvailable(s.req.service.Name, current)
+		closed := s.g.isClosed(s.req.service.Name, engine.Version)
 		s.g.mu.Unlock()
 		switch {
+		case closed:
+			// The engine must get no further request; the run goes on without a new copy.
 		case available && current != requested:
 			// The engine updates the copy at its backup during the run.
 		case available && time.Since(refreshedAt) < copyRefreshInterval:
@@ -133,6 +138,12 @@
 	if c == nil || !c.requested {
 		return
 	}
+	g.mu.Lock()
+	closed := g.isClosed(service.Name, c.sourceVersion)
+	g.mu.Unlock()
+	if closed {
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
@@ -174,7 +185,7 @@
 		s.recordCopyRefusal(holder)
 		return nil
 	}
-	return &runCopy{holder: *holder, sourceAddress: engine.Address, handle: handle, requested: true}
+	return &runCopy{holder: *holder, sourceAddress: engine.Address, handle: handle, requested: true, sourceVersion: engine.Version}
 }
 
 // recordCopyRefusal excludes an engine from further copies for some time.
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
 )
 
@@ -31,6 +32,9 @@
 	// deadline is the earlier of the caller's deadline and the route's timeout, less
 	// responseMargin.
 	deadline time.Time
+	// versionDraw is the version drawn for the request, valid once versionDrawn is set.
+	versionDraw  rollout.Draw
+	versionDrawn bool
 }
 
 // reply is a response of the gateway itself, sent when no response of a backend server
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -15,7 +15,7 @@
 // kinds of routes, outcomes and causes have fixed names.
 type metrics struct {
 	requests, retries, resumes, copyRequests       metric.Int64Counter
-	quarantined, retriesDenied                     metric.Int64Counter
+	quarantined, retriesDenied, versionSends       metric.Int64Counter
 	requestDuration, firstEventDelay, longestPause metric.Float64Histogram
 	admissionWait                                  metric.Float64Histogram
 }
@@ -43,6 +43,7 @@
 	m.retriesDenied = counter("gp_gateway_repeats_denied", "Sends beyond the first of a request that the retry budget did not allow, by purpose.")
 	m.resumes = counter("gp_gateway_stream_resumes", "Streams that went on at another engine, by cause.")
 	m.quarantined = counter("gp_gateway_quarantined", "Streams kept from engines because parts of their prompts are suspected.")
+	m.versionSends = counter("gp_gateway_rollout_sends", "Sends to backend servers during a rollout, by service and whether the server has the new version.")
 	m.copyRequests = counter("gp_gateway_copy_orders", "Copies of runs ordered from engines, by outcome.")
 	m.requestDuration = histogram("gp_gateway_request_duration", "Time to the end of an answer, by kind of route.")
 	m.firstEventDelay = histogram("gp_gateway_first_event", "Time to the first event of a stream.")
@@ -184,3 +185,10 @@
 		m.quarantined.Add(context.Background(), 1)
 	}
 }
+
+// countVersionSend counts a send during a rollout. The services are those of the configuration.
+func (m *metrics) countVersionSend(service string, isNew bool) {
+	if m != nil {
+		m.versionSends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("new", isNew)))
+	}
+}
--- a/pkg/gateway/relocate.go
+++ b/pkg/gateway/relocate.go
@@ -44,8 +44,9 @@
 		return nil
 	}
 	s.g.mu.Lock()
-	target := s.g.pool(s.req.service.Name).SelectRelocationTarget(time.Now(), run, engine.ID)
-	if target == nil {
+	now := time.Now()
+	target := s.g.copyPool(s.req, engine, now).SelectRelocationTarget(now, run, engine.ID)
+	if target == nil || s.g.isClosed(s.req.service.Name, engine.Version) {
 		s.g.mu.Unlock()
 		return nil
 	}
--- a/pkg/gateway/serverlimit.go
+++ b/pkg/gateway/serverlimit.go
@@ -131,7 +131,7 @@
 func (g *Gateway) limitEstimate(
 	req *callerRequest, waiter *placement.LimitWaiter, exclude []string, now time.Time,
 ) (estimate, first time.Duration, limited bool) {
-	first, rate, limited := g.pool(req.service.Name).LimitWait(now, exclude)
+	first, rate, limited := g.waitingPool(req, now).LimitWait(now, exclude)
 	if !limited {
 		return 0, 0, false
 	}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -66,7 +66,8 @@
 	// isolated means that callers should use another gateway; see updateIsolation.
 	isolated atomic.Bool
 
-	// mu guards configuredAt, isolatedSince and the fields from servers to serversChanged.
+	// mu guards configuredAt, isolatedSince and the fields from servers to serversChanged. rollouts is nil
+	// if rollouts are off, and is not replaced.
 	mu      sync.Mutex
 	servers *directory.Directory
 	pools   map[string]*placement.Pool
@@ -88,6 +89,7 @@
 	unstarted map[*streamState]func()
 	// serversChanged is closed and replaced when servers join, leave or recover.
 	serversChanged chan struct{}
+	rollouts       *rollouts
 
 	callerServer, readinessServer *http.Server
 	callerListener                net.Listener
@@ -105,6 +107,9 @@
 		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{}, durations: map[string]*placement.DurationHistory{}, admissionQueues: map[string]*placement.AdmissionQueue{},
 		callerConns: callerConns{conns: map[net.Conn]bool{}},
 	}
+	if s.Rollouts != nil {
+		g.rollouts = newRollouts()
+	}
 	g.requestsEnded, g.endRequests = context.WithCancel(context.Background())
 	g.quarantine = quarantine.NewTracker(g.rand)
 	g.coordinators = follow.NewClient(s.Instance.ID, dialer, g, log)
@@ -145,6 +150,10 @@
 	go g.coordinators.RunPlacements(ctx)
 	go g.coordinators.RunPromptReports(ctx)
 	go g.coordinators.RunUsage(ctx, g)
+	if g.rollouts != nil {
+		go g.coordinators.RunRollouts(ctx, g)
+		go g.runMoves(ctx)
+	}
 	return nil
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -28,6 +28,8 @@
 	switch {
 	case errors.Is(err, errRelocated):
 		return "moved"
+	case errors.Is(err, errVersionMoved):
+		return "rollout"
 	case errors.Is(err, errSilent):
 		return "silent"
 	case errors.Is(err, errRefused):
@@ -91,6 +93,11 @@
 	quarantineRetryAfter time.Duration
 	// soundReported is set when the prompt of this stream has proved to be sound.
 	soundReported bool
+	// send and versionRun are the present attempt as far as rollouts need it, nil if there is none or they
+	// are off. newFailures counts the attempts that failed at engines of a new version.
+	send        *versionSend
+	versionRun  *versionRun
+	newFailures int
 }
 
 // serveStream serves a request whose response is a stream of events.
@@ -109,6 +116,7 @@
 	}
 	for {
 		err := s.attempt()
+		s.endStreamSend(err)
 		if err == nil {
 			s.logCompleted()
 			g.releaseCopy(req.service, s.latestCopy.take())
@@ -218,6 +226,7 @@
 	s.recordPlacement(engine, backup, resumeCopy != nil)
 	s.adjustReservation(engine, backup, run.Tokens, 1)
 	defer s.adjustReservation(engine, backup, -run.Tokens, -1)
+	s.startVersionRun(ctx, cancel, engine, run)
 
 	watch := s.watchFirstEvent(ctx, cancel, engine)
 	defer watch.stop()
@@ -255,8 +264,9 @@
 		// Without a length, a run that the engine stopped on order ends like one that is complete.
 		err = s.handleBrokenStream(ctx, engine, false, io.ErrUnexpectedEOF)
 	}
+	err = s.settleMove(response, err)
 	s.recordEngineEnd(engine, err)
-	if err != nil && !errors.Is(err, errCallerLeft) && activeRelocation != nil && watch.prefillDone && s.awaitRelocation(activeRelocation) {
+	if err != nil && !errors.Is(err, errCallerLeft) && !errors.Is(err, errVersionMoved) && activeRelocation != nil && watch.prefillDone && s.awaitRelocation(activeRelocation) {
 		err = errRelocated
 	}
 	if err == nil {
@@ -294,6 +304,9 @@
 	if s.quarantined.Load() {
 		return errQuarantined
 	}
+	if s.activeMove() != nil {
+		return errVersionMoved
+	}
 	if watch.engineLost() {
 		s.exclude(engine, true)
 		return errSilent
@@ -376,6 +389,7 @@
 		if s.firstEventAt.IsZero() {
 			s.firstEventAt = time.Now()
 			s.recordStarted()
+			s.recordVersionLatency()
 		}
 		s.recordWriting(false)
 		silence.events.Add(1)
@@ -397,6 +411,9 @@
 	if s.quarantined.Load() {
 		return errQuarantined
 	}
+	if s.activeMove() != nil {
+		return errVersionMoved
+	}
 	if s.ctx.Err() == nil && ctx.Err() != nil {
 		s.exclude(engine, !engineSlow)
 		return errSilent
--- a/pkg/gateway/streamplan.go
+++ b/pkg/gateway/streamplan.go
@@ -39,14 +39,24 @@
 // selectEngine returns the engine for the next attempt, nil if there is none, and the
 // copy from which it resumes the run, nil if the engine has to prefill the prompt. If waitsForPlace is set
 // afterwards, there are engines, but the stream has to wait for a place at one.
-func (s *streamState) selectEngine() (*placement.Server, *runCopy) {
+func (s *streamState) selectEngine() (engine *placement.Server, resumeCopy *runCopy) {
 	now := time.Now()
 	g := s.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	pool := g.pool(s.req.service.Name)
+	defer func() {
+		if engine != nil {
+			s.send = g.beginSend(s.req, engine, now)
+		}
+	}()
+	pool, choice := g.requestPool(s.req, now)
 	g.updateDemand(s.req.service.Name, now)
 	s.waitsForPlace = false
+	if choice.HasFallback {
+		if engine, resumeCopy, ok := s.selectNewEngine(pool, choice, now); ok {
+			return engine, resumeCopy
+		}
+	}
 	if !s.limit.isNext() {
 		return nil, nil
 	}
@@ -70,11 +80,15 @@
 		s.excludedIDs = s.excludedIDs[1:]
 		selected = pool.SelectEngine(now, s.requirements())
 	}
+	if selected == nil && choice.HasFallback {
+		pool.Restrict(choice.Version)
+		selected = pool.SelectEngine(now, s.requirements())
+	}
 	if selected == nil {
 		return nil, nil
 	}
-	engine := *selected
-	return &engine, nil
+	chosen := *selected
+	return &chosen, nil
 }
 
 // copyHolderID returns the identifier of the engine that may hold a copy, for logs.
@@ -114,7 +128,8 @@
 	}
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	return s.g.pool(s.req.service.Name).SelectRelocationTarget(time.Now(), run, engine.ID) != nil
+	now := time.Now()
+	return s.g.copyPool(s.req, engine, now).SelectRelocationTarget(now, run, engine.ID) != nil
 }
 
 // selectBackup returns the engine that is to hold a copy of the run, nil if there is none.
@@ -126,7 +141,8 @@
 	run.EngineDataCentre = engine.DataCentre
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	selected := s.g.pool(s.req.service.Name).SelectBackup(time.Now(), run)
+	now := time.Now()
+	selected := s.g.copyPool(s.req, engine, now).SelectBackup(now, run)
 	if selected == nil {
 		return nil
 	}
@@ -164,7 +180,7 @@
 		s.limit = s.g.newLimitWait(s.req, resumeLimitPatience)
 	}
 	wait, limited := s.limit.next(now, s.excludedIDs)
-	_, _, isLimited := s.g.pool(s.req.service.Name).LimitWait(now, s.excludedIDs)
+	_, _, isLimited := s.g.waitingPool(s.req, now).LimitWait(now, s.excludedIDs)
 	s.g.mu.Unlock()
 	switch {
 	case limited:
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -208,7 +208,7 @@
 // AllowsResume reports whether a run may be resumed from its copy at a server.
 func (p *Pool) AllowsResume(id string, now time.Time) bool {
 	s := p.servers[id]
-	return s != nil && !s.isPaused(now) && (s.limit == nil || s.limit.allowsResume(now, p.demand))
+	return s != nil && p.allowsVersion(s) && !s.isPaused(now) && (s.limit == nil || s.limit.allowsResume(now, p.demand))
 }
 
 // LimitWait returns the time until the limit or the pause of a server lets this gateway send one more
--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -60,6 +60,8 @@
 	MetricsAddress string `json:"metrics_address"`
 	// MemoryMB is the memory available to the process, in megabytes; 0 means no limit.
 	MemoryMB int `json:"memory_mb"`
+	// Rollouts enables rollouts; without it, the versions of backend servers have no effect.
+	Rollouts *Rollouts `json:"rollouts"`
 }
 
 // DefaultCoordinator returns the default settings of a coordinator.
@@ -119,6 +121,7 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		f.addf("retry_ratio, retry_slack: must not be negative")
 	}
+	f.checkRollouts(s.Rollouts)
 	return f.faults
 }
 
