--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -112,10 +112,17 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWith(t, func(*settings.Gateway) {})
+}
+
+// newFixtureWith returns a fixture whose settings were changed by adjust.
+func newFixtureWith(t *testing.T, adjust func(*settings.Gateway)) *fixture {
 	t.Helper()
 	s := settings.DefaultGateway()
 	s.Instance = settings.Instance{ID: "g", Region: "r", DataCentre: "local"}
 	s.RetrySlack = 100
+	adjust(&s)
 	dialer := rpc.NewDialer(nil, &rpc.Counters{})
 	g := New(s, testProtocol{}, upstream.NewClient(nil), dialer, slog.New(slog.DiscardHandler))
 	// It is the only gateway, and knows that.
--- a/pkg/gateway/rolloutstream.go
+++ b/pkg/gateway/rolloutstream.go
@@ -22,7 +22,7 @@
 	// rest covers the order for a copy (2 s at most), a report, a decision and its replication.
 	moveLead   = 4500 * time.Millisecond
 	moveSpread = 1500 * time.Millisecond
-	// maxNewFailures is the number of runs of one stream that may fail at engines of the new version before
+	// maxNewFailures is the number of attempts of one stream that may fail at engines of the new version before
 	// the stream leaves it. After the first failure, a copy at another new engine saves a prefill.
 	maxNewFailures = 2
 )
@@ -125,7 +125,7 @@
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
 	delete(s.g.rollouts.runs, s)
-	if record := s.g.rollouts.record(send.service); outcome == sendFailed && record != nil && send.version == record.Version {
+	if record := s.g.rollouts.record(send.service); outcome != sendSucceeded && record != nil && send.version == record.Version {
 		s.newFailures++
 	}
 	// The latency was counted at the first event.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -94,7 +94,8 @@
 	// soundReported is set when the prompt of this stream has proved to be sound.
 	soundReported bool
 	// send and versionRun are the present attempt as far as rollouts need it, nil if there is none or they
-	// are off. newFailures counts the attempts that failed at engines of a new version.
+	// are off. newFailures counts the attempts that failed, or were refused, at engines of a
+	// new version.
 	send        *versionSend
 	versionRun  *versionRun
 	newFailures int
