--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -46,11 +46,11 @@
 
 // HandleRollouts implements follow.Sink.
 func (g *Gateway) HandleRollouts(records []rollout.Record, leaderAge time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if g.rollouts == nil {
 		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	now := time.Now()
 	g.rollouts.recordEvent(now, leaderAge)
 	changed := false
@@ -204,6 +204,8 @@
 type versionSend struct {
 	service, route, version string
 	startedAt               time.Time
+	// counted is set when the send is in the counts.
+	counted bool
 }
 
 // sendOutcome is what became of a send.
@@ -256,8 +258,13 @@
 	return counts, isNew
 }
 
-// countSend counts a send to a server of the new version or of another one.
+// countSend counts a send to a server of the new version or of another one, unless it is counted already or
+// was sent before the order; g.mu is held.
 func (g *Gateway) countSend(counts *rollout.Counts, send *versionSend, isNew bool) {
+	if send.counted || send.startedAt.Before(g.rollouts.services[send.service].learnedAt) {
+		return
+	}
+	send.counted = true
 	counts.Sent++
 	g.metrics.countVersionSend(send.service, isNew)
 }
@@ -276,7 +283,7 @@
 	if counts == nil {
 		return
 	}
-	if !isNew && outcome != sendNotSent && !send.startedAt.Before(g.rollouts.services[send.service].learnedAt) {
+	if outcome != sendNotSent {
 		g.countSend(counts, send, isNew)
 	}
 	switch outcome {
--- a/pkg/gateway/rolloutstream.go
+++ b/pkg/gateway/rolloutstream.go
@@ -110,7 +110,8 @@
 	}
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	if counts, _ := s.g.rollouts.countsOf(s.send); counts != nil {
+	if counts, isNew := s.g.rollouts.countsOf(s.send); counts != nil {
+		s.g.countSend(counts, s.send, isNew)
 		counts.Latencies.Add(time.Since(s.send.startedAt))
 	}
 }
@@ -139,7 +140,7 @@
 	switch {
 	case err == nil || errors.Is(err, errRelocated):
 		return sendSucceeded
-	case errors.As(err, &notSent):
+	case s.versionRun == nil || errors.As(err, &notSent):
 		return sendNotSent
 	case errors.Is(err, errVersionMoved) && !s.firstEventAt.IsZero():
 		return sendSucceeded
