gateway: bytes held for callers and their connections are bounded

Cause: bodies, heads and responses of all callers together, and their connections, had no bound; an announced length was allocated at once.

Change: pkg/membudget accounts what has arrived against a fifth of the memory; when it is short, the holder that is slowest and holds most is closed, others wait 500 ms and are refused with 503. pkg/connlimit bounds connections by descriptors and memory, closes those that do nothing useful, accounts large heads, and lets responses wait in a bounded buffer for slow callers. Bodies are kept in the parts in which they arrived.

Tests of pkg/gateway pass.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -329,7 +329,8 @@
 	}
 	res.status, res.header = response.StatusCode, response.Header
 	res.notRun = g.recordResponse(req, s, response, sentAt).NotRun
-	res.body, err = io.ReadAll(io.LimitReader(response, maxBufferedResponseBytes))
+	var whole bool
+	res.body, whole, err = req.readResponse(ctx, response)
 	if err == nil && response.EndsWithConnection() && hasSecondResponse(res.body, g.namesRequest) {
 		err = errSecondResponse
 	}
@@ -337,7 +338,7 @@
 	case err != nil:
 		res.err = err
 		response.Abort()
-	case len(res.body) == maxBufferedResponseBytes:
+	case !whole:
 		res.unread = response
 	default:
 		response.Release()
@@ -396,7 +397,7 @@
 // request identifier of a response is parsed from its headers alone, so its status is left at 0.
 func (g *Gateway) newUpstreamRequest(req *callerRequest, header http.Header) *upstream.Request {
 	return &upstream.Request{
-		ID: req.fields.ID, Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body,
+		ID: req.fields.ID, Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body.first, BodyRest: req.body.rest,
 		Matches: func(h http.Header) bool { return g.protocol.ParseResponse(0, h).RequestID == req.fields.ID },
 	}
 }
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -26,7 +24,7 @@
 	target       string
 	host         string
 	header       http.Header
-	body         []byte
+	body         *requestBody
 	startedAt    time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout, less
 	// responseMargin.
@@ -59,6 +57,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, errReply := g.admit(w, r, startedAt)
+	if req != nil {
+		defer req.body.account.Close()
+	} else {
+		connOf(r).DiscardBody(time.Now())
+	}
 	if errReply == nil {
 		errReply = g.checkStop(req)
 	}
@@ -108,6 +111,9 @@
 // admit reads a request, selects its route and service, and checks the organisation's
 // key and the limits of the configuration.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, startedAt time.Time) (*callerRequest, *reply) {
+	if errReply := checkOverflow(w, r); errReply != nil {
+		return nil, errReply
+	}
 	fields := g.protocol.ParseRequest(r.Header)
 	table := g.awaitTable(r.Context(), fields)
 	if table == nil {
@@ -123,19 +129,18 @@
 	if r.ContentLength > limit {
 		return nil, newReply(http.StatusRequestEntityTooLarge, fmt.Sprintf("body exceeds the limit of %d bytes", limit))
 	}
-	body, err := readBody(w, r, limit)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, newReply(http.StatusRequestEntityTooLarge, fmt.Sprintf("body exceeds the limit of %d bytes", limit))
-	}
-	if err != nil {
-		return nil, newReply(http.StatusBadRequest, "failed to read the body: "+err.Error())
-	}
-	// Receiving the body may have taken long: use the configuration in force now.
-	table = g.table.Load()
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := table.Match(r.Host, path)
+	body := &requestBody{}
+	if errReply := body.receive(g, w, r, limit, bodyDeadline(route, fields, startedAt)); errReply != nil {
+		return nil, errReply
+	}
+	// Receiving the body may have taken long: use the configuration in force now.
+	if t := g.table.Load(); t != table {
+		table, route = t, t.Match(r.Host, path)
+	}
 	if route == nil {
+		body.account.Close()
 		return nil, newReply(http.StatusNotFound, "no route matches the host and path")
 	}
 	req := &callerRequest{
@@ -186,20 +191,6 @@
 	return g.table.Load()
 }
 
-// readBody reads the body of a request, up to limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	reader := http.MaxBytesReader(w, r.Body, limit)
-	if r.ContentLength < 0 {
-		return io.ReadAll(reader)
-	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(reader, body)
-	return body, err
-}
-
 // hopByHopHeaders lists the headers that apply to a single connection.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -76,6 +76,9 @@
 	lastRequestRead, interrupted atomic.Bool
 }
 
+// Unwrap returns the connection below.
+func (c *callerConn) Unwrap() net.Conn { return c.Conn }
+
 // stopReading ends the wait for another request. A request of which a byte was read is received in full.
 func (c *callerConn) stopReading() error {
 	c.lastRequestRead.Store(true)
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -24,6 +24,7 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/geraniumpitch/geraniumpitch/pkg/connlimit"
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/kernel"
@@ -92,6 +93,7 @@
 	callerServer, readinessServer *http.Server
 	callerListener                net.Listener
 	callerConns                   callerConns
+	limits                        callerLimits
 	cancel                        context.CancelFunc
 }
 
@@ -103,7 +105,7 @@
 		budgets: map[string]*placement.RetryBudget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		serversChanged: make(chan struct{}), usageUpdated: make(chan struct{}), configured: make(chan struct{}), unstarted: map[*streamState]func(){},
 		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{}, durations: map[string]*placement.DurationHistory{}, admissionQueues: map[string]*placement.AdmissionQueue{},
-		callerConns: callerConns{conns: map[net.Conn]bool{}},
+		callerConns: callerConns{conns: map[net.Conn]bool{}}, limits: newCallerLimits(s),
 	}
 	g.requestsEnded, g.endRequests = context.WithCancel(context.Background())
 	g.quarantine = quarantine.NewTracker(g.rand)
@@ -157,7 +159,8 @@
 		var optionErr error
 		err := c.Control(func(fd uintptr) {
 			const tcpUserTimeout = 18
-			optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(callerAckTimeout/time.Millisecond))
+			optionErr = errors.Join(connlimit.Control(fd),
+				syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(callerAckTimeout/time.Millisecond)))
 		})
 		return errors.Join(err, optionErr)
 	}}
@@ -177,8 +180,9 @@
 func (g *Gateway) serveListeners(callers, balancer net.Listener) {
 	g.callerServer = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: maxIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug), ConnContext: withConn,
 		ConnState: func(conn net.Conn, state http.ConnState) {
+			connlimit.SetState(conn, state)
 			trackConnState(conn, state)
 			g.callerConns.track(conn, state)
 		},
@@ -191,7 +195,7 @@
 			g.log.Error("listener failed", "address", l.Addr().String(), "error", err)
 		}
 	}
-	g.callerListener = &callerListener{Listener: callers, timeouts: g.timeouts}
+	g.callerListener = &callerListener{Listener: g.limits.limit(callers), timeouts: g.timeouts}
 	go serve(g.callerServer, g.callerListener)
 	go serve(g.readinessServer, balancer)
 }
@@ -342,6 +346,7 @@
 			g.updateIsolation(now)
 		case now := <-expiryTicker.C:
 			g.client.CloseExpired(now)
+			g.logCallerLimits(now)
 			g.mu.Lock()
 			for _, s := range g.servers.Expire(now) {
 				g.log.Info("backend server expired", "server", s.ID, "service", s.Service, "state", s.State)
--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -29,6 +29,13 @@
 	MetricsAddress string `json:"metrics_address"`
 	// MemoryMB is the memory available to the process, in megabytes; 0 means no limit.
 	MemoryMB int `json:"memory_mb"`
+	// CallerMemoryMB bounds the bytes held for operators and backend servers together (bodies, large headers and
+	// responses that wait for slow readers), in megabytes; 0 means a fifth of the memory of the process. If memory_mb
+	// is 0 too, that is the limit of the control group, or GOMEMLIMIT.
+	CallerMemoryMB int `json:"caller_memory_mb"`
+	// CallerConnections bounds the connections of operators and backend servers; 0 means 2 of 5 file descriptors, and at
+	// most one per 160 KiB of memory.
+	CallerConnections int `json:"caller_connections"`
 }
 
 // Gateway holds the settings of a gateway.
@@ -60,6 +67,16 @@
 	MetricsAddress string `json:"metrics_address"`
 	// MemoryMB is the memory available to the process, in megabytes; 0 means no limit.
 	MemoryMB int `json:"memory_mb"`
+	// CallerMemoryMB bounds the bytes held for callers together (bodies, large headers, and responses that
+	// wait for slow callers), in megabytes; 0 means a fifth of the memory of the process. If memory_mb is 0 too, that is the limit of
+	// the control group, or GOMEMLIMIT.
+	CallerMemoryMB int `json:"caller_memory_mb"`
+	// CallerConnections bounds the connections of callers, each of which has at most one request at a time; 0 means 2 of 5
+	// file descriptors, and at most one per 160 KiB of memory.
+	CallerConnections int `json:"caller_connections"`
+	// ResponseBufferKB bounds the bytes of one response that wait for a slow caller, in kilobytes. A response is
+	// read from its server at the pace of the caller beyond that.
+	ResponseBufferKB int `json:"response_buffer_kb"`
 }
 
 // DefaultCoordinator returns the default settings of a coordinator.
@@ -69,7 +86,7 @@
 
 // DefaultGateway returns the default settings of a gateway.
 func DefaultGateway() Gateway {
-	return Gateway{AnnounceIntervalMS: 1000, GracePeriodS: 10, RetryRatio: 0.2, RetrySlack: 30, RetryWindowS: 10}
+	return Gateway{AnnounceIntervalMS: 1000, GracePeriodS: 10, RetryRatio: 0.2, RetrySlack: 30, RetryWindowS: 10, ResponseBufferKB: 256}
 }
 
 // LoadCoordinator reads the settings of a coordinator from a file and validates them.
@@ -101,6 +118,8 @@
 	f.checkAtLeast("announce_ms", int64(s.AnnounceIntervalMS), 1)
 	f.checkOptionalAddress("metrics_address", s.MetricsAddress)
 	f.checkAtLeast("memory_mb", int64(s.MemoryMB), 0)
+	f.checkAtLeast("caller_memory_mb", int64(s.CallerMemoryMB), 0)
+	f.checkAtLeast("caller_connections", int64(s.CallerConnections), 0)
 	return f.faults
 }
 
@@ -114,6 +133,9 @@
 	f.checkAtLeast("announce_ms", int64(s.AnnounceIntervalMS), 1)
 	f.checkOptionalAddress("metrics_address", s.MetricsAddress)
 	f.checkAtLeast("memory_mb", int64(s.MemoryMB), 0)
+	f.checkAtLeast("caller_memory_mb", int64(s.CallerMemoryMB), 0)
+	f.checkAtLeast("caller_connections", int64(s.CallerConnections), 0)
+	f.checkAtLeast("response_buffer_kb", int64(s.ResponseBufferKB), 1)
 	f.checkPositive("grace_s", s.GracePeriodS)
 	f.checkPositive("retry_window_s", s.RetryWindowS)
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -75,7 +75,9 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the beginning of the body, and BodyRest what follows it.
+	Body     []byte
+	BodyRest [][]byte
 	// Matches reports whether a response with the given headers belongs to this request.
 	// If it is nil, every response does.
 	Matches func(http.Header) bool
@@ -180,10 +182,14 @@
 	response := &Response{client: c, address: address, conn: cn, written: make(chan struct{})}
 	response.stopContextWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	head := r.encodeHead()
-	if len(r.Body) > asyncBodyBytes {
-		go response.writeRequest(head, r.Body)
+	if r.bodySize() > asyncBodyBytes {
+		go response.writeRequest(head, append([][]byte{r.Body}, r.BodyRest...))
 	} else {
-		response.writeRequest(append(head, r.Body...), nil)
+		head = append(head, r.Body...)
+		for _, part := range r.BodyRest {
+			head = append(head, part...)
+		}
+		response.writeRequest(head, nil)
 		if response.writeErr != nil && !response.hasResponseBytes() {
 			response.Abort()
 			return nil, eris.Wrapf(response.writeErr, "write the request to %s", address)
@@ -204,10 +210,14 @@
 }
 
 // writeRequest writes the head and the body of the request to the connection.
-func (r *Response) writeRequest(head, body []byte) {
+func (r *Response) writeRequest(head []byte, body [][]byte) {
 	defer close(r.written)
-	if _, r.writeErr = r.conn.Write(head); r.writeErr == nil && len(body) > 0 {
-		_, r.writeErr = r.conn.Write(body)
+	_, r.writeErr = r.conn.Write(head)
+	for _, part := range body {
+		if r.writeErr != nil {
+			return
+		}
+		_, r.writeErr = r.conn.Write(part)
 	}
 }
 
@@ -311,14 +321,23 @@
 	return defaultIdleTimeout
 }
 
+// bodySize returns the size of the body in bytes.
+func (r *Request) bodySize() int {
+	size := len(r.Body)
+	for _, part := range r.BodyRest {
+		size += len(part)
+	}
+	return size
+}
+
 // encodeHead returns the request line and the headers.
 func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Writing to a buffer does not fail.
 	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if size := r.bodySize(); size > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
