coordinator: bounds for operators and backend servers; metrics, log lines and settings of the limits

Cause: a coordinator read the bodies of any number of requests at once, over any number of connections.

Change: the server for operators receives bodies within one budget before its handler runs, decodes two large ones at a time, bounds its connections and the head of a request, and refuses with 503 what has no room. connlimit.Guard holds the limits of a process for gateways and coordinators.

--- a/cmd/gp-coordinator/main.go
+++ b/cmd/gp-coordinator/main.go
@@ -60,7 +60,11 @@
 	if err := k.Register(coordinatorService); err != nil {
 		return err
 	}
-	if err := k.Register(coordinator.NewOperatorServer(s.OperatorAddress, platform.Handler(coordinatorService, log), log)); err != nil {
+	operatorServer := coordinator.NewOperatorServer(s, platform.Handler(coordinatorService, log), platform.BodyLimit, log)
+	if err := operatorServer.RegisterMetrics(metrics.Meter("operators")); err != nil {
+		return err
+	}
+	if err := k.Register(operatorServer); err != nil {
 		return err
 	}
 	reload := func() {
--- a/internal/docs/operations_test.go
+++ b/internal/docs/operations_test.go
@@ -27,7 +27,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	inCode := map[string]bool{}
 	for _, folder := range []string{
-		"pkg/gateway", "pkg/coordinator", "pkg/follow", "platform", "cmd/gp-gateway", "cmd/gp-coordinator",
+		"pkg/gateway", "pkg/coordinator", "pkg/follow", "pkg/connlimit", "platform", "cmd/gp-gateway", "cmd/gp-coordinator",
 	} {
 		files, err := filepath.Glob(filepath.Join("../..", folder, "*.go"))
 		qt.Assert(t, err, qt.IsNil)
--- a/pkg/connlimit/listener.go
+++ b/pkg/connlimit/listener.go
@@ -24,9 +24,9 @@
 	// idleWeight is the weight of the time of an idle connection that has served a request: those that have
 	// not sent a whole one for a third of the time are closed before it.
 	idleWeight = 1. / 3
-	// DefaultBufferBytes is the default bound of the bytes that wait for one caller. A stream of 130 events has
+	// defaultBufferBytes is the default bound of the bytes that wait for one caller. A stream of 130 events has
 	// about 30 KB.
-	DefaultBufferBytes = 256 << 10
+	defaultBufferBytes = 256 << 10
 	// socketBufferBytes is the size of the kernel's buffers of a connection, 2 MB and more otherwise. It allows
 	// 10 Mbit/s over a round trip of 100 ms.
 	socketBufferBytes = 128 << 10
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -397,7 +397,7 @@
 // request identifier of a response is parsed from its headers alone, so its status is left at 0.
 func (g *Gateway) newUpstreamRequest(req *callerRequest, header http.Header) *upstream.Request {
 	return &upstream.Request{
-		ID: req.fields.ID, Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body.first, BodyRest: req.body.rest,
+		ID: req.fields.ID, Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body.First, BodyRest: req.body.Rest,
 		Matches: func(h http.Header) bool { return g.protocol.ParseResponse(0, h).RequestID == req.fields.ID },
 	}
 }
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/geraniumpitch/geraniumpitch/pkg/connlimit"
 	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
 )
 
@@ -24,7 +25,7 @@
 	target       string
 	host         string
 	header       http.Header
-	body         *requestBody
+	body         *connlimit.Body
 	startedAt    time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout, less
 	// responseMargin.
@@ -58,9 +59,9 @@
 	}
 	req, errReply := g.admit(w, r, startedAt)
 	if req != nil {
-		defer req.body.account.Close()
+		defer req.body.Account.Close()
 	} else {
-		connOf(r).DiscardBody(time.Now())
+		connlimit.OfRequest(r).DiscardBody(time.Now())
 	}
 	if errReply == nil {
 		errReply = g.checkStop(req)
@@ -131,8 +132,8 @@
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := table.Match(r.Host, path)
-	body := &requestBody{}
-	if errReply := body.receive(g, w, r, limit, bodyDeadline(route, fields, startedAt)); errReply != nil {
+	body := &connlimit.Body{}
+	if errReply := g.receiveBody(body, w, r, limit, bodyDeadline(route, fields, startedAt)); errReply != nil {
 		return nil, errReply
 	}
 	// Receiving the body may have taken long: use the configuration in force now.
@@ -140,7 +141,7 @@
 		table, route = t, t.Match(r.Host, path)
 	}
 	if route == nil {
-		body.account.Close()
+		body.Account.Close()
 		return nil, newReply(http.StatusNotFound, "no route matches the host and path")
 	}
 	req := &callerRequest{
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -9,6 +9,8 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/connlimit"
 )
 
 // metrics holds the instruments of a gateway. The cardinality of labels is bounded:
@@ -82,6 +84,9 @@
 		return int64(total)
 	})
 	gauge("gp_gateway_waiting_streams", "Streams that wait for a place at an engine.", func() int64 { return int64(g.waitingStreams()) })
+	errs = append(errs, g.guard.RegisterMetrics(meter, connlimit.MetricNames{
+		BytesHeld: "gp_gateway_caller_bytes", Connections: "gp_gateway_caller_connections", Effects: "gp_gateway_caller_limits",
+	}))
 	return m, eris.Wrap(errors.Join(errs...), "register the metrics of the gateway")
 }
 
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -93,7 +93,7 @@
 	callerServer, readinessServer *http.Server
 	callerListener                net.Listener
 	callerConns                   callerConns
-	limits                        callerLimits
+	guard                         *connlimit.Guard
 	cancel                        context.CancelFunc
 }
 
@@ -105,7 +105,7 @@
 		budgets: map[string]*placement.RetryBudget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		serversChanged: make(chan struct{}), usageUpdated: make(chan struct{}), configured: make(chan struct{}), unstarted: map[*streamState]func(){},
 		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{}, durations: map[string]*placement.DurationHistory{}, admissionQueues: map[string]*placement.AdmissionQueue{},
-		callerConns: callerConns{conns: map[net.Conn]bool{}}, limits: newCallerLimits(s),
+		callerConns: callerConns{conns: map[net.Conn]bool{}}, guard: newGuard(s),
 	}
 	g.requestsEnded, g.endRequests = context.WithCancel(context.Background())
 	g.quarantine = quarantine.NewTracker(g.rand)
@@ -180,7 +180,7 @@
 func (g *Gateway) serveListeners(callers, balancer net.Listener) {
 	g.callerServer = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: maxIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug), ConnContext: withConn,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug), ConnContext: connlimit.ConnContext,
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			connlimit.SetState(conn, state)
 			trackConnState(conn, state)
@@ -195,7 +195,7 @@
 			g.log.Error("listener failed", "address", l.Addr().String(), "error", err)
 		}
 	}
-	g.callerListener = &callerListener{Listener: g.limits.limit(callers), timeouts: g.timeouts}
+	g.callerListener = &callerListener{Listener: g.guard.Limit(callers), timeouts: g.timeouts}
 	go serve(g.callerServer, g.callerListener)
 	go serve(g.readinessServer, balancer)
 }
@@ -346,7 +346,7 @@
 			g.updateIsolation(now)
 		case now := <-expiryTicker.C:
 			g.client.CloseExpired(now)
-			g.logCallerLimits(now)
+			g.guard.LogEffects(g.log, now)
 			g.mu.Lock()
 			for _, s := range g.servers.Expire(now) {
 				g.log.Info("backend server expired", "server", s.ID, "service", s.Service, "state", s.State)
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -48,14 +48,14 @@
 	sleepContext(ctx, balancerDelay)
 	g.callersStopped.Store(true)
 	err := g.callerListener.Close()
-	for g.callerConns.active()+g.limits.flushing() > 0 && sleepContext(ctx, activeCheckInterval) {
+	for g.callerConns.active()+g.guard.Flushing() > 0 && sleepContext(ctx, activeCheckInterval) {
 	}
 	err = errors.Join(err, g.callerConns.stopReading())
 	lastResponses, cancelLast := context.WithDeadline(context.Background(), laterOf(closesAt, time.Now().Add(finalResponseMargin)))
 	defer cancelLast()
 	// net/http closes a connection once its read has ended without a request, so none is left that has read
 	// one and has not said so yet.
-	for g.callerConns.open()+g.limits.flushing() > 0 && sleepContext(lastResponses, activeCheckInterval) {
+	for g.callerConns.open()+g.guard.Flushing() > 0 && sleepContext(lastResponses, activeCheckInterval) {
 	}
 	if active := g.callerConns.active(); active > 0 {
 		g.log.Warn("planned stop: requests were still in flight at the end of the grace period", "requests", active)
