overload: calls that exceed the capacity are refused at the gateway

Cause: with one of three servers left, 230 calls per second for 200 places keep its queue full, so that most calls are late and many are sent in vain. Change: gateways exchange offered, sent, served and refused calls and the queues that servers report, and admit the share that the measured capacity allows (pkg/overload). A refused call is sent again only to a server that may have room; calls are not hedged while calls are refused.

--- a/pkg/follow/usage.go
+++ b/pkg/follow/usage.go
@@ -126,13 +126,13 @@
 }
 
 func encodeServiceUsage(name string, s usage.Service) *wire.ServiceUsage {
-	return &wire.ServiceUsage{Service: name, Requests: s.Requests, Retries: s.Retries, Demand: s.Demand, Ceiling: s.Ceiling, Wanted: s.Wanted}
+	return &wire.ServiceUsage{Service: name, Requests: s.Requests, Retries: s.Retries, Demand: s.Demand, Ceiling: s.Ceiling, Wanted: s.Wanted, Calls: encodeCalls(s.Calls)}
 }
 
 func decodeServices(services []*wire.ServiceUsage) usage.Services {
 	decoded := usage.Services{}
 	for _, s := range services {
-		decoded[s.Service] = usage.Service{Requests: s.Requests, Retries: s.Retries, Demand: s.Demand, Ceiling: s.Ceiling, Wanted: s.Wanted}
+		decoded[s.Service] = usage.Service{Requests: s.Requests, Retries: s.Retries, Demand: s.Demand, Ceiling: s.Ceiling, Wanted: s.Wanted, Calls: decodeCalls(s.Calls)}
 	}
 	return decoded
 }
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -41,6 +41,9 @@
 
 // serveCall serves a request whose route is not of kind Stream.
 func (g *Gateway) serveCall(ctx context.Context, w http.ResponseWriter, req *callerRequest) *reply {
+	if errReply := g.shedCall(req); errReply != nil {
+		return errReply
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	state := &callState{g: g, req: req, ctx: ctx, results: make(chan *result, maxCallAttempts), sends: g.newSendLedger(req.service.Name)}
@@ -84,7 +87,7 @@
 		case <-c.ctx.Done():
 			return c.handleTimeout()
 		case <-hedge.C:
-			if c.canRetry() {
+			if c.canRetry() && !c.g.sheds(c.req.service) {
 				// Hedging is optional: otherwise the first attempt goes on alone.
 				_ = c.retry(placement.Optional, "slow", "")
 			}
@@ -140,7 +143,7 @@
 	if r.notSent {
 		reason = "no backend server could be reached"
 	}
-	if c.attempts < maxCallAttempts && c.refusals < maxRefusals {
+	if c.attempts < maxCallAttempts && c.refusals < maxRefusals && (r.notSent || c.hasRoomElsewhere()) {
 		if r.notRun && !sleepContext(c.ctx, refusalRetryDelay) {
 			return c.handleTimeout()
 		}
@@ -248,6 +251,7 @@
 			if server := pool.SelectForCall(now, tried); server != nil {
 				pool.RecordRequestStart(server.ID)
 				pool.RecordSend(server.ID, now)
+				g.callControl(req.service.Name).RecordSend(now)
 				selected := *server
 				return &selected
 			}
@@ -280,6 +284,9 @@
 	if retryAfter, limited := g.limitRetryAfter(req, now); limited {
 		return retryAfter
 	}
+	if retryAfter, sheds := g.shedRetryAfter(req, now); sheds {
+		return retryAfter
+	}
 	return g.pool(req.service.Name).RetryAfter(now)
 }
 
@@ -296,6 +303,9 @@
 	if res.notSent {
 		pool.RecordNotSent(s.ID, startedAt)
 	}
+	if res.err == nil && !res.notRun {
+		g.callControl(req.service.Name).RecordServed(now)
+	}
 	switch {
 	case res.notSent && ctx.Err() == nil && !errors.Is(res.err, upstream.ErrTooManyConnections):
 		pool.RecordUnreachable(s.ID, now)
@@ -361,6 +371,7 @@
 	if fields.Load != nil {
 		pool.RecordLoad(server.ID, *fields.Load, time.Now())
 	}
+	g.recordCallLoad(req.service, server, fields, time.Now())
 	if fields.Misdirected {
 		g.markServerGone(server.ID)
 		return fields
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -15,7 +15,7 @@
 // kinds of routes, outcomes and causes have fixed names.
 type metrics struct {
 	requests, retries, resumes, copyRequests       metric.Int64Counter
-	quarantined, retriesDenied                     metric.Int64Counter
+	quarantined, retriesDenied, shed               metric.Int64Counter
 	requestDuration, firstEventDelay, longestPause metric.Float64Histogram
 	admissionWait                                  metric.Float64Histogram
 }
@@ -41,6 +41,7 @@
 	m.requests = counter("gp_gateway_requests", "Callers' requests by kind of route and outcome.")
 	m.retries = counter("gp_gateway_repeats", "Sends beyond the first of a request, by cause.")
 	m.retriesDenied = counter("gp_gateway_repeats_denied", "Sends beyond the first of a request that the retry budget did not allow, by purpose.")
+	m.shed = counter("gp_gateway_calls_shed", "Calls that were refused at once because more arrive than the servers serve in time, by cause.")
 	m.resumes = counter("gp_gateway_stream_resumes", "Streams that went on at another engine, by cause.")
 	m.quarantined = counter("gp_gateway_quarantined", "Streams kept from engines because parts of their prompts are suspected.")
 	m.copyRequests = counter("gp_gateway_copy_orders", "Copies of runs ordered from engines, by outcome.")
@@ -82,6 +83,7 @@
 		return int64(total)
 	})
 	gauge("gp_gateway_waiting_streams", "Streams that wait for a place at an engine.", func() int64 { return int64(g.waitingStreams()) })
+	gauge("gp_gateway_calls_admitted_percent", "Smallest share of the calls of a service that is admitted, in percent.", g.admittedCallPercent)
 	return m, eris.Wrap(errors.Join(errs...), "register the metrics of the gateway")
 }
 
@@ -138,6 +140,10 @@
 	m.increment(func() metric.Int64Counter { return m.retriesDenied }, purpose)
 }
 
+func (m *metrics) countShed(cause string) {
+	m.increment(func() metric.Int64Counter { return m.shed }, cause)
+}
+
 func (m *metrics) countResume(cause string) {
 	m.increment(func() metric.Int64Counter { return m.resumes }, cause)
 }
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -132,6 +132,11 @@
 	for service, b := range g.budgets {
 		report.Services[service] = b.Report(now)
 	}
+	for service, c := range g.callControls {
+		s := report.Services[service]
+		s.Calls = c.Rates(now)
+		report.Services[service] = s
+	}
 	for _, pool := range g.pools {
 		report.Limits = append(report.Limits, pool.Limits(now)...)
 	}
@@ -147,4 +152,5 @@
 	close(g.usageUpdated)
 	g.usageUpdated = make(chan struct{})
 	g.applyLimits(totals.Limits, reported.Limits, now)
+	g.applyCallTotals(totals, reported, now)
 }
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -89,6 +89,7 @@
 	claimable    bool
 	// copyBackoffUntil is the time from which copies may be sent to the server again.
 	copyBackoffUntil time.Time
+	callDuration     callDuration
 	*processState
 }
 
@@ -111,6 +112,7 @@
 	// lastLimitAt is the latest time at which a limit of any server was recorded, and lastPauseEnd the
 	// latest end of a pause.
 	lastLimitAt, lastPauseEnd time.Time
+	callCapacity              capacityCache
 }
 
 // NewPool returns an empty pool for a gateway in dataCentre.
@@ -331,6 +333,7 @@
 	s.failureRate *= 1 - failureSmoothing
 	s.avoidBackoff = 0
 	s.lastAliveAt = now
+	s.recordCallDuration(duration, now)
 	ms := float64(duration) / float64(time.Millisecond)
 	if s.recentLatency(now) == 0 {
 		s.latencyMS = ms
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -19,6 +19,8 @@
 	Ceiling float64
 	// Wanted is the number of retries of a gateway that lacked a grant since its previous report.
 	Wanted float64
+	// Calls is what was seen of the calls of a service without engines.
+	Calls Calls
 }
 
 // committed returns the retries of a gateway that are sent or may be sent without a further exchange.
@@ -28,7 +30,7 @@
 func (s Service) add(other Service) Service {
 	return Service{
 		Requests: s.Requests + other.Requests, Retries: s.Retries + other.Retries, Demand: s.Demand + other.Demand,
-		Ceiling: s.committed() + other.committed(),
+		Ceiling: s.committed() + other.committed(), Calls: s.Calls.Add(other.Calls),
 	}
 }
 
