--- a/cmd/gp-experiment/main.go
+++ b/cmd/gp-experiment/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(instance.VersionCommand{}, "")
 	subcommands.Register(&compareCommand{output: os.Stdout}, "")
+	subcommands.Register(&callsCommand{output: os.Stdout}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/pkg/overload/calls.go
+++ b/pkg/overload/calls.go
@@ -13,8 +13,8 @@
 
 const (
 	// queueTargetShare is the share of the objective that calls should wait at a server. Of an objective of 150 ms,
-	// 24 ms leave room for the chance fluctuations of the queue.
-	queueTargetShare = 0.10
+	// 12 ms leave room for its chance fluctuations.
+	queueTargetShare = 0.08
 	// defaultQueueTarget is the number of waiting calls per slot that is aimed at while the time that a call takes is
 	// unknown, and minQueueTarget and maxQueueTarget bound the number otherwise: with less than a waiting call
 	// for every fifth slot, slots stay free by chance, and more than two times the run time is late for most routes.
@@ -45,6 +45,14 @@
 	// 0.2 s old, twice the gain makes the queue swing.
 	reportGain = 0.25
 	reportTTL  = 400 * time.Millisecond
+	// idleReports and idleTime are the number of load reports without a waiting call, and the time since the first
+	// of them, from which the gateway refuses nothing: the burst has ended or servers were added, which the totals
+	// tell a second later. With the intended queue, a third of the reports have no waiting call.
+	idleReports = 4
+	idleTime    = 300 * time.Millisecond
+	// lateWeight is how much faster the share of late calls falls than the share of the others, while a gateway
+	// without totals does not know how many of them there are.
+	lateWeight = 10
 	// minUnmeasuredShare bounds the share to admit as long as no capacity has been measured.
 	minUnmeasuredShare = 0.4
 	// exchangeInterval is the shortest interval between two exchanges that a beginning overload causes.
@@ -75,6 +83,10 @@
 	// lastQueue is the number of waiting calls per slot in the last load report, and reportedAt its time.
 	lastQueue  float64
 	reportedAt time.Time
+	// idleCount is the number of load reports without a waiting call since the last one with some, and idleSince
+	// the time of the first of them.
+	idleCount int
+	idleSince time.Time
 
 	// capacity is the measured capacity and target the admitted rate at all gateways, per second; 0 without
 	// overload. ready is the capacity of the ready servers, by their speed, when both were set.
@@ -117,7 +129,12 @@
 	bucket.Reports++
 	bucket.Queue += queue
 	if waiting > 0 {
-		c.waitedAt = now
+		c.waitedAt, c.idleCount = now, 0
+	} else {
+		if c.idleCount == 0 {
+			c.idleSince = now
+		}
+		c.idleCount++
 	}
 	c.lastQueue, c.reportedAt = queue, now
 	c.adjustLocal(queue)
@@ -231,11 +248,11 @@
 // Shares returns the shares of the calls to admit, of those that can still be on time and of the others; ready is
 // as for HandleTotals.
 func (c *Calls) Shares(ready float64, now time.Time) (onTime, late float64) {
-	if now.Sub(c.waitedAt) > evidenceTTL {
+	if now.Sub(c.waitedAt) > evidenceTTL || c.idleCount >= idleReports && now.Sub(c.idleSince) >= idleTime && now.Sub(c.reportedAt) <= reportTTL {
 		return 1, 1
 	}
 	if now.Sub(c.totalsAt) > totalsTTL {
-		return 1 - c.localRefused, 1 - c.localRefused
+		return 1 - c.localRefused, max(0, 1-lateWeight*c.localRefused)
 	}
 	own := c.Rates(now)
 	target, offered := c.target*c.scale(ready)*c.reportFactor(now), c.offered+own.Offered
