--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -51,7 +51,8 @@
 func (testProtocol) ParseResponse(status int, h http.Header) ResponseFields {
 	a := ResponseFields{RequestID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 	if running, err := strconv.Atoi(h.Get("X-Running")); err == nil {
-		a.Load = &placement.LoadReport{Running: running, Slots: 6}
+		waiting, _ := strconv.Atoi(h.Get("X-Waiting"))
+		a.Load = &placement.LoadReport{Running: running, Waiting: waiting, Slots: 6}
 	}
 	if seconds, err := strconv.ParseFloat(h.Get("X-Pause"), 64); err == nil {
 		a.Pause = time.Duration(seconds * float64(time.Second))
