overload: the usual share of organisations is served

Cause: with one share for all calls, an organisation that sends 7.5 times its usual load takes the places of the others. Change: gateways measure the usual load of organisations without overload, exchange demand and usual load during an overload (at most 32 organisations of a service), and divide the admitted calls by max-min fairness, weighted by the usual load.

--- a/pkg/follow/calls.go
+++ b/pkg/follow/calls.go
@@ -22,3 +22,31 @@
 		Full: float64(c.GetFull()), Reports: float64(c.GetReports()), Queue: float64(c.GetQueue()),
 	}
 }
+
+func encodeOrganisations(byService usage.Organisations) (encoded []*wire.ServiceOrganisations) {
+	for service, organisations := range byService {
+		e := &wire.ServiceOrganisations{Service: service}
+		for _, o := range organisations {
+			e.Organisations = append(e.Organisations, &wire.OrganisationCalls{
+				Organisation: o.Organisation, Offered: float32(o.Offered), Usual: float32(o.Usual),
+			})
+		}
+		encoded = append(encoded, e)
+	}
+	return encoded
+}
+
+func decodeOrganisations(encoded []*wire.ServiceOrganisations) usage.Organisations {
+	if len(encoded) == 0 {
+		return nil
+	}
+	byService := usage.Organisations{}
+	for _, e := range encoded {
+		for _, o := range e.Organisations {
+			byService[e.Service] = append(byService[e.Service], usage.OrganisationCalls{
+				Organisation: o.Organisation, Offered: float64(o.Offered), Usual: float64(o.Usual),
+			})
+		}
+	}
+	return byService
+}
--- a/pkg/follow/calls_test.go
+++ b/pkg/follow/calls_test.go
@@ -18,6 +18,9 @@
 	for _, s := range encoded.Services {
 		qt.Assert(t, s.Calls == nil, qt.Equals, s.Service == "b")
 	}
-	totals := usage.Totals{Services: report.Services}
+	report.Organisations = usage.Organisations{"a": {{Organisation: "bakery", Offered: 10, Usual: 11}}}
+	qt.Assert(t, DecodeUsageReport(encodeUsageReport("g", report)).Organisations, qt.DeepEquals, report.Organisations)
+	totals := usage.Totals{Services: report.Services, Organisations: report.Organisations}
+	qt.Assert(t, DecodeUsageTotals(EncodeUsageTotals(totals)).Organisations, qt.DeepEquals, report.Organisations)
 	qt.Assert(t, DecodeUsageTotals(EncodeUsageTotals(totals)).Services["a"].Calls, qt.Equals, calls)
 }
--- a/pkg/follow/usage.go
+++ b/pkg/follow/usage.go
@@ -101,7 +101,7 @@
 	for name, s := range report.Services {
 		request.Services = append(request.Services, encodeServiceUsage(name, s))
 	}
-	request.Limits = encodeLimits(report.Limits)
+	request.Limits, request.Organisations = encodeLimits(report.Limits), encodeOrganisations(report.Organisations)
 	return request
 }
 
@@ -141,14 +141,14 @@
 func DecodeUsageReport(r *wire.UsageReport) usage.Report {
 	return usage.Report{
 		Incarnation: r.Incarnation, Services: decodeServices(r.Services), Limits: decodeLimits(r.Limits),
-		RetryRatio: r.RetryRatio, RetrySlack: r.RetrySlack, Gateways: int(r.Gateways),
+		RetryRatio: r.RetryRatio, RetrySlack: r.RetrySlack, Gateways: int(r.Gateways), Organisations: decodeOrganisations(r.Organisations),
 	}
 }
 
 // EncodeUsageTotals converts totals to their wire format.
 func EncodeUsageTotals(t usage.Totals) *wire.UsageTotals {
 	response := &wire.UsageTotals{Reporting: uint32(t.Reporting), Connected: uint32(t.Connected), Settled: t.Settled,
-		Limits: encodeLimits(t.Limits), GrantsRetries: t.Ceilings != nil}
+		Limits: encodeLimits(t.Limits), GrantsRetries: t.Ceilings != nil, Organisations: encodeOrganisations(t.Organisations)}
 	for name, s := range t.Services {
 		s.Ceiling = t.Ceilings[name]
 		response.Services = append(response.Services, encodeServiceUsage(name, s))
@@ -159,7 +159,7 @@
 // DecodeUsageTotals converts totals from their wire format.
 func DecodeUsageTotals(t *wire.UsageTotals) *usage.Totals {
 	totals := &usage.Totals{Services: decodeServices(t.Services), Reporting: int(t.Reporting), Connected: int(t.Connected), Settled: t.Settled,
-		Limits: decodeLimits(t.Limits)}
+		Limits: decodeLimits(t.Limits), Organisations: decodeOrganisations(t.Organisations)}
 	if t.GrantsRetries {
 		totals.Ceilings = map[string]float64{}
 		for _, s := range t.Services {
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -132,11 +132,7 @@
 	for service, b := range g.budgets {
 		report.Services[service] = b.Report(now)
 	}
-	for service, c := range g.callControls {
-		s := report.Services[service]
-		s.Calls = c.Rates(now)
-		report.Services[service] = s
-	}
+	g.reportCalls(&report, now)
 	for _, pool := range g.pools {
 		report.Limits = append(report.Limits, pool.Limits(now)...)
 	}
--- a/pkg/gateway/shedding.go
+++ b/pkg/gateway/shedding.go
@@ -47,7 +47,7 @@
 		c.timeLimits[req.route.Name] = limits
 	}
 	late := limits.IsLate(req.fields.Timeout, req.route.Timeout, req.route.Objective, pool.CallDuration())
-	if c.Admit(late, pool.CallCapacity(now), g.rand.Float64(), now) {
+	if c.Admit(req.organisation, late, pool.CallCapacity(now), g.rand.Float64(), now) {
 		return nil
 	}
 	c.shedSince++
@@ -124,7 +124,22 @@
 		if table != nil {
 			c.SetObjective(shortestObjective(table, service), pool.CallDuration())
 		}
-		c.HandleTotals(totals.Services[service].Calls, reported.Services[service].Calls, pool.CallCapacity(now), now)
+		c.HandleTotals(totals.Services[service].Calls, reported.Services[service].Calls, totals.Organisations[service], pool.CallCapacity(now), now)
+	}
+}
+
+// reportCalls adds the calls of this gateway to a report; g.mu is held.
+func (g *Gateway) reportCalls(report *usage.Report, now time.Time) {
+	for service, c := range g.callControls {
+		s := report.Services[service]
+		s.Calls = c.Rates(now)
+		report.Services[service] = s
+		if organisations := c.ReportOrganisations(now); len(organisations) > 0 {
+			if report.Organisations == nil {
+				report.Organisations = usage.Organisations{}
+			}
+			report.Organisations[service] = organisations
+		}
 	}
 }
 
--- a/pkg/loadmodel/calls.go
+++ b/pkg/loadmodel/calls.go
@@ -19,6 +19,8 @@
 	exchangeDelay = 15 * time.Millisecond
 	// exchangeSoonDelay is the delay of an exchange that a gateway asks for.
 	exchangeSoonDelay = 100 * time.Millisecond
+	// excessSpread is the time over which the calls of an organisation with more than its usual load are spread.
+	excessSpread = 50 * time.Millisecond
 	// maxCallRefusals, callRefusalDelay and callHedgeShare are those of the gateways.
 	maxCallRefusals  = 4
 	callRefusalDelay = 15 * time.Millisecond
@@ -37,6 +39,10 @@
 	Kinds            []CallKind
 	// ImmediateShare is the share of callers that do not wait for the time in a refusal, and repeat three times.
 	ImmediateShare float64
+	// Organisations is the number of organisations: three have a seventh of the calls each, and the others equal parts
+	// of the rest. The last one sends ExcessTimes its usual load during the overload, if that is set.
+	Organisations int
+	ExcessTimes   float64
 }
 
 // CallServerSpec describes a server. It ends at EndsS and starts again at StartsS, if these are set.
@@ -218,12 +224,43 @@
 			if random.Float64() >= k.rate(elapsed)*arrivalInterval.Seconds() {
 				continue
 			}
-			call := &callState{kind: k, arrivedAt: elapsed, immediate: random.Float64() < m.pattern.ImmediateShare}
-			m.schedule(elapsed, func() { m.offer(call) })
+			m.scheduleCall(k, elapsed, m.pattern.organisation(random), random.Float64() < m.pattern.ImmediateShare)
 		}
 	}
 }
 
+func (m *callModel) scheduleCall(k *CallKind, at time.Duration, organisation string, immediate bool) {
+	calls := 1
+	if excess := m.pattern.ExcessTimes; excess > 0 && IsOverloaded(at.Seconds()) && organisation == m.pattern.excessOrganisation() {
+		calls = int(excess)
+		if m.random.Float64() < excess-float64(calls) {
+			calls++
+		}
+	}
+	for i := range calls {
+		if i > 0 {
+			at += time.Duration(m.random.Float64() * float64(excessSpread))
+		}
+		call := &callState{kind: k, arrivedAt: at, immediate: immediate, result: CallResult{Organisation: organisation}}
+		m.schedule(at, func() { m.offer(call) })
+	}
+}
+
+// excessOrganisation returns the organisation that sends more than its usual load.
+func (p *CallPattern) excessOrganisation() string { return fmt.Sprintf("o%d", p.Organisations-1) }
+
+// organisation draws the organisation of a call.
+func (p *CallPattern) organisation(random *rand.Rand) string {
+	const large, largeShare = 3, 1.0 / 7
+	if p.Organisations <= large {
+		return ""
+	}
+	if drawn := random.Float64() / largeShare; drawn < large {
+		return fmt.Sprintf("o%d", int(drawn))
+	}
+	return fmt.Sprintf("o%d", large+random.IntN(p.Organisations-large))
+}
+
 func (k *CallKind) rate(elapsed time.Duration) float64 {
 	kind := Kind{PerSecond: k.PerSecond, Bursts: k.Bursts}
 	return kind.rate(elapsed)
@@ -250,7 +287,7 @@
 	g, k, now := o.gateway, o.call.kind, m.wallTime()
 	if m.policy.Shed {
 		late := g.timeLimits[k].IsLate(m.timeLeft(o.call), milliseconds(k.TimeLimitMS), milliseconds(k.ObjectiveMS), g.pool.CallDuration())
-		if !g.calls.Admit(late, g.pool.CallCapacity(now), m.random.Float64(), now) {
+		if !g.calls.Admit(o.call.result.Organisation, late, g.pool.CallCapacity(now), m.random.Float64(), now) {
 			m.refuse(o)
 			return
 		}
@@ -424,12 +461,15 @@
 		return
 	}
 	reported := usage.Report{Incarnation: 1, Services: usage.Services{"s": {Calls: g.calls.Rates(m.wallTime())}}}
+	if organisations := g.calls.ReportOrganisations(m.wallTime()); len(organisations) > 0 {
+		reported.Organisations = usage.Organisations{"s": organisations}
+	}
 	m.schedule(exchangeDelay/2, func() {
 		totals := m.table.Exchange(g.name, reported, len(m.gateways), m.wallTime())
 		m.schedule(exchangeDelay/2, func() {
 			now := m.wallTime()
 			g.calls.SetObjective(m.shortestObjective(), g.pool.CallDuration())
-			g.calls.HandleTotals(totals.Services["s"].Calls, reported.Services["s"].Calls, g.pool.CallCapacity(now), now)
+			g.calls.HandleTotals(totals.Services["s"].Calls, reported.Services["s"].Calls, totals.Organisations["s"], g.pool.CallCapacity(now), now)
 		})
 	})
 }
@@ -529,6 +569,10 @@
 			Name: "immediate-repeats", Description: "two of three servers leave, and half of the callers repeat refused calls three times at once",
 			Seconds: 36, Gateways: gateways, Servers: []CallServerSpec{server, leaving, leaving}, Kinds: kinds(), ImmediateShare: 0.5,
 		},
+		{
+			Name: "one-organisation", Description: "one of 24 organisations sends 7.5 times its usual load while one of three servers is left",
+			Seconds: 36, Gateways: gateways, Servers: []CallServerSpec{server, leaving, leaving}, Kinds: kinds(), Organisations: 24, ExcessTimes: 7.5,
+		},
 		{
 			Name: "cut-off", Description: "two of three servers leave, and a third of the gateways reach no coordinator",
 			Seconds: 36, Gateways: gateways, CutOff: gateways / 3, Servers: []CallServerSpec{server, leaving, leaving}, Kinds: kinds(),
--- a/pkg/loadmodel/calls_test.go
+++ b/pkg/loadmodel/calls_test.go
@@ -100,3 +100,27 @@
 		}
 	}
 }
+
+// Guards against an organisation with many times its usual load that takes the places of the others, and against the
+// refusal of large organisations that send what they always do.
+func TestUsualShareOfOrganisationsIsServed(t *testing.T) {
+	for _, n := range gatewayCounts {
+		p := callPattern("one-organisation", n)
+		results := simulateCallSeeds(p, shedPolicy)
+		summarize := func(include func(organisation string) bool) CallSummary {
+			return SummarizeCalls(results, func(r CallResult) bool {
+				return include(r.Organisation) && r.ArrivedS >= settledS+2 && r.ArrivedS < overloadEndsS
+			})
+		}
+		excess := p.excessOrganisation()
+		others := summarize(func(o string) bool { return o != excess })
+		large := summarize(func(o string) bool { return o == "o0" || o == "o1" || o == "o2" })
+		loud := summarize(func(o string) bool { return o == excess })
+		t.Logf("%d gateways: in time others %.3f, large ones %.3f, the one in excess %.3f", n, others.InTime, large.InTime, loud.InTime)
+		qt.Check(t, others.InTime >= 0.75, qt.IsTrue, qt.Commentf("%d gateways: others %.3f", n, others.InTime))
+		qt.Check(t, large.InTime >= 0.75, qt.IsTrue, qt.Commentf("%d gateways: large ones %.3f", n, large.InTime))
+		qt.Check(t, loud.InTime < 0.5, qt.IsTrue, qt.Commentf("%d gateways: the one in excess %.3f", n, loud.InTime))
+		// The organisation in excess still gets about what it usually does.
+		qt.Check(t, loud.InTime*p.ExcessTimes >= 0.5, qt.IsTrue, qt.Commentf("%d gateways: the one in excess %.3f", n, loud.InTime))
+	}
+}
--- a/pkg/overload/calls.go
+++ b/pkg/overload/calls.go
@@ -59,6 +59,8 @@
 	exchangeInterval = 500 * time.Millisecond
 	// evidenceTTL is how long a waiting call that a server reported counts as overload.
 	evidenceTTL = time.Second
+	// organisationsTTL is how long the demand of organisations is exchanged after calls were refused.
+	organisationsTTL = 3 * usage.Interval
 	// totalsTTL is how long the totals of all gateways are used: three intervals of the exchange.
 	totalsTTL = 3 * usage.Interval
 	// localDecrease and localIncrease change the admitted share of a gateway without totals with each load report,
@@ -76,6 +78,10 @@
 // concurrent use.
 type Calls struct {
 	meter meter[usage.Calls]
+	// Organisations divides the admitted calls among organisations.
+	Organisations Organisations
+	// refusedAt is the latest time at which the share to admit was below 1.
+	refusedAt time.Time
 	// queueTarget is the number of waiting calls per slot that is aimed at, 0 until it is set.
 	queueTarget float64
 	// waitedAt is the latest time at which calls were seen to wait, here or by another gateway.
@@ -192,8 +198,10 @@
 }
 
 // HandleTotals applies the calls of all gateways, which include those that this one reported. ready is the number
-// of calls per second that the ready servers serve in time as far as it is known, 0 if it is not.
-func (c *Calls) HandleTotals(total, reported usage.Calls, ready float64, now time.Time) {
+// of calls per second that the ready servers serve in time as far as it is known, 0 if it is not. organisations is the
+// demand of organisations, if gateways report it.
+func (c *Calls) HandleTotals(total, reported usage.Calls, organisations []usage.OrganisationCalls, ready float64, now time.Time) {
+	c.Organisations.HandleTotals(organisations)
 	elapsed := min(totalsTTL, max(0, now.Sub(c.totalsAt))).Seconds()
 	c.totalsAt = now
 	c.offered, c.late = max(0, total.Offered-reported.Offered), max(0, total.Late-reported.Late)
@@ -248,39 +256,59 @@
 // Shares returns the shares of the calls to admit, of those that can still be on time and of the others; ready is
 // as for HandleTotals.
 func (c *Calls) Shares(ready float64, now time.Time) (onTime, late float64) {
+	onTime, late, _ = c.shares(ready, now)
+	return onTime, late
+}
+
+// shares also returns the rate of the calls that can still be on time at all gateways, 0 if it is unknown.
+func (c *Calls) shares(ready float64, now time.Time) (onTime, late, offered float64) {
 	if now.Sub(c.waitedAt) > evidenceTTL || c.idleCount >= idleReports && now.Sub(c.idleSince) >= idleTime && now.Sub(c.reportedAt) <= reportTTL {
-		return 1, 1
+		return 1, 1, 0
 	}
 	if now.Sub(c.totalsAt) > totalsTTL {
-		return 1 - c.localRefused, max(0, 1-lateWeight*c.localRefused)
+		return 1 - c.localRefused, max(0, 1-lateWeight*c.localRefused), 0
 	}
 	own := c.Rates(now)
-	target, offered := c.target*c.scale(ready)*c.reportFactor(now), c.offered+own.Offered
+	target := c.target * c.scale(ready) * c.reportFactor(now)
+	offered = c.offered + own.Offered
 	if c.target == 0 {
 		// Nothing has been measured yet. The speed of the servers tells their capacity by a factor.
 		if ready <= 0 || now.Sub(c.reportedAt) > evidenceTTL || c.lastQueue <= c.targetQueue() {
-			return 1, 1
+			return 1, 1, offered
 		}
 		target = max(ready, minUnmeasuredShare*offered)
 	}
 	if target <= offered {
-		return target / offered, 0
+		return target / offered, 0, offered
 	}
-	return 1, min(1, (target-offered)/max(1, c.late+own.Late))
+	return 1, min(1, (target-offered)/max(1, c.late+own.Late)), offered
 }
 
 // Admit counts a call that a caller offers, and reports whether it is sent. late means that it cannot be on time
 // any more, which is so for most calls that are offered again after a refusal: they get what the others leave.
 // random is a random number from 0 to 1.
-func (c *Calls) Admit(late bool, ready, random float64, now time.Time) bool {
-	shareOnTime, shareLate := c.Shares(ready, now)
+func (c *Calls) Admit(organisation string, late bool, ready, random float64, now time.Time) bool {
+	shareOnTime, shareLate, offered := c.shares(ready, now)
+	if shareOnTime < 1 {
+		c.refusedAt = now
+	}
 	bucket := c.meter.at(now)
 	if late {
 		bucket.Late++
 		return random < shareLate
 	}
 	bucket.Offered++
-	return random < shareOnTime
+	c.Organisations.Record(organisation, now)
+	return random < c.Organisations.Share(organisation, shareOnTime, offered)
+}
+
+// ReportOrganisations returns the demand of organisations for an exchange, nil without overload.
+func (c *Calls) ReportOrganisations(now time.Time) []usage.OrganisationCalls {
+	if now.Sub(c.refusedAt) > organisationsTTL {
+		c.Organisations.Measure(now)
+		return nil
+	}
+	return c.Organisations.Report(now)
 }
 
 // Status is what the decision about calls follows, for logs. Rates are per second.
--- a/pkg/overload/calls_test.go
+++ b/pkg/overload/calls_test.go
@@ -22,12 +22,12 @@
 	var c Calls
 	for i := range 50 {
 		now := at(time.Duration(i) * 20 * time.Millisecond)
-		qt.Assert(t, c.Admit(false, 1, 0.999, now), qt.IsTrue)
+		qt.Assert(t, c.Admit("a", false, 1, 0.999, now), qt.IsTrue)
 		c.RecordSend(now)
 		c.RecordServed(now)
 		c.RecordReport(0, 6, now)
 	}
-	c.HandleTotals(overloadedTotals, usage.Calls{}, 200, at(0))
+	c.HandleTotals(overloadedTotals, usage.Calls{}, nil, 200, at(0))
 	onTime, late := c.Shares(200, at(2*time.Second))
 	qt.Assert(t, onTime, qt.Equals, 1.0)
 	qt.Assert(t, late, qt.Equals, 1.0)
@@ -38,14 +38,14 @@
 func TestAdmittedShareFollowsTheMeasuredCapacity(t *testing.T) {
 	var c Calls
 	c.SetObjective(150*time.Millisecond, 30*time.Millisecond)
-	c.HandleTotals(overloadedTotals, usage.Calls{}, 0, at(0))
+	c.HandleTotals(overloadedTotals, usage.Calls{}, nil, 0, at(0))
 	onTime, late := c.Shares(0, at(100*time.Millisecond))
 	qt.Assert(t, onTime > 0.55 && onTime < 200.0/230, qt.IsTrue, qt.Commentf("share %.3f", onTime))
 	qt.Assert(t, late, qt.Equals, 0.0)
 	// Servers that complete as much with a short queue leave the share of the capacity.
 	steady := usage.Calls{Offered: 230, Sent: 200, Served: 200, Reports: 200, Queue: 80}
 	for i := 1; i < 4; i++ {
-		c.HandleTotals(steady, usage.Calls{}, 0, at(time.Duration(i)*time.Second))
+		c.HandleTotals(steady, usage.Calls{}, nil, 0, at(time.Duration(i)*time.Second))
 	}
 	onTime, _ = c.Shares(0, at(3*time.Second))
 	qt.Assert(t, onTime > 0.84 && onTime < 0.96, qt.IsTrue, qt.Commentf("share %.3f", onTime))
@@ -55,7 +55,7 @@
 // servers at once, and load reports without waiting calls within a third of a second.
 func TestOverloadEnds(t *testing.T) {
 	var c Calls
-	c.HandleTotals(overloadedTotals, usage.Calls{}, 200, at(0))
+	c.HandleTotals(overloadedTotals, usage.Calls{}, nil, 200, at(0))
 	c.RecordReport(12, 6, at(0))
 	before, _ := c.Shares(200, at(10*time.Millisecond))
 	qt.Assert(t, before < 0.9, qt.IsTrue)
@@ -88,7 +88,7 @@
 func TestRatesCoverTheLastSecond(t *testing.T) {
 	var c Calls
 	for i := range 500 {
-		c.Admit(false, 0, 0, at(time.Duration(i)*10*time.Millisecond))
+		c.Admit("a", false, 0, 0, at(time.Duration(i)*10*time.Millisecond))
 	}
 	rate := c.Rates(at(5 * time.Second)).Offered
 	qt.Assert(t, rate > 75 && rate < 125, qt.IsTrue, qt.Commentf("%.1f per second", rate))
@@ -113,14 +113,14 @@
 
 func BenchmarkAdmit(b *testing.B) {
 	var c Calls
-	c.HandleTotals(overloadedTotals, usage.Calls{}, 200, at(0))
+	c.HandleTotals(overloadedTotals, usage.Calls{}, nil, 200, at(0))
 	b.ReportAllocs()
 	for i := range b.N {
 		now := at(time.Duration(i) * time.Microsecond)
 		if i%100 == 0 {
 			c.RecordReport(12, 6, now)
-			c.HandleTotals(overloadedTotals, usage.Calls{}, 200, now)
+			c.HandleTotals(overloadedTotals, usage.Calls{}, nil, 200, now)
 		}
-		c.Admit(i%4 == 0, 200, 0.5, now)
+		c.Admit("a", i%4 == 0, 200, 0.5, now)
 	}
 }
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -43,6 +43,8 @@
 	Incarnation uint64
 	Services    Services
 	Limits      []Limit
+	// Organisations is the demand of organisations; it is nil without overload.
+	Organisations Organisations
 	// RetryRatio and RetrySlack are the retry budget of each service, over all gateways: the number of
 	// retries allowed per request, and regardless of the requests. Both are 0 if no grants are wanted.
 	RetryRatio, RetrySlack float64
@@ -68,6 +70,8 @@
 	Services Services
 	// Limits has one entry for each server: the limit that was seen last, and the requests of all.
 	Limits []Limit
+	// Organisations is the demand of organisations at gateways that are overloaded, nil if none is.
+	Organisations Organisations
 	// Reporting is the number of gateways whose reports are included, and Connected the number of
 	// gateways that the coordinator knows. The totals lack the usage of the others.
 	Reporting, Connected int
@@ -104,7 +108,8 @@
 	startedAt time.Time
 	reports   map[string]timedReport
 	// ended holds the last reports of processes that ended.
-	ended []timedReport
+	ended            []timedReport
+	organisationSums organisationSums
 }
 
 type timedReport struct {
@@ -180,7 +185,7 @@
 			totals.Services[name] = totals.Services[name].add(Service{Requests: s.Requests * inWindow, Retries: s.Retries, Ceiling: s.Ceiling})
 		}
 	}
-	totals.Limits = t.limits(now)
+	totals.Limits, totals.Organisations = t.limits(now), t.organisations(now)
 	totals.Reporting = len(t.reports)
 	totals.Connected = max(connected, totals.Reporting)
 	return totals
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -153,3 +153,23 @@
 	qt.Assert(t, NewTable(start).Exchange("a", report(40, 0, 0), 1, start).Ceilings, qt.IsNil)
 	qt.Assert(t, table.Exchange("a", Report{Services: Services{"s": {Requests: 4}}}, 3, start).Ceilings, qt.IsNil)
 }
+
+// Guards against an organisation whose demand is not that of all gateways together, and against more organisations in
+// the totals than the control budget allows.
+func TestOrganisationsOfAllGateways(t *testing.T) {
+	start := time.Unix(1000, 0)
+	table := NewTable(start)
+	report := func(instance string, offered float64) Report {
+		r := Report{Organisations: Organisations{"s": {{Organisation: "a", Offered: offered, Usual: 1}}}}
+		for i := range 2 * MaxOrganisations {
+			r.Organisations["s"] = append(r.Organisations["s"], OrganisationCalls{Organisation: instance + string(rune('A'+i)), Offered: 0.1})
+		}
+		return r
+	}
+	table.Record("g1", report("g1", 3), start)
+	table.Record("g2", report("g2", 4), start)
+	table.Record("g3", Report{}, start)
+	organisations := table.Totals(start.Add(time.Second), 3).Organisations["s"]
+	qt.Assert(t, organisations, qt.HasLen, MaxOrganisations)
+	qt.Assert(t, organisations[0], qt.Equals, OrganisationCalls{Organisation: "a", Offered: 7, Usual: 2})
+}
