overload: waiting streams, Retry-After and the capacity of large pools

Cause: a stream waited until shortly before its deadline also when the prompts ahead left no time for it; the streams of one organisation were all placed before those of others; the times in refusals brought callers back together.

--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -54,7 +54,7 @@
 			s.waitsForPlace = true
 			return nil
 		}
-		queue.Leave(&s.pending)
+		queue.Place(&s.pending)
 		return selected
 	}
 	queue.Leave(&s.pending)
@@ -79,8 +79,15 @@
 // waitForPlace waits until the stream is next and an engine has a place for it, and returns that engine. It
 // returns an error if a stream that has not run cannot end in time any more.
 func (s *streamState) waitForPlace() (*placement.Server, *runCopy, error) {
-	startedAt := time.Now()
+	startedAt, estimatedAt := time.Now(), time.Time{}
 	for {
+		if s.possibleRuns == 0 && time.Since(estimatedAt) >= estimateInterval {
+			if s.cannotEnd() {
+				s.g.metrics.countShed("stream_deadline")
+				return nil, nil, errCannotEnd
+			}
+			estimatedAt = time.Now()
+		}
 		usual, _ := s.g.streamDurations(s.req.route.Name)
 		if s.possibleRuns == 0 && time.Until(s.req.deadline) < usual {
 			return nil, nil, errNoTimeLeft
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -284,10 +284,7 @@
 	if retryAfter, limited := g.limitRetryAfter(req, now); limited {
 		return retryAfter
 	}
-	if retryAfter, sheds := g.shedRetryAfter(req, now); sheds {
-		return retryAfter
-	}
-	return g.pool(req.service.Name).RetryAfter(now)
+	return g.roomRetryAfter(req, now)
 }
 
 // sendAttempt makes one attempt and records its outcome in the pool of the service. If ctx ended
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -41,7 +41,7 @@
 	m.requests = counter("gp_gateway_requests", "Callers' requests by kind of route and outcome.")
 	m.retries = counter("gp_gateway_repeats", "Sends beyond the first of a request, by cause.")
 	m.retriesDenied = counter("gp_gateway_repeats_denied", "Sends beyond the first of a request that the retry budget did not allow, by purpose.")
-	m.shed = counter("gp_gateway_calls_shed", "Calls that were refused at once because more arrive than the servers serve in time, by cause.")
+	m.shed = counter("gp_gateway_shed", "Requests that were refused at once because the servers cannot serve them in time, by cause.")
 	m.resumes = counter("gp_gateway_stream_resumes", "Streams that went on at another engine, by cause.")
 	m.quarantined = counter("gp_gateway_quarantined", "Streams kept from engines because parts of their prompts are suspected.")
 	m.copyRequests = counter("gp_gateway_copy_orders", "Copies of runs ordered from engines, by outcome.")
--- a/pkg/gateway/shedding.go
+++ b/pkg/gateway/shedding.go
@@ -46,7 +46,7 @@
 		limits = &overload.TimeLimits{}
 		c.timeLimits[req.route.Name] = limits
 	}
-	late := limits.IsLate(req.fields.Timeout, req.route.Timeout, req.route.Objective, pool.CallDuration())
+	late := limits.IsLate(req.fields.Timeout, req.route.Timeout, req.route.Objective, pool.CallDuration(now))
 	if c.Admit(req.organisation, late, pool.CallCapacity(now), g.rand.Float64(), now) {
 		return nil
 	}
@@ -63,7 +63,7 @@
 		cause = "late"
 	}
 	g.metrics.countShed(cause)
-	return newRefusal("more calls arrive than the servers serve in time", c.RetryAfter(req.deadline.Sub(now), g.rand.Float64()))
+	return newRefusal("more calls arrive than the servers serve in time", overload.RetryAfter(0, req.deadline.Sub(now), g.rand.Float64()))
 }
 
 // recordCallLoad records what the response to a call says of the load of its server; g.mu is held.
@@ -101,16 +101,21 @@
 	return c.g.pool(c.req.service.Name).HasRoomForCall(time.Now(), c.triedServerIDs)
 }
 
-// shedRetryAfter returns the Retry-After time of a call while calls of its service are refused; g.mu is held.
-func (g *Gateway) shedRetryAfter(req *callerRequest, now time.Time) (time.Duration, bool) {
-	if req.service.Engine != nil {
-		return 0, false
+// roomRetryAfter returns the Retry-After time of a request for which no server has room; g.mu is held.
+func (g *Gateway) roomRetryAfter(req *callerRequest, now time.Time) time.Duration {
+	pool, left := g.pool(req.service.Name), req.deadline.Sub(now)
+	if req.service.Engine == nil {
+		c, ready := g.callControl(req.service.Name), pool.CallCapacity(now)
+		if c.Overloaded(ready, now) {
+			return overload.RetryAfter(c.Room(ready, pool.CallDuration(now), now), left, g.rand.Float64())
+		}
 	}
-	c := g.callControl(req.service.Name)
-	if !c.Overloaded(g.pool(req.service.Name).CallCapacity(now), now) {
-		return 0, false
+	room := pool.RetryAfter(now)
+	if pool.QueueWait(now) == 0 {
+		// Nothing is known of queues: the servers are gone, and may be back after this time.
+		return min(room, overload.LongestRetryAfter(left))
 	}
-	return c.RetryAfter(req.deadline.Sub(now), g.rand.Float64()), true
+	return overload.RetryAfter(room, left, g.rand.Float64())
 }
 
 // applyCallTotals applies the calls of all gateways; g.mu is held.
@@ -122,7 +127,7 @@
 	for service, c := range g.callControls {
 		pool := g.pool(service)
 		if table != nil {
-			c.SetObjective(shortestObjective(table, service), pool.CallDuration())
+			c.SetObjective(shortestObjective(table, service), pool.CallDuration(now))
 		}
 		c.HandleTotals(totals.Services[service].Calls, reported.Services[service].Calls, totals.Organisations[service], pool.CallCapacity(now), now)
 	}
--- a/pkg/gateway/shedding_test.go
+++ b/pkg/gateway/shedding_test.go
@@ -1,14 +1,18 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
 )
 
@@ -72,3 +76,67 @@
 	qt.Assert(t, response.status, qt.Equals, http.StatusServiceUnavailable)
 	qt.Assert(t, len(servers[0].receivedRequests())+len(servers[1].receivedRequests())-before <= 1, qt.IsTrue)
 }
+
+// Guards against streams that stay in the queue after their callers have left: they would take a place and delay the
+// others.
+func TestStreamLeavesTheQueueWithItsCaller(t *testing.T) {
+	f := newFixture(t)
+	f.publishRankedStreams()
+	engine := &prefillingEngine{}
+	f.addServer("pool", "e", "local", engine.handler(2*time.Second))
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for _, name := range []string{"1", "2"} {
+		streams.Go(func() { f.send("POST", "/stream/x", map[string]string{"X-Prompt": "8000", "X-Subject": name}) })
+	}
+	for len(engine.arrivals()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	streams.Go(func() {
+		r, _ := http.NewRequestWithContext(ctx, "POST", f.gatewayServer.URL+"/stream/x", strings.NewReader("ask"))
+		r.Host = "h"
+		r.Header.Set("X-Id", "leaving")
+		r.Header.Set("X-Prompt", "8000")
+		r.Header.Set("X-Subject", "leaving")
+		if response, err := f.gatewayServer.Client().Do(r); err == nil {
+			_ = response.Body.Close()
+		}
+	})
+	for f.waitingStreams() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	for deadline := time.Now().Add(time.Second); f.waitingStreams() > 0; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the stream still waits"))
+	}
+	qt.Assert(t, engine.arrivals(), qt.HasLen, 2)
+}
+
+// Guards against a stream that waits although the prompts ahead of it leave no time for it.
+func TestStreamBehindALongQueueIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.publishRankedStreams()
+	engine := &prefillingEngine{}
+	f.addServer("pool", "e", "local", engine.handler(4*time.Second))
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for _, name := range []string{"1", "2"} {
+		streams.Go(func() { f.send("POST", "/stream/x", map[string]string{"X-Prompt": "8000", "X-Subject": name}) })
+	}
+	for len(engine.arrivals()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	f.recordDuration("stream", 500*time.Millisecond)
+	f.mu.Lock()
+	for range 40 {
+		f.admissionQueue("pool").Join(&placement.PendingStream{Rank: 0, Tokens: 8000, OnTimeUntil: time.Now().Add(time.Minute)})
+	}
+	f.mu.Unlock()
+	refused := f.send("POST", "/stream/x", map[string]string{"X-Prompt": "8000", "X-Subject": "3", "X-Patience": "4000"})
+	qt.Assert(t, refused.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, refused.duration < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", refused.duration))
+	seconds, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, seconds <= 4.0/3, qt.IsTrue, qt.Commentf("Retry-After %.3f", seconds))
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -99,7 +99,8 @@
 	defer s.sends.release()
 	s.limit = g.newLimitWait(req, time.Duration(float64(req.route.Objective)*limitPatienceShare))
 	defer s.endLimitWait()
-	s.pending = placement.PendingStream{Rank: req.rank, OnTimeUntil: placement.LatestPlacement(req.startedAt, req.route.Objective)}
+	s.pending = placement.PendingStream{Rank: req.rank, OnTimeUntil: placement.LatestPlacement(req.startedAt, req.route.Objective),
+		Organisation: req.organisation, Tokens: req.fields.PromptTokens}
 	defer s.leaveAdmissionQueue()
 	if s.lastEventID != "" {
 		g.mu.Lock()
@@ -115,7 +116,7 @@
 			return nil
 		}
 		s.pauseStats.nextCause = err.Error()
-		if errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined) || errors.Is(err, errRetryBudget) || errors.Is(err, errServerLimits) || errors.Is(err, errNoTimeLeft) || !s.canContinue() {
+		if errors.Is(err, errCallerLeft) || errors.Is(err, errQuarantined) || errors.Is(err, errRetryBudget) || errors.Is(err, errServerLimits) || errors.Is(err, errNoTimeLeft) || errors.Is(err, errCannotEnd) || !s.canContinue() {
 			errReply := s.fail(err)
 			if errReply != nil {
 				errReply.servers = append(s.excludedIDs, s.engineID)
--- a/pkg/loadmodel/calls.go
+++ b/pkg/loadmodel/calls.go
@@ -286,7 +286,7 @@
 func (m *callModel) admit(o *callOffer) {
 	g, k, now := o.gateway, o.call.kind, m.wallTime()
 	if m.policy.Shed {
-		late := g.timeLimits[k].IsLate(m.timeLeft(o.call), milliseconds(k.TimeLimitMS), milliseconds(k.ObjectiveMS), g.pool.CallDuration())
+		late := g.timeLimits[k].IsLate(m.timeLeft(o.call), milliseconds(k.TimeLimitMS), milliseconds(k.ObjectiveMS), g.pool.CallDuration(now))
 		if !g.calls.Admit(o.call.result.Organisation, late, g.pool.CallCapacity(now), m.random.Float64(), now) {
 			m.refuse(o)
 			return
@@ -419,7 +419,9 @@
 	call.result.Refusals++
 	left, retryAfter := m.timeLeft(call), o.gateway.pool.RetryAfter(m.wallTime())
 	if m.policy.Shed {
-		retryAfter = o.gateway.calls.RetryAfter(left, m.random.Float64())
+		pool := o.gateway.pool
+		room := o.gateway.calls.Room(pool.CallCapacity(m.wallTime()), pool.CallDuration(m.wallTime()), m.wallTime())
+		retryAfter = overload.RetryAfter(room, left, m.random.Float64())
 	}
 	m.schedule(m.networkDelay(), func() {
 		maxOffers, wait := 2, min(retryAfter, time.Duration(callerPatience*float64(left)))
@@ -468,7 +470,7 @@
 		totals := m.table.Exchange(g.name, reported, len(m.gateways), m.wallTime())
 		m.schedule(exchangeDelay/2, func() {
 			now := m.wallTime()
-			g.calls.SetObjective(m.shortestObjective(), g.pool.CallDuration())
+			g.calls.SetObjective(m.shortestObjective(), g.pool.CallDuration(now))
 			g.calls.HandleTotals(totals.Services["s"].Calls, reported.Services["s"].Calls, totals.Organisations["s"], g.pool.CallCapacity(now), now)
 		})
 	})
--- a/pkg/placement/admission.go
+++ b/pkg/placement/admission.go
@@ -26,6 +26,9 @@
 	Resumes bool
 	// OnTimeUntil is the latest time of a placement with which the first event is on time.
 	OnTimeUntil time.Time
+	// Organisation is the organisation of the caller, and Tokens the size of the prompt.
+	Organisation string
+	Tokens       int
 
 	joined  bool
 	arrival uint64
@@ -39,6 +42,7 @@
 type AdmissionQueue struct {
 	waiting  []*PendingStream
 	arrivals uint64
+	shares   admissionShares
 }
 
 // Join adds a stream, unless it waits already.
@@ -49,6 +53,7 @@
 	q.arrivals++
 	s.joined, s.arrival = true, q.arrivals
 	q.waiting = append(q.waiting, s)
+	q.shares.join(s)
 }
 
 // Leave removes a stream, if it waits.
@@ -58,6 +63,23 @@
 	}
 	s.joined = false
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *PendingStream) bool { return other == s })
+	q.shares.leave(s)
+}
+
+// Place removes a stream that has got a place, which counts for the share of its organisation.
+func (q *AdmissionQueue) Place(s *PendingStream) {
+	q.shares.place(s)
+	q.Leave(s)
+}
+
+// AheadOf returns the tokens of the prompts that go before a stream, which need not wait itself.
+func (q *AdmissionQueue) AheadOf(s *PendingStream, now time.Time) (tokens int) {
+	for _, other := range q.waiting {
+		if other != s && q.goesBefore(other, s, now) {
+			tokens += other.Tokens
+		}
+	}
+	return tokens
 }
 
 // Len returns the number of waiting streams.
@@ -65,13 +87,13 @@
 
 // IsNext reports whether no waiting stream goes before s, which need not wait itself.
 func (q *AdmissionQueue) IsNext(s *PendingStream, now time.Time) bool {
-	return !slices.ContainsFunc(q.waiting, func(other *PendingStream) bool { return other != s && other.goesBefore(s, now) })
+	return !slices.ContainsFunc(q.waiting, func(other *PendingStream) bool { return other != s && q.goesBefore(other, s, now) })
 }
 
 // goesBefore reports whether s is placed before other. Streams that have begun come first, as their callers
 // wait in the middle of a response. Streams that can no longer be on time come last: they would make
-// others late without being on time themselves.
-func (s *PendingStream) goesBefore(other *PendingStream, now time.Time) bool {
+// others late without being on time themselves. Within a rank, organisations share the places.
+func (q *AdmissionQueue) goesBefore(s, other *PendingStream, now time.Time) bool {
 	if onTime, otherOnTime := s.canBeOnTime(now), other.canBeOnTime(now); onTime != otherOnTime {
 		return onTime
 	}
@@ -81,6 +103,9 @@
 	if s.Rank != other.Rank {
 		return s.Rank < other.Rank
 	}
+	if order := q.shares.compare(s, other); order != 0 {
+		return order < 0
+	}
 	if !s.OnTimeUntil.Equal(other.OnTimeUntil) {
 		return s.OnTimeUntil.Before(other.OnTimeUntil)
 	}
--- a/pkg/placement/capacity.go
+++ b/pkg/placement/capacity.go
@@ -12,6 +12,9 @@
 	callDurationWindow = 10 * time.Second
 	// callCapacityTTL is how long a computed capacity is used again.
 	callCapacityTTL = 200 * time.Millisecond
+	// capacitySample is about half of the servers at most from which the capacity is computed. Of 256 servers, the share that is ready is
+	// known to about two in a hundred.
+	capacitySample = 256
 )
 
 // callDuration is the shortest duration of a call without its wait, in two windows of which the older one counts
@@ -37,9 +40,10 @@
 	return d.current
 }
 
-// capacityCache holds the last computed capacity of a pool.
+// capacityCache holds the last computed capacity of a pool, and the shortest duration of a call.
 type capacityCache struct {
 	capacity   float64
+	duration   time.Duration
 	computedAt time.Time
 }
 
@@ -54,12 +58,22 @@
 
 // CallCapacity returns the number of calls per second that the ready servers serve in time, 0 if it is unknown.
 // Servers without a response of their own count as the mean of the others.
-func (p *Pool) CallCapacity(now time.Time) float64 {
+func (p *Pool) CallCapacity(now time.Time) float64 { return p.currentCapacity(now).capacity }
+
+// CallDuration returns the time that a call takes when it does not wait, 0 if it is unknown.
+func (p *Pool) CallDuration(now time.Time) time.Duration { return p.currentCapacity(now).duration }
+
+// currentCapacity returns the capacity, computed at most callCapacityTTL ago.
+func (p *Pool) currentCapacity(now time.Time) capacityCache {
 	if age := now.Sub(p.callCapacity.computedAt); age >= 0 && age < callCapacityTTL {
-		return p.callCapacity.capacity
+		return p.callCapacity
 	}
-	slots, knownSlots, capacity := 0, 0, 0.0
-	for _, s := range p.all.servers {
+	total, considered, slots, knownSlots := len(p.all.servers), 0, 0, 0
+	first, step := p.stride(capacitySample)
+	current := capacityCache{computedAt: now}
+	for i := first; i < total; i += step {
+		s := p.all.servers[i]
+		considered++
 		if s.State != directory.Ready || s.leaving || s.isPaused(now) {
 			continue
 		}
@@ -67,44 +81,17 @@
 		slots += n
 		if duration := s.callDuration.shortest(); duration > 0 {
 			knownSlots += n
-			capacity += float64(n) / duration.Seconds()
+			current.capacity += float64(n) / duration.Seconds()
+			if current.duration == 0 || duration < current.duration {
+				current.duration = duration
+			}
 		}
 	}
 	if knownSlots > 0 {
-		capacity *= float64(slots) / float64(knownSlots)
-	}
-	p.callCapacity = capacityCache{capacity, now}
-	return capacity
-}
-
-// CallDuration returns the time that a call takes when it does not wait, 0 if it is unknown.
-func (p *Pool) CallDuration() (shortest time.Duration) {
-	for _, s := range p.candidateSample() {
-		if d := s.callDuration.shortest(); d > 0 && (shortest == 0 || d < shortest) {
-			shortest = d
-		}
+		current.capacity *= float64(slots) / float64(knownSlots) * float64(total) / float64(considered)
 	}
-	return shortest
-}
-
-// HasRoomForCall reports whether a server that is not excluded may have room for a call: it has not reported
-// lately that as many calls wait as it has slots.
-func (p *Pool) HasRoomForCall(now time.Time, exclude []string) bool {
-	for _, s := range p.candidateSample() {
-		if !p.isSelectable(s, now, exclude) || p.isAvoided(s, now) {
-			continue
-		}
-		if now.Sub(s.loadReportedAt) >= callLoadTTL || s.lastLoad.Waiting < max(1, s.lastLoad.Slots) {
-			return true
-		}
-	}
-	return false
-}
-
-// IsBusy reports whether a server reported lately that calls wait or that all its slots are in use.
-func (p *Pool) IsBusy(id string, now time.Time) bool {
-	s := p.servers[id]
-	return s != nil && now.Sub(s.loadReportedAt) < callLoadTTL && s.lastLoad.Slots > 0 && s.lastLoad.Running+s.lastLoad.Waiting >= s.lastLoad.Slots
+	p.callCapacity = current
+	return current
 }
 
 // PrefillTime returns the time in which an engine reads a prompt of some tokens.
--- a/pkg/placement/retryafter.go
+++ b/pkg/placement/retryafter.go
@@ -26,7 +26,16 @@
 // a burst exceeds all slots, a fixed delay would bring all callers back at the same time and too
 // early, or leave slots idle.
 func (p *Pool) RetryAfter(now time.Time) time.Duration {
-	shortest := time.Duration(0)
+	shortest := p.QueueWait(now)
+	if shortest == 0 {
+		return defaultRetryAfter
+	}
+	return min(maxRetryAfter, max(minRetryAfter, shortest))
+}
+
+// QueueWait returns the shortest time in which any server works off its queue, 0 if no server has a recent load
+// report.
+func (p *Pool) QueueWait(now time.Time) (shortest time.Duration) {
 	for _, s := range p.candidateSample() {
 		if s.State != directory.Ready || s.latencyMS == 0 || s.lastLoad.Slots == 0 || now.Sub(s.loadReportedAt) > retryAfterLoadTTL {
 			continue
@@ -37,10 +46,7 @@
 			shortest = wait
 		}
 	}
-	if shortest == 0 {
-		return defaultRetryAfter
-	}
-	return min(maxRetryAfter, max(minRetryAfter, shortest))
+	return shortest
 }
 
 // RetryElsewhereAfter returns the delay after which a rejected caller should retry because another gateway
--- a/pkg/placement/stopping.go
+++ b/pkg/placement/stopping.go
@@ -60,5 +60,15 @@
 // Average returns the moving average of the durations, 0 if there is none.
 func (h *DurationHistory) Average() time.Duration { return h.average }
 
+// Shortest returns the shortest recent duration, 0 if there is none.
+func (h *DurationHistory) Shortest() (shortest time.Duration) {
+	for _, d := range h.durations {
+		if d > 0 && (shortest == 0 || d < shortest) {
+			shortest = d
+		}
+	}
+	return shortest
+}
+
 // Longest returns the longest recent duration, 0 if there is none.
 func (h *DurationHistory) Longest() time.Duration { return slices.Max(h.durations[:]) }
