--- a/pkg/overload/calls.go
+++ b/pkg/overload/calls.go
@@ -57,8 +57,9 @@
 	minUnmeasuredShare = 0.4
 	// exchangeInterval is the shortest interval between two exchanges that a beginning overload causes.
 	exchangeInterval = 500 * time.Millisecond
-	// evidenceTTL is how long a waiting call that a server reported counts as overload.
-	evidenceTTL = time.Second
+	// evidenceTTL is how long a waiting call that a server reported counts as overload: an interval of the exchange,
+	// which tells of the waiting calls of other gateways, and the time that it takes.
+	evidenceTTL = 1200 * time.Millisecond
 	// organisationsTTL is how long the demand of organisations is exchanged after calls were refused.
 	organisationsTTL = 3 * usage.Interval
 	// totalsTTL is how long the totals of all gateways are used: three intervals of the exchange.
