--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 	"github.com/geraniumpitch/geraniumpitch/pkg/connlimit"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
 )
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -17,7 +17,7 @@
 // kinds of routes, outcomes and causes have fixed names.
 type metrics struct {
 	requests, retries, resumes, copyRequests       metric.Int64Counter
-	quarantined, retriesDenied, versionSends       metric.Int64Counter
+	quarantined, retriesDenied, versionSends, shed metric.Int64Counter
 	requestDuration, firstEventDelay, longestPause metric.Float64Histogram
 	admissionWait                                  metric.Float64Histogram
 }
@@ -43,6 +43,7 @@
 	m.requests = counter("gp_gateway_requests", "Callers' requests by kind of route and outcome.")
 	m.retries = counter("gp_gateway_repeats", "Sends beyond the first of a request, by cause.")
 	m.retriesDenied = counter("gp_gateway_repeats_denied", "Sends beyond the first of a request that the retry budget did not allow, by purpose.")
+	m.shed = counter("gp_gateway_shed", "Requests that were refused at once because the servers cannot serve them in time, by cause.")
 	m.resumes = counter("gp_gateway_stream_resumes", "Streams that went on at another engine, by cause.")
 	m.quarantined = counter("gp_gateway_quarantined", "Streams kept from engines because parts of their prompts are suspected.")
 	m.versionSends = counter("gp_gateway_rollout_sends", "Sends to backend servers during a rollout, by service and whether the server has the new version.")
@@ -88,6 +89,7 @@
 	errs = append(errs, g.guard.RegisterMetrics(meter, connlimit.MetricNames{
 		BytesHeld: "gp_gateway_caller_bytes", Connections: "gp_gateway_caller_connections", Effects: "gp_gateway_caller_limits",
 	}))
+	gauge("gp_gateway_calls_admitted_percent", "Smallest share of the calls of a service that is admitted, in percent.", g.admittedCallPercent)
 	return m, eris.Wrap(errors.Join(errs...), "register the metrics of the gateway")
 }
 
@@ -144,6 +146,10 @@
 	m.increment(func() metric.Int64Counter { return m.retriesDenied }, purpose)
 }
 
+func (m *metrics) countShed(cause string) {
+	m.increment(func() metric.Int64Counter { return m.shed }, cause)
+}
+
 func (m *metrics) countResume(cause string) {
 	m.increment(func() metric.Int64Counter { return m.resumes }, cause)
 }
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -132,6 +132,7 @@
 	for service, b := range g.budgets {
 		report.Services[service] = b.Report(now)
 	}
+	g.reportCalls(&report, now)
 	for _, pool := range g.pools {
 		report.Limits = append(report.Limits, pool.Limits(now)...)
 	}
@@ -147,4 +148,5 @@
 	close(g.usageUpdated)
 	g.usageUpdated = make(chan struct{})
 	g.applyLimits(totals.Limits, reported.Limits, now)
+	g.applyCallTotals(totals, reported, now)
 }
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -91,6 +91,7 @@
 	claimable    bool
 	// copyBackoffUntil is the time from which copies may be sent to the server again.
 	copyBackoffUntil time.Time
+	callDuration     callDuration
 	*processState
 }
 
@@ -114,6 +115,7 @@
 	// latest end of a pause.
 	lastLimitAt, lastPauseEnd time.Time
 	versions                  versionState
+	callCapacity              capacityCache
 }
 
 // NewPool returns an empty pool for a gateway in dataCentre.
@@ -337,6 +339,7 @@
 	s.failureRate *= 1 - failureSmoothing
 	s.avoidBackoff = 0
 	s.lastAliveAt = now
+	s.recordCallDuration(duration, now)
 	ms := float64(duration) / float64(time.Millisecond)
 	if s.recentLatency(now) == 0 {
 		s.latencyMS = ms
