--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -48,6 +48,9 @@
 // LoadReport is the load that a backend server reported.
 type LoadReport struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the machine at this moment, relative to the usual: 1 is usual,
+	// 2 is half the speed, and 0 is unknown.
+	Slowdown float64
 }
 
 // Server holds the announcement of a backend server and the state that this gateway keeps for it.
