gateway: a slow engine is not taken for a silent one

Cause: a stream without an event for 350 ms was moved at once if a copy existed. Engines that read a prompt between the steps of their streams send an event every 258 ms at the usual speed and every 430 ms at 0.6 times it, so that most of these engines were sound. Change: the silence of an engine is compared with the longest time between events that its pace, the prompt that it reads and its recent gaps explain. A connection attempt that ends by the old timeout finds an engine that is gone, which is left as early as before; one whose silence nothing explains too. Time in which the gateway itself does not run no longer counts as silence.

--- /dev/null
+++ b/pkg/gateway/silence.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+)
+
+// reachCheckLead is how long before the event timeout it is checked whether a silent engine can be reached: as
+// long as a connection attempt takes at most, so that the result is known at the timeout.
+const reachCheckLead = 150 * time.Millisecond
+
+// reachCheckInterval is the interval of these checks while an engine is silent. Each is a connection.
+const reachCheckInterval = 300 * time.Millisecond
+
+// minFreeze is the time by which a timer is late when this process has not run. Timers of a busy process are late
+// by less.
+const minFreeze = 100 * time.Millisecond
+
+// silence describes a run without an event.
+type silence struct {
+	// elapsed is the time since the last event.
+	elapsed time.Duration
+	// timeout is the time after which an engine that cannot be reached is left, and one whose silence nothing
+	// explains; slowTimeout that after which any engine is left.
+	timeout, slowTimeout time.Duration
+	// plausible is the longest time between events that the engine can be expected to take without a fault.
+	plausible time.Duration
+	// hasCopy is set if the run can go on elsewhere without a prefill, and denied if the retry budget does not
+	// allow that at the moment.
+	hasCopy, denied bool
+	// checkedAt is the time without an event at which the last check of the engine began, 0 if there was none,
+	// and unreachable its result.
+	checkedAt   time.Duration
+	unreachable bool
+}
+
+// silenceAction is what to do about a silent run.
+type silenceAction int
+
+const (
+	// waitOn waits for the returned time and decides again.
+	waitOn silenceAction = iota
+	// checkEngine checks whether the engine can be reached, and decides again.
+	checkEngine
+	// leaveGone goes on elsewhere: the engine cannot be reached, or nothing explains its silence.
+	leaveGone
+	// leaveSlow goes on elsewhere, although the engine can be reached and may only be slow.
+	leaveSlow
+)
+
+// decide returns the next action, and the time to wait for waitOn. An engine that cannot be reached is left at the
+// timeout, half of the pause that is in time. One that can be reached is left then only if nothing explains
+// the silence and there is a copy; moving a run costs a connection, room and the time of the resumption, so an
+// engine that is only slow is not left before it has been silent for longer than it plausibly is. Without a
+// copy, the prompt would be read again: the run stays until slowTimeout.
+func (d silence) decide() (silenceAction, time.Duration) {
+	patience, firstCheck := d.slowTimeout, d.timeout
+	if d.hasCopy && !d.denied {
+		patience = max(d.timeout, min(d.plausible, d.slowTimeout))
+		firstCheck = max(0, d.timeout-reachCheckLead)
+	}
+	unexplained := d.hasCopy && !d.denied && patience == d.timeout
+	switch {
+	case d.unreachable && d.elapsed >= d.timeout:
+		return leaveGone, 0
+	case d.unreachable:
+		return waitOn, d.timeout - d.elapsed
+	case d.elapsed >= patience && unexplained:
+		return leaveGone, 0
+	case d.elapsed >= patience:
+		return leaveSlow, 0
+	case unexplained:
+		// The result of a check would not matter.
+		return waitOn, patience - d.elapsed
+	}
+	nextCheck := firstCheck
+	if d.checkedAt > 0 {
+		nextCheck = d.checkedAt + reachCheckInterval
+	}
+	if d.elapsed >= nextCheck {
+		return checkEngine, 0
+	}
+	return waitOn, min(patience, nextCheck) - d.elapsed
+}
+
+// eventTimeout returns the time without an event after which an engine counts as silent, if it cannot be reached
+// or nothing explains the silence.
+func (s *streamState) eventTimeout() time.Duration {
+	if p := s.req.route.MaxPause; p > 0 {
+		return min(maxEventSilence, time.Duration(float64(p)*maxEventSilenceShare))
+	}
+	return maxEventSilence
+}
+
+// slowEventTimeout returns the time without an event after which a run is given up at an engine that can be
+// reached. The pause is too long by then, and the connection may have stopped carrying data for good.
+func (s *streamState) slowEventTimeout() time.Duration {
+	return max(s.eventTimeout(), time.Duration(float64(s.req.route.MaxPause)*slowEventShare))
+}
+
+// silenceWatch decides what becomes of a run whose engine has sent no event for some time.
+type silenceWatch struct {
+	s      *streamState
+	ctx    context.Context
+	abort  context.CancelFunc
+	engine *placement.Server
+	// mayRunAgain is set if the route allows another run after this one.
+	mayRunAgain bool
+	// events counts the events that have arrived. Bytes that are no whole event do not count.
+	events atomic.Int64
+	// engineSlow is set if the run is given up at an engine that can be reached.
+	engineSlow atomic.Bool
+	timer      *time.Timer
+}
+
+// newSilenceWatch returns a watch that begins with the first event.
+func (s *streamState) newSilenceWatch(ctx context.Context, abort context.CancelFunc, engine *placement.Server) *silenceWatch {
+	w := &silenceWatch{s: s, ctx: ctx, abort: abort, engine: engine, mayRunAgain: s.mayRunAgain()}
+	w.timer = time.AfterFunc(time.Hour, w.handleSilence)
+	return w
+}
+
+// firstDecision returns the time without an event at which the watch first decides.
+func (w *silenceWatch) firstDecision() time.Duration {
+	timeout := w.s.eventTimeout()
+	return max(timeout/2, timeout-reachCheckLead)
+}
+
+// recordEvent records that an event has arrived.
+func (w *silenceWatch) recordEvent() {
+	w.events.Add(1)
+	w.timer.Reset(w.firstDecision())
+}
+
+// handleSilence decides until the next event, or until the run is aborted. At an engine that can be reached, a
+// run that could not go on elsewhere stays until the deadline of the request.
+func (w *silenceWatch) handleSilence() {
+	if !w.mayRunAgain {
+		return
+	}
+	seen := w.events.Load()
+	lastEventAt := time.Now().Add(-w.firstDecision())
+	d := silence{timeout: w.s.eventTimeout(), slowTimeout: w.s.slowEventTimeout()}
+	var estimate placement.GapEstimate
+	for w.events.Load() == seen && w.ctx.Err() == nil {
+		d.elapsed, d.hasCopy = time.Since(lastEventAt), w.s.hasUsableCopy()
+		d.plausible, estimate = w.s.plausibleGap(w.engine)
+		action, wait := d.decide()
+		switch action {
+		case waitOn:
+			lastEventAt = lastEventAt.Add(w.sleep(wait))
+		case checkEngine:
+			d.checkedAt = d.elapsed
+			d.unreachable = w.s.isUnreachable(w.ctx, w.engine, lastEventAt)
+		case leaveGone, leaveSlow:
+			// A run at an engine that cannot be reached ends in any case, so that it needs no send reserved.
+			if !d.unreachable && !w.s.sends.reserve(placement.Resume) {
+				if d.elapsed >= d.slowTimeout {
+					return
+				}
+				d.denied = true
+				continue
+			}
+			if w.events.Load() != seen {
+				return
+			}
+			w.engineSlow.Store(action == leaveSlow)
+			w.s.logSilence(w.engine, d, estimate, action)
+			w.abort()
+			return
+		}
+	}
+}
+
+// sleep waits, and returns how much longer that took: while this process does not run, events wait to be read, and
+// the time is no silence of the engine.
+func (w *silenceWatch) sleep(wait time.Duration) (excess time.Duration) {
+	begin := time.Now()
+	sleepContext(w.ctx, wait)
+	if excess = time.Since(begin) - wait; excess < minFreeze {
+		return 0
+	}
+	return excess
+}
+
+// plausibleGap returns the longest time between two events that the engine can be expected to take.
+func (s *streamState) plausibleGap(engine *placement.Server) (time.Duration, placement.GapEstimate) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	return s.g.pool(s.req.service.Name).PlausibleGap(engine.Process(), time.Now())
+}
+
+// isUnreachable reports whether an engine accepts no connection. It does not connect if another stream has
+// received something from the engine, or connected, since the last event of this one.
+func (s *streamState) isUnreachable(ctx context.Context, engine *placement.Server, lastEventAt time.Time) bool {
+	s.g.mu.Lock()
+	alive := s.g.pool(s.req.service.Name).IsAlive(engine.Process(), lastEventAt.Add(s.eventTimeout()/2))
+	s.g.mu.Unlock()
+	if alive {
+		return false
+	}
+	if s.g.client.Unresponsive(ctx, engine.Address) {
+		return true
+	}
+	s.g.mu.Lock()
+	s.g.pool(s.req.service.Name).RecordAlive(engine.Process(), time.Now())
+	s.g.mu.Unlock()
+	return false
+}
+
+// logSilence logs that a run leaves an engine because of its silence, with the estimate behind the decision.
+func (s *streamState) logSilence(engine *placement.Server, d silence, e placement.GapEstimate, action silenceAction) {
+	s.g.log.Info("engine is silent", "request", s.req.fields.ID, "engine", engine.ID, "silent_ms", d.elapsed.Milliseconds(),
+		"plausible_ms", d.plausible.Milliseconds(), "unreachable", d.unreachable, "slow", action == leaveSlow, "has_copy", d.hasCopy,
+		"usual_gap_ms", e.Usual.Milliseconds(), "longest_gap_ms", e.Longest.Milliseconds(), "prefill", e.Prefill,
+		"pace", e.Pace, "pace_source", string(e.Source), "pace_age_ms", e.Age.Milliseconds())
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/geraniumpitch/geraniumpitch/pkg/pace"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/upstream"
 )
@@ -215,6 +216,7 @@
 	if s.firstEngineID == "" {
 		s.firstEngineID = engine.ID
 	}
+	prompt := s.promptToRead(engine, resumeCopy)
 	s.recordPlacement(engine, backup, resumeCopy != nil)
 	s.adjustReservation(engine, backup, run.Tokens, 1)
 	defer s.adjustReservation(engine, backup, -run.Tokens, -1)
@@ -250,7 +252,7 @@
 	} else {
 		go s.maintainCopy(ctx, engine, run)
 	}
-	err = s.forwardEvents(ctx, cancel, engine, response, watch)
+	err = s.forwardEvents(ctx, cancel, engine, response, watch, prompt)
 	if err == nil && response.EndsWithConnection() && activeRelocation != nil && activeRelocation.endedRun(s.ctx) {
 		// Without a length, a run that the engine stopped on order ends like one that is complete.
 		err = s.handleBrokenStream(ctx, engine, false, io.ErrUnexpectedEOF)
@@ -353,13 +355,13 @@
 
 // forwardEvents forwards events to the caller until the stream is complete.
 func (s *streamState) forwardEvents(
-	ctx context.Context, cancel context.CancelFunc, engine *placement.Server, response *upstream.Response, watch *firstEventWatch,
+	ctx context.Context, cancel context.CancelFunc, engine *placement.Server, response *upstream.Response, watch *firstEventWatch, prompt pace.Prompt,
 ) error {
 	reader := newEventReader(response)
 	// The timeout begins with the first event; watch checks the engine before that.
-	silence := &silenceWatch{s: s, ctx: ctx, abort: cancel, engine: engine, mayRunAgain: s.mayRunAgain()}
-	silenceTimer := time.AfterFunc(time.Hour, silence.handleTimeout)
-	defer silenceTimer.Stop()
+	silence := s.newSilenceWatch(ctx, cancel, engine)
+	defer silence.timer.Stop()
+	var gaps gapMeter
 	for {
 		e, err := reader.next()
 		if errors.Is(err, io.EOF) && s.firstEventAt.IsZero() && response.EndsWithConnection() {
@@ -372,20 +374,25 @@
 		if err != nil {
 			return s.handleBrokenStream(ctx, engine, silence.engineSlow.Load(), err)
 		}
+		arrivedAt := time.Now()
 		watch.recordFirstEvent()
 		if s.firstEventAt.IsZero() {
-			s.firstEventAt = time.Now()
+			s.firstEventAt = arrivedAt
+			s.recordFirstEvent(engine, prompt)
 			s.recordStarted()
 		}
 		s.recordWriting(false)
-		silence.events.Add(1)
-		silenceTimer.Reset(s.eventTimeout())
+		silence.recordEvent()
+		s.recordGap(&gaps, engine, arrivedAt)
 		if e.id != "" && !isAfter(e.id, s.lastEventID) {
 			continue
 		}
 		if err := s.forwardEvent(response, e); err != nil {
 			return err
 		}
+		if time.Since(arrivedAt) > maxForwardTime {
+			gaps = gapMeter{}
+		}
 	}
 }
 
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -2,61 +2,11 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 )
 
-// eventTimeout returns the time without an event after which an engine counts as silent.
-func (s *streamState) eventTimeout() time.Duration {
-	if p := s.req.route.MaxPause; p > 0 {
-		return min(maxEventSilence, time.Duration(float64(p)*maxEventSilenceShare))
-	}
-	return maxEventSilence
-}
-
-// slowEventTimeout returns the time without an event after which a run is given up at an engine that can be
-// reached. The pause is too long by then, and the connection may have stopped carrying data for good.
-func (s *streamState) slowEventTimeout() time.Duration {
-	return max(s.eventTimeout(), time.Duration(float64(s.req.route.MaxPause)*slowEventShare))
-}
-
-// silenceWatch decides what becomes of a run whose engine has sent no event for the event timeout.
-type silenceWatch struct {
-	s      *streamState
-	ctx    context.Context
-	abort  context.CancelFunc
-	engine *placement.Server
-	// mayRunAgain is set if the route allows another run after this one.
-	mayRunAgain bool
-	// events counts the events that have arrived. Bytes that are no whole event do not count.
-	events atomic.Int64
-	// engineSlow is set if the run is given up at an engine that can be reached.
-	engineSlow atomic.Bool
-}
-
-// handleTimeout aborts the run if the route allows another one: at once if the engine cannot be reached, or
-// if a copy lets the run go on without a prefill; otherwise after slowEventTimeout. At an engine that can be
-// reached, a run that could not go on elsewhere stays until the deadline of the request.
-func (w *silenceWatch) handleTimeout() {
-	seen := w.events.Load()
-	if !w.mayRunAgain {
-		return
-	}
-	switch {
-	case w.s.hasUsableCopy() && w.s.sends.reserve(placement.Resume):
-	case w.s.g.client.Unresponsive(w.ctx, w.engine.Address):
-	case !sleepContext(w.ctx, w.s.slowEventTimeout()-w.s.eventTimeout()) || w.events.Load() != seen || !w.s.sends.reserve(placement.Resume):
-		return
-	default:
-		w.engineSlow.Store(true)
-	}
-	if w.events.Load() == seen {
-		w.abort()
-	}
-}
-
 // mayRunAgain reports whether the route allows another run of the stream.
 func (s *streamState) mayRunAgain() bool {
 	return s.req.route.Retryable() && s.possibleRuns < s.req.route.MaxPossibleRuns
--- /dev/null
+++ b/pkg/placement/pace.go
@@ -0,0 +1,158 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/pace"
+)
+
+const (
+	// recentGapWindow is the period over which the longest time between events at an engine counts. It is
+	// several times as long as the prefill of a prompt, during which all events are late.
+	recentGapWindow = 4 * time.Second
+	// slowdownRatio and slowdownLength are how much longer an engine may take without a fault, and for how
+	// long at a time: other work on the machine.
+	slowdownRatio  = 2.5
+	slowdownLength = 600 * time.Millisecond
+	// recentGapMargin is the ratio to the longest recent time between events up to which a time is no
+	// surprise.
+	recentGapMargin = 1.5
+)
+
+// processPace is what this gateway learned of the speed of a process. The parts are nil until there is a
+// sample.
+type processPace struct {
+	engine *pace.Engine
+	calls  *pace.Calls
+	// longestGaps are the longest times between events in the present and the previous window, and
+	// gapWindowAt the start of the present one.
+	longestGaps [2]time.Duration
+	gapWindowAt time.Time
+}
+
+// enginePace returns the estimate of a server's process, which is created if there is none.
+func (s *processPace) enginePace() *pace.Engine {
+	if s.engine == nil {
+		s.engine = &pace.Engine{}
+	}
+	return s.engine
+}
+
+// callPace returns the estimate of a server's process, which is created if there is none.
+func (s *processPace) callPace() *pace.Calls {
+	if s.calls == nil {
+		s.calls = &pace.Calls{}
+	}
+	return s.calls
+}
+
+// PromptsAhead returns the number of prompts that an engine has to read before one that is sent now, as far as
+// this gateway knows.
+func (p *Pool) PromptsAhead(id string, now time.Time) int {
+	s := p.servers[id]
+	if s == nil {
+		return 0
+	}
+	_, peerPrefills, _ := s.peerRunCounts(now)
+	return s.Prefilling + peerPrefills
+}
+
+// RecordFirstEvent records the time from the start of an attempt to the first event of its prompt.
+func (p *Pool) RecordFirstEvent(process Process, prompt pace.Prompt, elapsed time.Duration, now time.Time) {
+	if s := p.serverOf(process); s != nil {
+		p.engines.RecordFirstEvent(s.enginePace(), prompt, elapsed, now)
+	}
+}
+
+// RecordGaps records the mean and the longest of the times between the events of a stream in a period that
+// ends now.
+func (p *Pool) RecordGaps(process Process, mean, longest, period time.Duration, now time.Time) {
+	s := p.serverOf(process)
+	if s == nil {
+		return
+	}
+	s.lastAliveAt = now
+	s.recordLongestGap(longest, now)
+	from := now.Add(-period)
+	// Whether a prompt was read is compared at the start and the end: a sample of both kinds says little.
+	if prefill := p.readsPrompt(s, now); prefill == p.readsPrompt(s, from) {
+		p.engines.RecordGaps(s.enginePace(), pace.Gaps{Mean: mean, Streams: s.streams(now), Prefill: prefill}, now)
+	}
+}
+
+func (s *processPace) recordLongestGap(gap time.Duration, now time.Time) {
+	if age := now.Sub(s.gapWindowAt); age >= recentGapWindow {
+		previous := s.longestGaps[0]
+		if age >= 2*recentGapWindow {
+			previous = 0
+		}
+		s.longestGaps, s.gapWindowAt = [2]time.Duration{0, previous}, now
+	}
+	s.longestGaps[0] = max(s.longestGaps[0], gap)
+}
+
+// longestGap returns the longest time between events in the last recentGapWindow or somewhat more.
+func (s *processPace) longestGap(now time.Time) time.Duration {
+	switch age := now.Sub(s.gapWindowAt); {
+	case age >= 2*recentGapWindow:
+		return 0
+	case age >= recentGapWindow:
+		return s.longestGaps[0]
+	}
+	return max(s.longestGaps[0], s.longestGaps[1])
+}
+
+// readsPrompt reports whether an engine reads a prompt at a time, as far as this gateway knows: prompts that
+// were sent to it are read one after the other.
+func (p *Pool) readsPrompt(s *Server, at time.Time) bool {
+	var busyUntil time.Time
+	for _, startedAt := range s.prefillStarts {
+		if startedAt.After(at) {
+			continue
+		}
+		if busyUntil.Before(startedAt) {
+			busyUntil = startedAt
+		}
+		busyUntil = busyUntil.Add(prefillDuration)
+	}
+	return at.Before(busyUntil)
+}
+
+// PlausibleGap returns the longest time between two events that the engine of a run can be expected to take
+// without a fault, 0 if nothing is known of it, and the estimate that it follows from.
+func (p *Pool) PlausibleGap(process Process, now time.Time) (time.Duration, GapEstimate) {
+	s := p.serverOf(process)
+	if s == nil {
+		return 0, GapEstimate{}
+	}
+	e := GapEstimate{Pace: s.engine.Pace(now), Prefill: p.readsPrompt(s, now), Longest: s.longestGap(now)}
+	e.Source, e.Age = s.engine.Explain(now)
+	e.Usual = p.engines.Gap(s.engine, s.streams(now), e.Prefill, now)
+	slowedDown := min(time.Duration(float64(e.Usual)*slowdownRatio), e.Usual+time.Duration(float64(slowdownLength)*(1-1/slowdownRatio)))
+	return max(slowedDown, time.Duration(float64(e.Longest)*recentGapMargin)), e
+}
+
+// GapEstimate is the estimate of the time between two events of an engine, for logs.
+type GapEstimate struct {
+	// Pace is the pace of the engine, Source where it comes from, and Age that of its last sample.
+	Pace   float64
+	Source pace.Source
+	Age    time.Duration
+	// Usual is the expected time, Longest the longest recent one, and Prefill tells whether the engine reads a
+	// prompt.
+	Usual, Longest time.Duration
+	Prefill        bool
+}
+
+// IsAlive reports whether something was received from a process after a time.
+func (p *Pool) IsAlive(process Process, since time.Time) bool {
+	s := p.serverOf(process)
+	return s != nil && s.lastAliveAt.After(since)
+}
+
+// RecordAlive records that a connection to a process was accepted.
+func (p *Pool) RecordAlive(process Process, now time.Time) {
+	if s := p.serverOf(process); s != nil {
+		s.lastAliveAt = now
+	}
+}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/pace"
 )
 
 const (
@@ -114,6 +115,8 @@
 	// lastLimitAt is the latest time at which a limit of any server was recorded, and lastPauseEnd the
 	// latest end of a pause.
 	lastLimitAt, lastPauseEnd time.Time
+	// engines is what is usual for the speed of the service's engines.
+	engines pace.Engines
 }
 
 // NewPool returns an empty pool for a gateway in dataCentre.
--- a/pkg/placement/process.go
+++ b/pkg/placement/process.go
@@ -35,11 +35,12 @@
 	pausedUntil time.Time
 	// removedAt is the time at which the server was removed from the pool.
 	removedAt time.Time
+	processPace
 }
 
 // isEmpty reports whether there is nothing to remember of a process.
 func (s *processState) isEmpty() bool {
-	return s.limit == nil && !s.leaving && s.pausedUntil.IsZero()
+	return s.limit == nil && !s.leaving && s.pausedUntil.IsZero() && s.engine == nil && s.calls == nil
 }
 
 // takeRemoved returns the state of the process of a server that is announced again, an empty one if
