--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/pace"
 )
 
 const (
@@ -48,6 +49,9 @@
 // LoadReport is the load that a backend server reported.
 type LoadReport struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the machine at this moment, relative to the usual: 1 is usual,
+	// 2 is half the speed, and 0 is unknown.
+	Slowdown float64
 }
 
 // Server holds the announcement of a backend server and the state that this gateway keeps for it.
@@ -116,6 +120,8 @@
 	lastLimitAt, lastPauseEnd time.Time
 	versions                  versionState
 	callCapacity              capacityCache
+	// engines is what is usual for the speed of the service's engines.
+	engines pace.Engines
 }
 
 // NewPool returns an empty pool for a gateway in dataCentre.
