coordinator, platform: rollouts

Cause: there was no way to move a service to a new version.

Change: every coordinator takes orders and reads and forwards them, and the reports of gateways, to the leader. A lasting suspicion on 20 bad responses ends a rollout after half of the rollback time.

--- a/pkg/control/rollout.go
+++ b/pkg/control/rollout.go
@@ -11,9 +11,9 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 )
 
-// repeatedOrderTime is the time after the acceptance of an order in which an identical one is a repetition,
+// RepeatedOrderTime is the time after the acceptance of an order in which an identical one is a repetition,
 // whatever became of the rollout. Operators repeat an order for at most 5 s.
-const repeatedOrderTime = 10 * time.Second
+const RepeatedOrderTime = 10 * time.Second
 
 // RolloutOrder is an operator's order to move the traffic of a service to a version.
 type RolloutOrder struct {
@@ -40,7 +40,7 @@
 	current, exists := s.rollouts[o.Service]
 	identical := exists && current.Version == o.Version && current.Duration == o.Duration
 	switch {
-	case identical && (current.State == rollout.InProgress || proposedAt.Sub(current.AcceptedAt) < repeatedOrderTime):
+	case identical && (current.State == rollout.InProgress || proposedAt.Sub(current.AcceptedAt) < RepeatedOrderTime):
 		return Result{Outcome: Accepted, Version: current.Number}
 	case exists && current.State == rollout.InProgress:
 		return Result{Outcome: Conflict, Version: current.Number, Message: fmt.Sprintf(
--- a/pkg/coordinator/group.go
+++ b/pkg/coordinator/group.go
@@ -49,6 +49,8 @@
 	dataCentres map[string]string
 	candidates  map[string]time.Time
 	startedAt   time.Time
+	// leaderLastSeenAt is the time of the last message from a leader.
+	leaderLastSeenAt time.Time
 	// leadsSince is the time since which this instance knows that it leads in ledTerm.
 	leadsSince time.Time
 	ledTerm    uint64
@@ -303,7 +305,11 @@
 		return nil
 	}
 	now := time.Now()
-	slot, holderDisk := string(m.From), g.node.Status().Members[m.From]
+	status := g.node.Status()
+	slot, holderDisk := string(m.From), status.Members[m.From]
+	if isFromLeader(m) && m.Term >= status.Term {
+		g.leaderLastSeenAt = now
+	}
 	reserved, ok := g.reservations[slot]
 	ok = ok && now.Before(reserved.expiresAt)
 	switch {
@@ -541,6 +547,22 @@
 	return unique
 }
 
+// maxLeaderAge bounds the reported time without a leader.
+const maxLeaderAge = time.Hour
+
+// leaderAge returns the time since this member last heard from a leader, 0 if it leads.
+func (g *group) leaderAge(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.node == nil || g.leaderLastSeenAt.IsZero() && g.node.Status().Role != consensus.Leader {
+		return maxLeaderAge
+	}
+	if g.node.Status().Role == consensus.Leader {
+		return 0
+	}
+	return min(maxLeaderAge, max(0, now.Sub(g.leaderLastSeenAt)))
+}
+
 // leaderAddress returns the peer address of the leader, or an empty string if the leader
 // is unknown or is this instance.
 func (g *group) leaderAddress() string {
--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -40,9 +43,13 @@
 	seeds []string
 	// toleratedDisks is the setting of all coordinators.
 	toleratedDisks int
-	coordinators   map[int]*Service
-	folders        map[int]string
-	dialers        map[int]*rpc.Dialer
+	// withoutRollouts leaves out the bounds of rollouts.
+	withoutRollouts bool
+	// mu guards coordinators against goroutines of the test.
+	mu           sync.Mutex
+	coordinators map[int]*Service
+	folders      map[int]string
+	dialers      map[int]*rpc.Dialer
 	// linked is the follow client of the gateway behind a thin link.
 	linked *follow.Client
 	// fullDisks holds, by coordinator, whether its disk refuses what does not fit.
@@ -74,8 +81,18 @@
 // newGrowingTestGroup starts coordinators for the first time, of which the first ones are the
 // seeds.
 func newGrowingTestGroup(t *testing.T, size, seeds, toleratedDisks int) *testGroup {
+	return startTestGroup(t, size, seeds, toleratedDisks, false)
+}
+
+// newTestGroupWithout starts coordinators without bounds of rollouts.
+func newTestGroupWithout(t *testing.T, size int) *testGroup {
+	return startTestGroup(t, size, size, 1, true)
+}
+
+func startTestGroup(t *testing.T, size, seeds, toleratedDisks int, withoutRollouts bool) *testGroup {
 	g := &testGroup{
-		t: t, port: firstTestPort + rand.IntN(testPorts), toleratedDisks: toleratedDisks, coordinators: map[int]*Service{}, folders: map[int]string{}, dialers: map[int]*rpc.Dialer{},
+		withoutRollouts: withoutRollouts,
+		t:               t, port: firstTestPort + rand.IntN(testPorts), toleratedDisks: toleratedDisks, coordinators: map[int]*Service{}, folders: map[int]string{}, dialers: map[int]*rpc.Dialer{},
 	}
 	for i := 1; i <= seeds; i++ {
 		g.seeds = append(g.seeds, fmt.Sprintf("127.0.3.%d:1", i))
@@ -108,6 +125,9 @@
 	s.OperatorAddress, s.PeerAddress = fmt.Sprintf("127.0.3.%d:1", i), g.address(i)
 	s.Seeds, s.FirstStart, s.DataFolder = g.seeds, firstStart, g.folders[i]
 	s.ToleratedDisks = g.toleratedDisks
+	if !g.withoutRollouts {
+		s.Rollouts = &testRolloutBounds
+	}
 	counters, log := &rpc.Counters{}, slog.New(slog.DiscardHandler)
 	dialer := rpc.NewDialer(nil, counters)
 	qt.Assert(g.t, dialer.BindSource(s.PeerAddress), qt.IsNil)
@@ -116,14 +136,25 @@
 		return wal.OpenWith(folder, func(f *os.File) wal.File { return crampedFile{f, &g.fullDisks[i]} })
 	}
 	qt.Assert(g.t, service.Start(context.Background()), qt.IsNil)
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.coordinators[i], g.dialers[i] = service, dialer
 }
 
+// running returns the coordinators that run.
+func (g *testGroup) running() []*Service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Values(g.coordinators))
+}
+
 func (g *testGroup) stop(i int) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = g.coordinators[i].Stop(ctx)
 	_ = g.dialers[i].Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	delete(g.coordinators, i)
 }
 
--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -148,6 +148,18 @@
 	}
 }
 
+// serversOf returns the announcements of the servers of a service that have not ended.
+func (h *hub) serversOf(service string) (entries []directory.Entry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range h.servers.Entries() {
+		if e.Server.Service == service && e.Server.State != directory.Gone {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
 // gatewayCount returns the number of connected gateways.
 func (h *hub) gatewayCount() (gateways int) {
 	h.mu.Lock()
--- a/pkg/coordinator/metrics.go
+++ b/pkg/coordinator/metrics.go
@@ -12,12 +12,13 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
 	"github.com/geraniumpitch/geraniumpitch/pkg/control"
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 )
 
 // metrics are the instruments of a coordinator.
 type metrics struct {
-	publications, announcements metric.Int64Counter
-	publishDuration             metric.Float64Histogram
+	publications, announcements, rolloutOrders, rolloutSteps metric.Int64Counter
+	publishDuration                                          metric.Float64Histogram
 }
 
 // RegisterMetrics registers the metrics of the coordinator. It is called before Start.
@@ -31,6 +32,21 @@
 	}
 	m.publications = counter("gp_coordinator_publications", "Publications by outcome.")
 	m.announcements = counter("gp_coordinator_announcements", "Announcements of backend servers by effect.")
+	m.rolloutOrders = counter("gp_coordinator_rollout_orders", "Orders of rollouts by outcome.")
+	m.rolloutSteps = counter("gp_coordinator_rollout_steps", "Proposed steps of rollouts by state, reason and outcome.")
+	_, err := meter.Float64ObservableGauge("gp_coordinator_rollout_share", metric.WithDescription("Share of the requests that go to the new version, by service, while a rollout is in progress."),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			if node := s.group.currentNode(); node != nil {
+				records, _ := node.RolloutsAndChange()
+				for _, r := range records {
+					if r.State == rollout.InProgress {
+						o.Observe(r.Share, metric.WithAttributes(attribute.String("service", r.Service)))
+					}
+				}
+			}
+			return nil
+		}))
+	errs = append(errs, err)
 	publishDuration, err := meter.Float64Histogram("gp_coordinator_publish_duration",
 		metric.WithDescription("Time until a publication was decided."), metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(.005, .01, .02, .05, .1, .2, .5, 1, 2, 4))
@@ -74,6 +90,21 @@
 	m.publishDuration.Record(context.Background(), duration.Seconds())
 }
 
+// recordRolloutOrder counts an order.
+func (m *metrics) recordRolloutOrder(outcome BeginOutcome) {
+	if m != nil {
+		m.rolloutOrders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", string(outcome))))
+	}
+}
+
+// recordRolloutStep counts a proposed step.
+func (m *metrics) recordRolloutStep(d rollout.Decision, outcome control.Outcome) {
+	if m != nil {
+		m.rolloutSteps.Add(context.Background(), 1, metric.WithAttributes(
+			attribute.String("state", d.State.String()), attribute.String("reason", d.Reason), attribute.String("outcome", string(outcome))))
+	}
+}
+
 // recordAnnouncement counts an announcement of a backend server.
 func (m *metrics) recordAnnouncement(effect directory.Effect) {
 	if m != nil {
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -43,6 +43,7 @@
 	// inForce and stored encode the publication in force and that of the stored log.
 	inForce, stored follow.PublicationEncoder
 	usage           usageTable
+	rollouts        rollouts
 	// metrics is nil if RegisterMetrics was not called.
 	metrics *metrics
 	// peerClient receives announcements from the other coordinators.
@@ -54,7 +55,7 @@
 // New returns a coordinator that is not started yet.
 func New(s settings.Coordinator, dialer *rpc.Dialer, server *rpc.Server, log *slog.Logger) *Service {
 	return &Service{settings: s, dialer: dialer, server: server, log: log, openLog: wal.Open, hub: newHub(ServerTTL(s.AnnounceIntervalMS)),
-		usage: usageTable{table: usage.NewTable(time.Now())}}
+		usage: usageTable{table: usage.NewTable(time.Now())}, rollouts: newRollouts()}
 }
 
 // ServiceName implements kernel.Service.
@@ -73,6 +74,10 @@
 		cancel()
 		return eris.Wrap(err, "register the coordinator calls")
 	}
+	if err := wire.DRPCRegisterRollouts(s.server.Mux(), &rolloutServer{service: s}); err != nil {
+		cancel()
+		return eris.Wrap(err, "register the calls for rollouts")
+	}
 	if err := s.server.Listen(ctx, s.settings.PeerAddress); err != nil {
 		cancel()
 		return err
@@ -81,6 +86,9 @@
 	s.background.Go(func() { s.hub.run(ctx) })
 	s.background.Go(func() { s.hub.persistState(ctx, s.settings.DataFolder, s.log) })
 	s.background.Go(func() { s.announcePresence(ctx) })
+	if s.settings.Rollouts != nil {
+		s.background.Go(func() { s.runRollouts(ctx) })
+	}
 	s.followPeers(ctx)
 	return nil
 }
@@ -412,7 +420,7 @@
 			return err
 		}
 	}
-	sentRevision := request.Revision
+	sentRevision, sentRollouts := request.Revision, sentRollouts{}
 	for {
 		event := &wire.FollowEvent{Coordinators: s.group.listedCoordinators(), PromptReports: sub.drainPromptReports()}
 		event.Announcements, event.Placements = sub.drain()
@@ -420,6 +428,9 @@
 		if node := s.group.currentNode(); node != nil && node.HasGroupState() && !request.AnnouncementsOnly {
 			confirmed = confirmed || node.HasLeader() && s.isConfirmed(stream.Context())
 			event.Confirmed = confirmed
+			if s.settings.Rollouts != nil {
+				event.LeaderAgeMs = uint32(s.group.leaderAge(time.Now()).Milliseconds())
+			}
 			var p control.Publication
 			p, publicationChanged = node.PublicationAndChange()
 			if p.Revision > sentRevision {
@@ -429,6 +440,9 @@
 				}
 				sentRevision = p.Revision
 			}
+			// The channel was taken before, so that it is closed by any later change of a rollout.
+			records, _ := node.RolloutsAndChange()
+			event.Rollouts = sentRollouts.changed(records)
 		}
 		if err := stream.Send(event); err != nil {
 			return err
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -66,6 +66,8 @@
 	step          int
 	stepProcesses map[process]bool
 	stepSums      sums
+	// suspectSince is the time since which all verdicts were suspect, zero if the last one was not.
+	suspectSince time.Time
 }
 
 // NewEvidence returns the evidence of a rollout before the first report.
--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -124,6 +124,8 @@
 	case r.State != InProgress:
 	case d.Verdict.Bad:
 		d.rollBack("bad_version")
+	case d.Verdict.Suspect && e.suspectTooLong(d.Verdict, b.RollbackTime/2, s.Now):
+		d.rollBack("suspect")
 	case d.Verdict.Suspect:
 		// A version that is not known to be good by the time limit has missed it anyway.
 		if p.remaining <= 0 && d.Verdict.Probability < limitProbability || p.remaining <= -suspectReserve {
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -178,11 +178,22 @@
 	worst.Suspect = worst.Probability < suspectProbability
 	worst.Bad = worst.Probability < badProbability && worst.BadResponses >= minBadResponses
 	if !worst.Suspect {
-		worst.Fault = NoFault
+		worst.Fault, e.suspectSince = NoFault, time.Time{}
+	} else if e.suspectSince.IsZero() {
+		e.suspectSince = now
 	}
 	return worst
 }
 
+// minSuspectResponses is the number of bad responses from which a lasting suspicion ends a rollout: less than
+// half of the 50 from which the time to the last request is bounded.
+const minSuspectResponses = 20
+
+// suspectTooLong reports whether a version has been suspect for a time, on many bad responses.
+func (e *Evidence) suspectTooLong(v Verdict, limit time.Duration, now time.Time) bool {
+	return v.BadResponses >= minSuspectResponses && now.Sub(e.suspectSince) >= limit
+}
+
 // judgeWindow compares both versions per route, and over all routes, for failures and for latency.
 func (e *Evidence) judgeWindow(window time.Duration, since, now time.Time, worst *Verdict) {
 	before := e.at(since)
