--- a/pkg/coordinator/rollouts.go
+++ b/pkg/coordinator/rollouts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math"
 	"slices"
 	"sync"
@@ -34,6 +35,9 @@
 	// and maxUnknownVersions bounds how many are remembered.
 	unknownVersionTTL  = time.Minute
 	maxUnknownVersions = 1000
+	// verdictLogInterval is the shortest time between two log lines on the verdict of a rollout, which can
+	// change with every decision.
+	verdictLogInterval = time.Second
 	// liveOrderAge is the age of an order, by the clock of the leader that accepted it, up to which its
 	// arrival here counts as its start. An older one was accepted before this coordinator started or caught up.
 	liveOrderAge = 2 * time.Second
@@ -105,6 +109,9 @@
 	evidence          *rollout.Evidence
 	// proposing is set while a step is proposed.
 	proposing bool
+	// suspect is the verdict that was logged last, at loggedAt.
+	suspect  bool
+	loggedAt time.Time
 }
 
 func newRollouts() rollouts {
@@ -450,7 +457,15 @@
 	situation.OrderedAt, situation.StepAt = f.orderedAt, f.stepAt
 	d := rollout.Decide(r, f.evidence, bounds, situation)
 	f.proposing = d.Change
+	verdictChanged := d.Verdict.Suspect != f.suspect && now.Sub(f.loggedAt) >= verdictLogInterval
+	if verdictChanged {
+		f.suspect, f.loggedAt = d.Verdict.Suspect, now
+	}
 	s.rollouts.mu.Unlock()
+	if verdictChanged {
+		s.log.Info("rollout verdict changed", "service", r.Service, "version", r.Version, "number", r.Number, "suspect", d.Verdict.Suspect,
+			"share", r.Share, "verdict", verdictFigures(d.Verdict))
+	}
 	if d.Change {
 		s.background.Go(func() { s.proposeStep(ctx, node, r, d, f, now.Sub(situation.OrderedAt)) })
 	}
@@ -487,8 +502,15 @@
 	s.log.Info("rollout step", "service", r.Service, "version", r.Version, "number", r.Number, "step", r.Step+1, "share", d.Share,
 		"state", d.State.String(), "reason", d.Reason, "outcome", result.Outcome, "order_age_ms", age.Milliseconds(),
 		"commit_ms", time.Since(startedAt).Milliseconds(), "exposure", math.Round(d.Exposure), "allowed", math.Round(d.Allowed),
-		"rate", math.Round(d.Rate), "fault", string(d.Verdict.Fault), "route", d.Verdict.Route, "window_ms", d.Verdict.Window.Milliseconds(),
-		"responses", d.Verdict.Responses, "bad", d.Verdict.BadResponses, "expected_bad", d.Verdict.Expected, "probability", d.Verdict.Probability)
+		"rate", math.Round(d.Rate), "verdict", verdictFigures(d.Verdict))
+}
+
+// verdictFigures returns the figures of a verdict for a log line.
+func verdictFigures(v rollout.Verdict) slog.Value {
+	return slog.GroupValue(
+		slog.String("fault", string(v.Fault)), slog.String("route", v.Route), slog.Int64("window_ms", v.Window.Milliseconds()),
+		slog.Int("responses", v.Responses), slog.Int("bad", v.BadResponses), slog.Float64("expected_bad", v.Expected),
+		slog.Float64("probability", v.Probability))
 }
 
 // sentRollouts holds the number and the step of the rollout of each service that was sent on a stream.
