upstream: bytes in flight at each server; gateway: slow callers do not make engines silent

Cause: large requests could go to one server without a bound, and the time in which a caller was slow to read an event counted as silence of the engine.

Change: the client counts the bytes of unanswered requests per server before it sends one; server_request_mb bounds those of large requests, shared among the gateways. The silence timer rests while an event is forwarded.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -37,8 +37,9 @@
 	// usefulPerByte is the time in nanoseconds for which a byte of a body or a response counts as progress: a
 	// caller of 64 KiB per second is as useful as one that has just connected.
 	usefulPerByte = int64(time.Second) / (64 << 10)
-	// flushBytes bounds one write of waiting bytes, so that progress is noticed.
-	flushBytes = 32 << 10
+	// flushBytes bounds one write of waiting bytes, so that progress is noticed and the server's response is read
+	// every second even if the caller takes 10 KB per second.
+	flushBytes = 8 << 10
 	// discardTimeout bounds the time for the rest of a body that is not used.
 	discardTimeout = 2 * time.Second
 	// lingerTimeout and maxLingerBytes bound what is discarded of a body that was given up, so that the caller
@@ -159,7 +160,7 @@
 	if c.evicted.Swap(true) {
 		return
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.phase.Load() == serving {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && (c.phase.Load() == serving || c.flushingAt.Load() != 0) {
 		// Sends a reset, as an ordinary end could complete a response without a length.
 		_ = tcp.SetLinger(0)
 	}
@@ -401,12 +402,12 @@
 		close(c.drained)
 		c.drained = make(chan struct{})
 	}
-	c.flushingAt.Store(0)
 	_ = c.Conn.SetWriteDeadline(time.Time{})
 	if c.writeErr != nil {
 		// Ends the read that watches the connection, and with it the request.
 		c.Evict()
 	}
+	c.flushingAt.Store(0)
 	c.waiting = nil
 	c.account.Close()
 	c.account = nil
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -398,7 +398,8 @@
 func (g *Gateway) newUpstreamRequest(req *callerRequest, header http.Header) *upstream.Request {
 	return &upstream.Request{
 		ID: req.fields.ID, Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body.First, BodyRest: req.body.Rest,
-		Matches: func(h http.Header) bool { return g.protocol.ParseResponse(0, h).RequestID == req.fields.ID },
+		MaxBytesInFlight: g.serverBytesLimit(req),
+		Matches:          func(h http.Header) bool { return g.protocol.ParseResponse(0, h).RequestID == req.fields.ID },
 	}
 }
 
--- a/pkg/gateway/callerlimits.go
+++ b/pkg/gateway/callerlimits.go
@@ -20,6 +20,9 @@
 	// responseWait bounds the wait of a response for room in the memory for callers. It is forwarded as it
 	// arrives otherwise.
 	responseWait = 50 * time.Millisecond
+	// smallRequestBytes is the size of a body up to which the bytes at a server are not limited: 30 requests of
+	// this size, as many as a server for calls holds, have 2 MB.
+	smallRequestBytes = 64 << 10
 	// bodyTimeout bounds the time to receive the body of a request without a route.
 	bodyTimeout = 60 * time.Second
 )
@@ -66,6 +69,25 @@
 	return newRefusal("all connections for callers are in use", connlimit.RetryAfter)
 }
 
+// serverBytesLimit returns the bytes of requests that this gateway may have sent to one server without a complete
+// answer, 0 for no limit. As with connections, one half of what the server takes from all gateways together is shared
+// equally and the rest by demand. Small requests are counted, but not limited: the server's queue bounds them.
+func (g *Gateway) serverBytesLimit(req *callerRequest) int64 {
+	if req.body.Size() <= smallRequestBytes || g.settings.ServerRequestMB <= 0 {
+		return 0
+	}
+	total := g.settings.ServerRequestMB << 20
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	gateways := g.usage.Gateways()
+	if gateways == 0 {
+		return int64(total / assumedGateways)
+	}
+	now := time.Now()
+	equal := total / 2 / gateways
+	return int64(equal) + int64(float64(total-equal*gateways)*g.usage.Share(req.service.Name, g.budget(req.service.Name).Usage(now).Demand, now))
+}
+
 // readResponse reads a response, up to maxBufferedResponseBytes. It reports whether that is all of it: the rest of a
 // large one, or of one for which the memory for callers has no room, is forwarded as it arrives.
 func (req *callerRequest) readResponse(ctx context.Context, response *upstream.Response) (body []byte, whole bool, err error) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -379,13 +379,14 @@
 		}
 		s.recordWriting(false)
 		silence.events.Add(1)
-		silenceTimer.Reset(s.eventTimeout())
-		if e.id != "" && !isAfter(e.id, s.lastEventID) {
-			continue
-		}
-		if err := s.forwardEvent(response, e); err != nil {
-			return err
+		if e.id == "" || isAfter(e.id, s.lastEventID) {
+			// A caller that is slow to read an event does not make the engine a silent one.
+			silenceTimer.Stop()
+			if err := s.forwardEvent(response, e); err != nil {
+				return err
+			}
 		}
+		silenceTimer.Reset(s.eventTimeout())
 	}
 }
 
--- a/pkg/settings/fleet.go
+++ b/pkg/settings/fleet.go
@@ -77,6 +77,10 @@
 	// ResponseBufferKB bounds the bytes of one response that wait for a slow caller, in kilobytes. A response is
 	// read from its server at the pace of the caller beyond that.
 	ResponseBufferKB int `json:"response_buffer_kb"`
+	// ServerRequestMB bounds the bytes of large requests (bodies above 64 KiB) that one backend server holds from
+	// all gateways together, in megabytes; 0 means no limit. A gateway that has no other request at the server always
+	// sends one.
+	ServerRequestMB int `json:"server_request_mb"`
 }
 
 // DefaultCoordinator returns the default settings of a coordinator.
@@ -86,7 +90,7 @@
 
 // DefaultGateway returns the default settings of a gateway.
 func DefaultGateway() Gateway {
-	return Gateway{AnnounceIntervalMS: 1000, GracePeriodS: 10, RetryRatio: 0.2, RetrySlack: 30, RetryWindowS: 10, ResponseBufferKB: 256}
+	return Gateway{AnnounceIntervalMS: 1000, GracePeriodS: 10, RetryRatio: 0.2, RetrySlack: 30, RetryWindowS: 10, ResponseBufferKB: 256, ServerRequestMB: 256}
 }
 
 // LoadCoordinator reads the settings of a coordinator from a file and validates them.
@@ -135,6 +139,7 @@
 	f.checkAtLeast("memory_mb", int64(s.MemoryMB), 0)
 	f.checkAtLeast("caller_memory_mb", int64(s.CallerMemoryMB), 0)
 	f.checkAtLeast("caller_connections", int64(s.CallerConnections), 0)
+	f.checkAtLeast("server_request_mb", int64(s.ServerRequestMB), 0)
 	f.checkAtLeast("response_buffer_kb", int64(s.ResponseBufferKB), 1)
 	f.checkPositive("grace_s", s.GracePeriodS)
 	f.checkPositive("retry_window_s", s.RetryWindowS)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -63,6 +63,20 @@
 // connection is closed.
 var ErrTooLarge = eris.New("the backend server sends more bytes than allowed")
 
+// errTooManyBytes is the cause of a NotSentError when the requests that the backend server holds would exceed the limit
+// for their bytes. It counts as ErrTooManyConnections: the server can be reached, and is sent nothing more now.
+var errTooManyBytes error = tooManyBytesError{}
+
+type tooManyBytesError struct{}
+
+// Error implements error.
+func (tooManyBytesError) Error() string {
+	return "the requests of this process at the backend server have too many bytes"
+}
+
+// Is implements the interface that errors.Is uses.
+func (tooManyBytesError) Is(target error) bool { return target == ErrTooManyConnections }
+
 var errUnmatchedResponse = eris.New("the connection carries responses to other requests")
 
 // Request is a request to a backend server.
@@ -78,6 +92,9 @@
 	// Body is the beginning of the body, and BodyRest what follows it.
 	Body     []byte
 	BodyRest [][]byte
+	// MaxBytesInFlight bounds the bytes of the unanswered requests to the backend server, with this one; 0 is no
+	// limit. A request is always sent if there is no other.
+	MaxBytesInFlight int64
 	// Matches reports whether a response with the given headers belongs to this request.
 	// If it is nil, every response does.
 	Matches func(http.Header) bool
@@ -97,6 +114,8 @@
 	idle []*conn
 	// open counts all connections, the idle ones and those in use.
 	open int
+	// bytes counts the bytes of the requests that are sent, or about to be, and not answered completely.
+	bytes int64
 }
 
 // conn is a connection to a backend server.
@@ -108,6 +127,8 @@
 	// expiresAt is when the server may close the idle connection.
 	expiresAt time.Time
 	reused    bool
+	// inFlight counts the bytes of the request that the connection carries.
+	inFlight int64
 	// carriedIDs are the identifiers of the latest requests, the latest last.
 	carriedIDs []string
 }
@@ -174,14 +195,15 @@
 // and returns the response; a maxConnections of 0 means no limit. A NotSentError means that nothing was sent;
 // after any other error the request may have run. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, address string, maxConnections int, r *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, address, maxConnections, r.ID)
+	head := r.encodeHead()
+	size := int64(len(head) + r.bodySize())
+	cn, err := c.acquire(ctx, address, maxConnections, r, size)
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
 	cn.carry(r.ID)
 	response := &Response{client: c, address: address, conn: cn, written: make(chan struct{})}
 	response.stopContextWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
-	head := r.encodeHead()
 	if r.bodySize() > asyncBodyBytes {
 		go response.writeRequest(head, append([][]byte{r.Body}, r.BodyRest...))
 	} else {
@@ -345,16 +367,16 @@
 
 // acquire returns an idle connection that is still open and has not carried the request with this ID,
 // or opens a new one.
-func (c *Client) acquire(ctx context.Context, address string, maxConnections int, id string) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, address string, maxConnections int, r *Request, size int64) (*conn, error) {
 	for {
-		cn, err := c.acquireIdle(address, maxConnections, id)
+		cn, err := c.acquireIdle(address, maxConnections, r, size)
 		if err != nil {
 			return nil, err
 		}
 		if cn == nil {
 			break
 		}
-		if time.Now().Before(cn.expiresAt) && !slices.Contains(cn.carriedIDs, id) && reusable(cn) {
+		if time.Now().Before(cn.expiresAt) && !slices.Contains(cn.carriedIDs, r.ID) && reusable(cn) {
 			cn.reused = true
 			return cn, nil
 		}
@@ -364,16 +386,21 @@
 	if err != nil {
 		c.mu.Lock()
 		c.pools[address].open--
+		c.pools[address].bytes -= size
 		c.mu.Unlock()
 		return nil, err
 	}
-	return newConn(raw), nil
+	cn := newConn(raw)
+	cn.inFlight = size
+	return cn, nil
 }
 
 // acquireIdle returns the most recently used idle connection that has not carried the request with
 // this ID. If there is none, it returns nil and already counts the connection that the caller then has
 // to open; if the limit leaves no room for that, it returns another idle connection, to be closed.
-func (c *Client) acquireIdle(address string, maxConnections int, id string) (*conn, error) {
+// The size of the request counts as sent from then on.
+func (c *Client) acquireIdle(address string, maxConnections int, r *Request, size int64) (*conn, error) {
+	id := r.ID
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[address]
@@ -381,8 +408,13 @@
 		p = &connPool{}
 		c.pools[address] = p
 	}
+	if r.MaxBytesInFlight > 0 && p.bytes > 0 && p.bytes+size > r.MaxBytesInFlight {
+		return nil, errTooManyBytes
+	}
 	take := func(i int) *conn {
 		cn := p.idle[i]
+		p.bytes += size
+		cn.inFlight = size
 		p.idle = slices.Delete(p.idle, i, i+1)
 		return cn
 	}
@@ -398,6 +430,7 @@
 		return take(0), nil
 	}
 	p.open++
+	p.bytes += size
 	return nil, nil
 }
 
@@ -406,6 +439,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[address]
+	p.bytes -= cn.inFlight
+	cn.inFlight = 0
 	p.idle = append(p.idle, cn)
 }
 
@@ -415,6 +450,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pools[address].open--
+	c.pools[address].bytes -= cn.inFlight
+	cn.inFlight = 0
+}
+
+// BytesInFlight returns the bytes of the requests to a backend server that are sent, or about to be, and not
+// answered completely.
+func (c *Client) BytesInFlight(address string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.pools[address]; p != nil {
+		return p.bytes
+	}
+	return 0
 }
 
 // IdleConnections returns the number of idle connections to a backend server.
