--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -111,7 +111,7 @@
 
 // admit reads a request, selects its route and service, and checks the organisation's
 // key and the limits of the configuration.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, startedAt time.Time) (*callerRequest, *reply) {
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, startedAt time.Time) (req *callerRequest, _ *reply) {
 	if errReply := checkOverflow(w, r); errReply != nil {
 		return nil, errReply
 	}
@@ -136,15 +136,19 @@
 	if errReply := g.receiveBody(body, w, r, limit, bodyDeadline(route, fields, startedAt)); errReply != nil {
 		return nil, errReply
 	}
+	defer func() {
+		if req == nil {
+			body.Account.Close()
+		}
+	}()
 	// Receiving the body may have taken long: use the configuration in force now.
 	if t := g.table.Load(); t != table {
 		table, route = t, t.Match(r.Host, path)
 	}
 	if route == nil {
-		body.Account.Close()
 		return nil, newReply(http.StatusNotFound, "no route matches the host and path")
 	}
-	req := &callerRequest{
+	req = &callerRequest{
 		fields: fields, route: route, rank: route.Rank, method: r.Method, target: r.RequestURI, host: r.Host,
 		header: r.Header, body: body, startedAt: startedAt,
 	}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -320,3 +322,51 @@
 	qt.Assert(t, err, qt.IsNotNil)
 	qt.Assert(t, isNotSent(err), qt.IsFalse)
 }
+
+// Guards against requests that end a server because it holds more bytes than it has memory for, against a large request
+// that is never sent, and against bytes that stay counted after an answer, an error or a refused connection.
+func TestBytesInFlightAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+	}))
+	defer server.Close()
+	client, address := NewClient(nil), server.Listener.Addr().String()
+	request := func(size int, limit int64) *Request {
+		half := make([]byte, size/2)
+		return &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: half, BodyRest: [][]byte{half}, MaxBytesInFlight: limit}
+	}
+	const limit = 150 << 10
+	var requests sync.WaitGroup
+	// The first request exceeds the limit alone and is sent all the same.
+	requests.Go(func() {
+		response, err := client.Do(context.Background(), address, 0, request(200<<10, limit))
+		qt.Check(t, err, qt.IsNil)
+		_, err = response.ReadAll(1 << 10)
+		qt.Check(t, err, qt.IsNil)
+	})
+	for client.BytesInFlight(address) < 200<<10 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := client.Do(context.Background(), address, 0, request(100<<10, limit))
+	var notSent *NotSentError
+	qt.Assert(t, errors.As(err, &notSent), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, ErrTooManyConnections), qt.IsTrue)
+	requests.Go(func() {
+		// Without a limit the bytes are only counted.
+		response, err := client.Do(context.Background(), address, 0, request(100<<10, 0))
+		qt.Check(t, err, qt.IsNil)
+		response.Abort()
+	})
+	for client.BytesInFlight(address) < 300<<10 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	requests.Wait()
+	qt.Assert(t, client.BytesInFlight(address), qt.Equals, int64(0))
+	server.Close()
+	_, err = client.Do(context.Background(), address, 0, request(100<<10, limit))
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, client.BytesInFlight(address), qt.Equals, int64(0))
+}
