--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -132,9 +132,15 @@
 // recordEvent records that an event has arrived.
 func (w *silenceWatch) recordEvent() {
 	w.events.Add(1)
-	w.timer.Reset(w.firstDecision())
+	w.resume()
 }
 
+// pause suspends the watch while the gateway does not read from the engine.
+func (w *silenceWatch) pause() { w.timer.Stop() }
+
+// resume starts the watch as if an event had arrived now.
+func (w *silenceWatch) resume() { w.timer.Reset(w.firstDecision()) }
+
 // handleSilence decides until the next event, or until the run is aborted. At an engine that can be reached, a
 // run that could not go on elsewhere stays until the deadline of the request.
 func (w *silenceWatch) handleSilence() {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -398,14 +398,17 @@
 			s.recordVersionLatency()
 		}
 		s.recordWriting(false)
-		silence.recordEvent()
 		s.recordGap(&gaps, engine, arrivedAt)
+		silence.recordEvent()
 		if e.id != "" && !isAfter(e.id, s.lastEventID) {
 			continue
 		}
+		// A caller that is slow to read an event does not make the engine a silent one.
+		silence.pause()
 		if err := s.forwardEvent(response, e); err != nil {
 			return err
 		}
+		silence.resume()
 		if time.Since(arrivedAt) > maxForwardTime {
 			gaps = gapMeter{}
 		}
