rollout: confirm a bad verdict; larger reserve of the exposure

Cause: a crash of one of few new servers makes a burst of failures that looks like a bad version.

Change: a bad verdict needs further bad responses 0.5 s later, except under share 1 with six of them or more; the reserve is 5% and 1.25 standard deviations. The latency that a step waits for is at most a sixth of the limit. The flag -first-seed of the simulations runs other seeds.

--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -66,8 +66,9 @@
 	step          int
 	stepProcesses map[process]bool
 	stepSums      sums
-	// suspectSince is the time since which all verdicts were suspect, zero if the last one was not.
-	suspectSince time.Time
+	// suspectSince and badSince are the times since which all verdicts were suspect or bad, zero if the last
+	// one was not.
+	suspectSince, badSince time.Time
 }
 
 // NewEvidence returns the evidence of a rollout before the first report.
--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -28,6 +28,8 @@
 	// maxDrainShare bounds the time for running requests, and for the responses that clear the version, as
 	// a share of the time limit; gateways move longer requests.
 	maxDrainShare = 0.35
+	// maxLatencyShare bounds the latency for which a step waits, as a share of the time limit.
+	maxLatencyShare = 1.0 / 6
 	// canaryBudget is the share of the allowed exposure that the canary uses, and maxCanary its largest
 	// share of the requests.
 	canaryBudget = 0.2
@@ -41,10 +43,10 @@
 	minCanaryTime = time.Second
 	// exposureReserve is the share of the allowed exposure that is not planned for: the draws of the
 	// gateways and the rate of requests vary.
-	exposureReserve = 0.03
+	exposureReserve = 0.05
 	// exposureDeviations is the number of standard deviations of the number of further requests that are kept
 	// in reserve.
-	exposureDeviations = 1
+	exposureDeviations = 1.25
 	// minStepResponses is the number of responses in a step after which its verdict counts, and
 	// expectedResponses the share of the expected responses that counts too, at low rates.
 	minStepResponses  = 8
@@ -122,7 +124,7 @@
 	d := Decision{Share: r.Share, State: InProgress, Verdict: e.Judge(s.Now), Exposure: p.exposure, Allowed: p.allowed, Rate: p.rate}
 	switch {
 	case r.State != InProgress:
-	case d.Verdict.Bad:
+	case d.Verdict.Bad && e.confirmed(d.Verdict, r.Share >= 1, s.Now):
 		d.rollBack("bad_version")
 	case d.Verdict.Suspect && e.suspectTooLong(d.Verdict, b.RollbackTime/2, s.Now):
 		d.rollBack("suspect")
@@ -175,7 +177,7 @@
 	if _, oldInFlight := e.InForce(0, s.Now); r.Share < 1 {
 		p.inFlight = float64(oldInFlight) / (1 - r.Share)
 	}
-	latency := e.longestUsualLatency()
+	latency := min(e.longestUsualLatency(), time.Duration(maxLatencyShare*float64(r.Duration)))
 	p.step = stepTime + latency
 	drain := time.Duration(0)
 	if p.rate > 0 {
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -22,7 +23,10 @@
 	stream, moves bool
 	// normalFailures is the share of failures of the first of two routes under every version.
 	normalFailures float64
-	bad            badness
+	// burstEvery is the time between bursts of 150 ms in which a third of the requests to the new version fail,
+	// as after the crash of one of three servers; 0 means none.
+	burstEvery time.Duration
+	bad        badness
 }
 
 // badness describes a bad version; the zero value is a good one.
@@ -169,6 +173,9 @@
 			}
 			latency = time.Duration(float64(latency) * math.Exp(0.3*random.NormFloat64()))
 			failed := route == "a" && random.Float64() < s.normalFailures
+			if s.burstEvery > 0 && isNew && now%s.burstEvery > s.burstEvery-150*time.Millisecond {
+				failed = failed || random.IntN(3) == 0
+			}
 			if isNew && s.bad.isBad() && now >= time.Duration(s.bad.from*float64(s.duration)) && record.Share >= s.bad.fromShare &&
 				(!s.bad.oneRoute || route == "b") {
 				if s.bad.slow > 0 {
@@ -257,6 +264,9 @@
 	simDurations = []time.Duration{5 * time.Second, 8 * time.Second, 12 * time.Second, 20 * time.Second, 60 * time.Second}
 )
 
+// firstSeed is the first seed of each combination; other seeds are for trials.
+var firstSeed = flag.Uint64("first-seed", 0, "first seed of the simulations")
+
 // seedsPerCase is the number of seeds of each combination. Longer limits take longer to simulate.
 func seedsPerCase(d time.Duration) uint64 {
 	if testing.Short() || d >= 60*time.Second {
@@ -271,8 +281,8 @@
 			for _, duration := range simDurations {
 				t.Run(fmt.Sprintf("%d gateways, %g per second, %s", gateways, rate, duration), func(t *testing.T) {
 					t.Parallel()
-					for seed := range seedsPerCase(duration) {
-						check(t, simulation{gateways: gateways, rate: rate, duration: duration}, seed)
+					for i := range seedsPerCase(duration) {
+						check(t, simulation{gateways: gateways, rate: rate, duration: duration}, *firstSeed+i)
 					}
 				})
 			}
@@ -306,6 +316,18 @@
 	})
 }
 
+// Guards against a good version that is rolled back because one of its servers crashes now and then during the
+// canary.
+func TestCrashesOfGoodVersions(t *testing.T) {
+	for _, rate := range simRates {
+		for seed := range uint64(6) {
+			s := simulation{gateways: 16, rate: rate, duration: 60 * time.Second, burstEvery: 11 * time.Second}
+			o := s.run(seed)
+			qt.Check(t, o.state, qt.Equals, Complete, qt.Commentf("seed %d, %+v: %+v", seed, s, o))
+		}
+	}
+}
+
 var badVersions = func() (all []badness) {
 	for _, kind := range []badness{{failing: 0.4}, {failing: 0.2}, {slow: 5}, {slow: 8}} {
 		all = append(all, kind)
@@ -384,7 +406,7 @@
 	t.Cleanup(func() { hard.check(t) })
 	forEachCase(t, func(t *testing.T, s simulation, seed uint64) {
 		s.stream, s.moves = true, true
-		if seed > 0 {
+		if seed != *firstSeed {
 			return
 		}
 		for _, bad := range badVersions {
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -177,6 +177,11 @@
 	}
 	worst.Suspect = worst.Probability < suspectProbability
 	worst.Bad = worst.Probability < badProbability && worst.BadResponses >= minBadResponses
+	if !worst.Bad {
+		e.badSince = time.Time{}
+	} else if e.badSince.IsZero() {
+		e.badSince = now
+	}
 	if !worst.Suspect {
 		worst.Fault, e.suspectSince = NoFault, time.Time{}
 	} else if e.suspectSince.IsZero() {
@@ -185,6 +190,44 @@
 	return worst
 }
 
+const (
+	// confirmTime is the time after which bad responses confirm a bad verdict: reports of the responses
+	// behind it arrive within an interval of the reports and their way.
+	confirmTime = 500 * time.Millisecond
+	// manyBadResponses is the number of bad responses from which a verdict under share 1 needs no
+	// confirmation: then the time limit is near.
+	manyBadResponses = 6
+)
+
+// confirmed reports whether a bad verdict is more than one burst of failures, as the crash of one of few servers
+// causes it: further responses are bad too.
+func (e *Evidence) confirmed(v Verdict, all bool, now time.Time) bool {
+	if all && v.BadResponses >= manyBadResponses {
+		return true
+	}
+	since := e.badSince.Add(confirmTime)
+	if now.Before(since) {
+		return false
+	}
+	before := e.at(since)
+	var seen sample
+	for k, total := range e.sums {
+		if !k.newVersion || v.Route != "" && k.route != v.Route {
+			continue
+		}
+		recent := total.minus(before[k])
+		if v.Fault == Failures {
+			seen.n, seen.bad = seen.n+float64(answers(recent)), seen.bad+float64(recent.Failed)
+			continue
+		}
+		if threshold := slowBucket(e.sums[key{route: k.route}].Latencies); threshold >= 0 {
+			slow, unanswered := slowSample(recent, threshold), e.unanswered(k, threshold, since, now)
+			seen.n, seen.bad = seen.n+slow.n+unanswered, seen.bad+slow.bad+unanswered
+		}
+	}
+	return seen.bad >= 1 && seen.bad >= seen.n*(v.Expected/float64(v.Responses)+minExcess)
+}
+
 // minSuspectResponses is the number of bad responses from which a lasting suspicion ends a rollout: less than
 // half of the 50 from which the time to the last request is bounded.
 const minSuspectResponses = 20
