rollout: changes of the leader; reserve of two standard deviations

Cause: a new leader took the counts of the whole rollout for recent ones, so that its estimate of the rate was many times too high and a good version missed its time limit.

Change: the rate is measured from what processes sent after their first report; a step counts from when a new leader has the reports; the reserve is 2% and two standard deviations, the canary uses 15% of the allowed exposure, and the ramp with three steps is used only where it costs no margin. Bad responses under smaller shares keep a version from completing.

--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -34,6 +34,8 @@
 type snapshot struct {
 	at   time.Time
 	sums sums
+	// flow is that of the evidence.
+	flow uint64
 }
 
 // process identifies a process of a gateway.
@@ -60,6 +62,9 @@
 	gateways      map[string]*gatewayState
 	sums          sums
 	snapshots     []snapshot
+	// flow counts the requests sent after the first report of each process: a new leader gets the counts of
+	// the whole rollout with the first ones.
+	flow uint64
 	// step is the highest step that a gateway has in force, stepProcesses the processes that have it, and
 	// stepSums what they counted after their first report with it. Later responses are to requests of the
 	// step, but for those that take longer than an interval of the reports.
@@ -94,6 +99,9 @@
 		return false
 	}
 	e.sums.replace(previous, r)
+	if known {
+		e.flow += sentIn(r) - sentIn(previous)
+	}
 	if r.Step > e.step {
 		e.step, e.stepProcesses, e.stepSums = r.Step, map[process]bool{}, sums{}
 	}
@@ -117,6 +125,13 @@
 	return true
 }
 
+func sentIn(r Report) (requests uint64) {
+	for _, c := range r.Counts {
+		requests += c.Sent
+	}
+	return requests
+}
+
 // countedEvents orders the reports of one process, whose counts only grow.
 func countedEvents(r Report) (events uint64) {
 	for _, c := range r.Counts {
@@ -134,7 +149,7 @@
 	for k, c := range e.sums {
 		copied[k] = c
 	}
-	e.snapshots = append(e.snapshots, snapshot{now, copied})
+	e.snapshots = append(e.snapshots, snapshot{now, copied, e.flow})
 	old := 0
 	for old < len(e.snapshots)-1 && now.Sub(e.snapshots[old+1].at) >= windowLength {
 		old++
@@ -143,13 +158,15 @@
 }
 
 // at returns the sums as they were known at a time; they are empty before the first snapshot.
-func (e *Evidence) at(t time.Time) sums {
+func (e *Evidence) at(t time.Time) sums { return e.snapshotAt(t).sums }
+
+func (e *Evidence) snapshotAt(t time.Time) snapshot {
 	for _, s := range slices.Backward(e.snapshots) {
 		if !s.at.After(t) {
-			return s.sums
+			return s
 		}
 	}
-	return nil
+	return snapshot{}
 }
 
 // Reporting returns the number of gateways with a report after a time.
@@ -206,16 +223,13 @@
 }
 
 func (e *Evidence) rateSince(since, now time.Time) float64 {
-	if e.firstReportAt.After(since) {
-		since = e.firstReportAt
-	}
-	_, before := e.at(since).sent()
-	_, all := e.sums.sent()
 	elapsed := now.Sub(since)
-	if before == 0 {
-		elapsed += reportInterval / 2 // The first reports cover the time before them.
+	if e.firstReportAt.After(since) {
+		// The counted requests were sent between the first and the latest report of each process: half an
+		// interval of the reports later, and half of one earlier, in the mean.
+		elapsed = now.Sub(e.firstReportAt) - reportInterval
 	}
-	return float64(all-before) / elapsed.Seconds()
+	return float64(e.flow-e.snapshotAt(since).flow) / max(elapsed, reportInterval/2).Seconds()
 }
 
 // answers returns the number of responses that have begun. The latency of a stream counts at its first
--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -32,7 +32,7 @@
 	maxLatencyShare = 1.0 / 6
 	// canaryBudget is the share of the allowed exposure that the canary uses, and maxCanary its largest
 	// share of the requests.
-	canaryBudget = 0.2
+	canaryBudget = 0.15
 	maxCanary    = 0.3
 	// canaryAge is the time after which the share of the canary follows the rate of requests, if it should
 	// change by a factor of e to the power of canaryChange or more.
@@ -43,10 +43,10 @@
 	minCanaryTime = time.Second
 	// exposureReserve is the share of the allowed exposure that is not planned for: the draws of the
 	// gateways and the rate of requests vary.
-	exposureReserve = 0.05
+	exposureReserve = 0.02
 	// exposureDeviations is the number of standard deviations of the number of further requests that are kept
 	// in reserve.
-	exposureDeviations = 1.25
+	exposureDeviations = 2
 	// minStepResponses is the number of responses in a step after which its verdict counts, and
 	// expectedResponses the share of the expected responses that counts too, at low rates.
 	minStepResponses  = 8
@@ -120,6 +120,9 @@
 // Decide returns the next step of a rollout in progress.
 func Decide(r Record, e *Evidence, b Bounds, s Situation) Decision {
 	e.Observe(s.Now)
+	if reportsKnownAt := s.LeadingSince.Add(stepLag); s.StepAt.Before(reportsKnownAt) {
+		s.StepAt = reportsKnownAt // The reports before do not tell the responses of the step from earlier ones.
+	}
 	p := newPlan(r, e, b, s)
 	d := Decision{Share: r.Share, State: InProgress, Verdict: e.Judge(s.Now), Exposure: p.exposure, Allowed: p.allowed, Rate: p.rate}
 	switch {
@@ -205,8 +208,13 @@
 			return
 		}
 	}
-	for _, p.ramp = range ramps {
-		if p.fits(p.rampExposure(0)+p.expected(finishTime+minMargin)) && p.rampTime() < p.duration/4 {
+	for i := range ramps {
+		p.ramp = ramps[i]
+		finish := finishTime + minMargin
+		if i == 0 {
+			finish = p.finish // Most steps only where they cost no margin.
+		}
+		if p.fits(p.rampExposure(0)+p.expected(finish)) && p.rampTime() < p.duration/4 {
 			return
 		}
 	}
@@ -353,7 +361,14 @@
 		return false
 	}
 	recent := p.stepAnswers(e)
-	if p.rate == 0 || e.logRatio(recent, false) <= clearedLogRatio {
+	if p.rate == 0 {
+		return true
+	}
+	// Bad responses under smaller shares count, good ones do not outweigh those under share 1.
+	if e.logRatio(e.sums, true) > 0 {
+		return false
+	}
+	if e.logRatio(recent, false) <= clearedLogRatio {
 		return true
 	}
 	return p.remaining <= lenientTime && e.logRatio(recent, true) <= lenientLogRatio
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -27,6 +27,9 @@
 	// as after the crash of one of three servers; 0 means none.
 	burstEvery time.Duration
 	bad        badness
+	// leaderChangeAt is the share of the time limit after which the leader ends, if it is above 0. The next one
+	// decides 800 ms later, and knows the record and reports from then on.
+	leaderChangeAt float64
 }
 
 // badness describes a bad version; the zero value is a good one.
@@ -92,7 +95,7 @@
 func (s simulation) run(seed uint64) (o outcome) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	record := Record{Service: "s", Number: 3, Version: "v2", Established: "v1", Duration: s.duration, AcceptedAt: simStart}
-	evidence := NewEvidence(3)
+	evidence, leadingSince := NewEvidence(3), simStart.Add(-time.Hour)
 	gateways := make([]*simGateway, s.gateways)
 	for i := range gateways {
 		gateways[i] = &simGateway{step: record, counts: map[key]*Counts{}, nextReport: time.Duration(random.Int64N(int64(reportInterval)))}
@@ -144,6 +147,13 @@
 				reports[arrival] = append(reports[arrival], simReport{arrival, i, r})
 			}
 		}
+		if changeAt := time.Duration(s.leaderChangeAt * float64(s.duration)).Truncate(simTick); s.leaderChangeAt > 0 && now >= changeAt {
+			if now < changeAt+800*time.Millisecond {
+				delete(reports, now)
+				proposed = nil
+				evidence, leadingSince = NewEvidence(3), at.Add(simTick)
+			}
+		}
 		for _, r := range reports[now] {
 			evidence.Add(fmt.Sprint(r.gateway), 1, r.report, at)
 		}
@@ -227,9 +237,9 @@
 				}
 			}
 		}
-		if now%(100*time.Millisecond) == 0 && proposed == nil && record.State == InProgress {
+		if now%(100*time.Millisecond) == 0 && proposed == nil && record.State == InProgress && !at.Before(leadingSince) {
 			d := Decide(record, evidence, Bounds{0.1, 50, 5 * time.Second}, Situation{
-				Now: at, OrderedAt: simStart, StepAt: stepAt, LeadingSince: simStart.Add(-time.Hour), Connected: s.gateways,
+				Now: at, OrderedAt: simStart, StepAt: stepAt, LeadingSince: leadingSince, Connected: s.gateways,
 				NewServers: 3, NewSlots: 300, OldSlots: 300,
 			})
 			if d.Change {
@@ -328,6 +338,33 @@
 	}
 }
 
+// Guards against a rollout that misses its time limit because the leader ends well before it, and against a new
+// leader that takes the reports of the whole rollout for recent ones and raises the share too early.
+func TestLeaderChanges(t *testing.T) {
+	for _, rate := range simRates {
+		for _, changeAt := range []float64{0.3, 0.7, 0.92, 0.98} {
+			for seed := range uint64(4) {
+				s := simulation{gateways: 16, rate: rate, duration: 20 * time.Second, leaderChangeAt: changeAt}
+				o := s.run(seed)
+				comment := qt.Commentf("seed %d, %+v: %+v", seed, s, o)
+				qt.Check(t, o.state, qt.Equals, Complete, comment)
+				limit := s.duration
+				if changeAt > 0.9 {
+					limit += SilenceLimit
+				}
+				qt.Check(t, o.decidedAt <= limit, qt.IsTrue, comment)
+				qt.Check(t, float64(o.exposed) <= 0.1*float64(o.all)+50, qt.IsTrue, comment)
+				s.bad = badness{failing: 0.4, from: 0.9 * changeAt}
+				o = s.run(seed)
+				comment = qt.Commentf("seed %d, %+v: %+v", seed, s, o)
+				qt.Check(t, o.state, qt.Equals, RolledBack, comment)
+				qt.Check(t, float64(o.exposed) <= 0.1*float64(o.all)+50, qt.IsTrue, comment)
+				qt.Check(t, o.lateRequests, qt.Equals, 0, comment)
+			}
+		}
+	}
+}
+
 var badVersions = func() (all []badness) {
 	for _, kind := range []badness{{failing: 0.4}, {failing: 0.2}, {slow: 5}, {slow: 8}} {
 		all = append(all, kind)
