--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -149,15 +149,10 @@
 }
 
 // serversOf returns the announcements of the servers of a service that have not ended.
-func (h *hub) serversOf(service string) (entries []directory.Entry) {
+func (h *hub) serversOf(service string) []directory.Entry {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, e := range h.servers.Entries() {
-		if e.Server.Service == service && e.Server.State != directory.Gone {
-			entries = append(entries, e)
-		}
-	}
-	return entries
+	return h.servers.EntriesOf(service)
 }
 
 // gatewayCount returns the number of connected gateways.
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -219,6 +219,16 @@
 	return entries
 }
 
+// EntriesOf returns the announcements of the servers of a service that have not ended, with their times.
+func (d *Directory) EntriesOf(service string) (entries []Entry) {
+	for _, e := range d.entries {
+		if e.Service == service && e.State != Gone {
+			entries = append(entries, Entry{e.Server, e.receivedAt})
+		}
+	}
+	return entries
+}
+
 // Restore applies announcements that another process received, except those that are invalid, expired or
 // lie in the future at now.
 func (d *Directory) Restore(entries []Entry, now time.Time) {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -87,6 +87,19 @@
 	qt.Assert(t, ok, qt.IsTrue)
 }
 
+// Guards against servers of another service, and ended ones, among those of a service.
+func TestEntriesOf(t *testing.T) {
+	d := New(time.Second)
+	other := announcement("c", "10.0.0.1:3", 10, 1)
+	other.Service = "other"
+	for _, s := range []Server{announcement("a", "10.0.0.1:1", 10, 1), announcement("b", "10.0.0.1:2", 10, 1), other, {ID: "b", State: Gone}} {
+		d.Apply(s, start)
+	}
+	entries := d.EntriesOf("pool")
+	qt.Assert(t, entries, qt.HasLen, 1)
+	qt.Assert(t, entries[0], qt.Equals, Entry{announcement("a", "10.0.0.1:1", 10, 1), start})
+}
+
 // Guards against restored entries that stay valid for longer than announced, and against ended
 // servers that become available again.
 func TestRestore(t *testing.T) {
