--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -22,7 +23,13 @@
 	stream, moves bool
 	// normalFailures is the share of failures of the first of two routes under every version.
 	normalFailures float64
-	bad            badness
+	// burstEvery is the time between bursts of 150 ms in which a third of the requests to the new version fail,
+	// as after the crash of one of three servers; 0 means none.
+	burstEvery time.Duration
+	bad        badness
+	// leaderChangeAt is the share of the time limit after which the leader ends, if it is above 0. The next one
+	// decides 800 ms later, and knows the record and reports from then on.
+	leaderChangeAt float64
 }
 
 // badness describes a bad version; the zero value is a good one.
@@ -88,7 +95,7 @@
 func (s simulation) run(seed uint64) (o outcome) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	record := Record{Service: "s", Number: 3, Version: "v2", Established: "v1", Duration: s.duration, AcceptedAt: simStart}
-	evidence := NewEvidence(3)
+	evidence, leadingSince := NewEvidence(3), simStart.Add(-time.Hour)
 	gateways := make([]*simGateway, s.gateways)
 	for i := range gateways {
 		gateways[i] = &simGateway{step: record, counts: map[key]*Counts{}, nextReport: time.Duration(random.Int64N(int64(reportInterval)))}
@@ -140,6 +147,13 @@
 				reports[arrival] = append(reports[arrival], simReport{arrival, i, r})
 			}
 		}
+		if changeAt := time.Duration(s.leaderChangeAt * float64(s.duration)).Truncate(simTick); s.leaderChangeAt > 0 && now >= changeAt {
+			if now < changeAt+800*time.Millisecond {
+				delete(reports, now)
+				proposed = nil
+				evidence, leadingSince = NewEvidence(3), at.Add(simTick)
+			}
+		}
 		for _, r := range reports[now] {
 			evidence.Add(fmt.Sprint(r.gateway), 1, r.report, at)
 		}
@@ -169,6 +183,9 @@
 			}
 			latency = time.Duration(float64(latency) * math.Exp(0.3*random.NormFloat64()))
 			failed := route == "a" && random.Float64() < s.normalFailures
+			if s.burstEvery > 0 && isNew && now%s.burstEvery > s.burstEvery-150*time.Millisecond {
+				failed = failed || random.IntN(3) == 0
+			}
 			if isNew && s.bad.isBad() && now >= time.Duration(s.bad.from*float64(s.duration)) && record.Share >= s.bad.fromShare &&
 				(!s.bad.oneRoute || route == "b") {
 				if s.bad.slow > 0 {
@@ -220,9 +237,9 @@
 				}
 			}
 		}
-		if now%(100*time.Millisecond) == 0 && proposed == nil && record.State == InProgress {
+		if now%(100*time.Millisecond) == 0 && proposed == nil && record.State == InProgress && !at.Before(leadingSince) {
 			d := Decide(record, evidence, Bounds{0.1, 50, 5 * time.Second}, Situation{
-				Now: at, OrderedAt: simStart, StepAt: stepAt, LeadingSince: simStart.Add(-time.Hour), Connected: s.gateways,
+				Now: at, OrderedAt: simStart, StepAt: stepAt, LeadingSince: leadingSince, Connected: s.gateways,
 				NewServers: 3, NewSlots: 300, OldSlots: 300,
 			})
 			if d.Change {
@@ -257,6 +274,9 @@
 	simDurations = []time.Duration{5 * time.Second, 8 * time.Second, 12 * time.Second, 20 * time.Second, 60 * time.Second}
 )
 
+// firstSeed is the first seed of each combination; other seeds are for trials.
+var firstSeed = flag.Uint64("first-seed", 0, "first seed of the simulations")
+
 // seedsPerCase is the number of seeds of each combination. Longer limits take longer to simulate.
 func seedsPerCase(d time.Duration) uint64 {
 	if testing.Short() || d >= 60*time.Second {
@@ -271,8 +291,8 @@
 			for _, duration := range simDurations {
 				t.Run(fmt.Sprintf("%d gateways, %g per second, %s", gateways, rate, duration), func(t *testing.T) {
 					t.Parallel()
-					for seed := range seedsPerCase(duration) {
-						check(t, simulation{gateways: gateways, rate: rate, duration: duration}, seed)
+					for i := range seedsPerCase(duration) {
+						check(t, simulation{gateways: gateways, rate: rate, duration: duration}, *firstSeed+i)
 					}
 				})
 			}
@@ -306,6 +326,45 @@
 	})
 }
 
+// Guards against a good version that is rolled back because one of its servers crashes now and then during the
+// canary.
+func TestCrashesOfGoodVersions(t *testing.T) {
+	for _, rate := range simRates {
+		for seed := range uint64(6) {
+			s := simulation{gateways: 16, rate: rate, duration: 60 * time.Second, burstEvery: 11 * time.Second}
+			o := s.run(seed)
+			qt.Check(t, o.state, qt.Equals, Complete, qt.Commentf("seed %d, %+v: %+v", seed, s, o))
+		}
+	}
+}
+
+// Guards against a rollout that misses its time limit because the leader ends well before it, and against a new
+// leader that takes the reports of the whole rollout for recent ones and raises the share too early.
+func TestLeaderChanges(t *testing.T) {
+	for _, rate := range simRates {
+		for _, changeAt := range []float64{0.3, 0.7, 0.92, 0.98} {
+			for seed := range uint64(4) {
+				s := simulation{gateways: 16, rate: rate, duration: 20 * time.Second, leaderChangeAt: changeAt}
+				o := s.run(seed)
+				comment := qt.Commentf("seed %d, %+v: %+v", seed, s, o)
+				qt.Check(t, o.state, qt.Equals, Complete, comment)
+				limit := s.duration
+				if changeAt > 0.9 {
+					limit += SilenceLimit
+				}
+				qt.Check(t, o.decidedAt <= limit, qt.IsTrue, comment)
+				qt.Check(t, float64(o.exposed) <= 0.1*float64(o.all)+50, qt.IsTrue, comment)
+				s.bad = badness{failing: 0.4, from: 0.9 * changeAt}
+				o = s.run(seed)
+				comment = qt.Commentf("seed %d, %+v: %+v", seed, s, o)
+				qt.Check(t, o.state, qt.Equals, RolledBack, comment)
+				qt.Check(t, float64(o.exposed) <= 0.1*float64(o.all)+50, qt.IsTrue, comment)
+				qt.Check(t, o.lateRequests, qt.Equals, 0, comment)
+			}
+		}
+	}
+}
+
 var badVersions = func() (all []badness) {
 	for _, kind := range []badness{{failing: 0.4}, {failing: 0.2}, {slow: 5}, {slow: 8}} {
 		all = append(all, kind)
@@ -384,7 +443,7 @@
 	t.Cleanup(func() { hard.check(t) })
 	forEachCase(t, func(t *testing.T, s simulation, seed uint64) {
 		s.stream, s.moves = true, true
-		if seed > 0 {
+		if seed != *firstSeed {
 			return
 		}
 		for _, bad := range badVersions {
