gateway: tests of copies at a version that was rolled back

The test did not fail without the checks, as the fixture had no engine in another data centre. It now does, also without the check of copies and of moved runs (mutations tried on a scratch copy).

--- a/pkg/gateway/rollout_test.go
+++ b/pkg/gateway/rollout_test.go
@@ -44,7 +44,12 @@
 // addVersion starts a test server of a version; servers that are added later started later.
 func (f *fixture) addVersion(service, id, version string, handler http.HandlerFunc) *testServer {
 	f.t.Helper()
-	b := f.addServer(service, id, "local", handler)
+	return f.addVersionAt(service, id, "local", version, handler)
+}
+
+func (f *fixture) addVersionAt(service, id, dataCentre, version string, handler http.HandlerFunc) *testServer {
+	f.t.Helper()
+	b := f.addServer(service, id, dataCentre, handler)
 	f.announceVersion(b, service, version, directory.Ready, int64(10+len(id)))
 	return b
 }
@@ -290,38 +295,49 @@
 }
 
 // Guards against a stream that goes on ordering copies from an engine of a version that was rolled back, or
-// that is resumed there: it may end where it is, or at the established version.
+// that is resumed from a copy at such an engine: it may end where it is, or at the established version.
 func TestStreamAtARolledBackVersion(t *testing.T) {
-	f := newRolloutFixture(t)
-	f.publish(1, testConfig())
-	begun, goOn := make(chan struct{}, 10), make(chan struct{})
-	updated := f.addVersion("pool", "e1", "v2", streamHandler(func(event int) bool {
-		if event == 3 {
-			begun <- struct{}{}
-			<-goOn
-			panic(http.ErrAbortHandler)
-		}
-		return true
-	}))
-	spare := f.addVersion("pool", "e22", "v2", streamHandler(nil))
-	f.announceVersion(spare, "pool", "v2", directory.Leaving, 13)
-	old := f.addVersion("pool", "e333", "v1", streamHandler(nil))
-	f.order("pool", rollout.InProgress, 1, 0.99999, hour)
-	done := make(chan callerResponse, 1)
-	go func() { done <- f.send("POST", "/stream/x", map[string]string{"X-Prompt": "8000"}) }()
-	<-begun
-	f.order("pool", rollout.RolledBack, 2, 0, hour)
-	f.announceVersion(spare, "pool", "v2", directory.Ready, 14)
-	updated.withLock(func() { updated.copyRequests = nil })
-	time.Sleep(2 * copyCheckInterval)
-	close(goOn)
-	got := <-done
-	qt.Assert(t, got.err, qt.IsNil)
-	qt.Assert(t, got.body, qt.Equals, expectedEvents(1))
-	qt.Assert(t, updated.receivedRequests(), qt.HasLen, 1)
-	qt.Assert(t, updated.receivedCopyRequests(), qt.Equals, "")
-	qt.Assert(t, spare.receivedRequests(), qt.HasLen, 0)
-	qt.Assert(t, old.receivedRequests(), qt.HasLen, 1)
+	for _, spareHoldsCopy := range []bool{false, true} {
+		t.Run(fmt.Sprintf("copy at the new version %t", spareHoldsCopy), func(t *testing.T) {
+			f := newRolloutFixture(t)
+			f.publish(1, testConfig())
+			begun, goOn := make(chan struct{}, 10), make(chan struct{})
+			release := sync.OnceFunc(func() { close(goOn) })
+			defer release()
+			updated := f.addVersion("pool", "e1", "v2", streamHandler(func(event int) bool {
+				if event == 3 {
+					begun <- struct{}{}
+					<-goOn
+					panic(http.ErrAbortHandler)
+				}
+				return true
+			}))
+			spare := f.addVersionAt("pool", "e22", "remote", "v2", streamHandler(nil))
+			if !spareHoldsCopy {
+				f.announceVersion(spare, "pool", "v2", directory.Leaving, 13)
+			}
+			old := f.addVersionAt("pool", "e333", "remote", "v1", streamHandler(nil))
+			f.order("pool", rollout.InProgress, 1, 0.99999, hour)
+			done := make(chan callerResponse, 1)
+			go func() { done <- f.send("POST", "/stream/x", map[string]string{"X-Prompt": "8000"}) }()
+			<-begun
+			f.order("pool", rollout.RolledBack, 2, 0, hour)
+			time.Sleep(2 * copyCheckInterval)
+			qt.Assert(t, updated.receivedCopyRequests(), qt.Equals, "")
+			release()
+			got := <-done
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.body, qt.Equals, expectedEvents(1))
+			qt.Assert(t, updated.receivedRequests(), qt.HasLen, 1)
+			wantBackup := ""
+			if spareHoldsCopy {
+				wantBackup = spare.address()
+			}
+			qt.Assert(t, updated.receivedRequests()[0].Get("X-Backup"), qt.Equals, wantBackup)
+			qt.Assert(t, spare.receivedRequests(), qt.HasLen, 0)
+			qt.Assert(t, old.receivedRequests(), qt.HasLen, 1)
+		})
+	}
 }
 
 // slowEngine returns a handler whose first run waits after its third event until it is stopped, and a
@@ -408,9 +424,10 @@
 	report := f.report("pool")
 	qt.Assert(t, report.OldInFlight, qt.Equals, 0)
 	qt.Assert(t, countsFor(report, "stream", false).Failed, qt.Equals, uint64(0))
+	// The old engine is not taken for a failed one.
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	qt.Assert(t, f.pool("pool").AllUnreachable(time.Now()), qt.IsFalse)
+	qt.Assert(t, f.pool("pool").DueProbes(time.Now()), qt.HasLen, 0)
 }
 
 // Guards against a gateway that starts during a rollout and sends its first requests to old servers, on which
