gateway: every send counts from its start, for both versions

Sends to old servers counted only once they had arrived, those to new ones from their start, so that a good version looked as if more of its requests had no response. Both now count alike, and sends before the order not at all. Requests that ended without counting as succeeded or failed are in the new field void, so that they are not taken for requests without a response.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -50,7 +50,7 @@
 	// WarmingMS is the rest of the warm-up at the time of the announcement, during which the
 	// server is slow, in milliseconds.
 	WarmingMS int
-	// Version is the version of the server's software, empty if unknown.
+	// Version is the version of the software of the server, empty if unknown.
 	Version string
 }
 
@@ -64,7 +64,7 @@
 	// Renewed announcements extend the lifetime of the entry and may change its data centre, its
 	// slots or its warm-up time.
 	Renewed
-	// Changed announcements add a server, or change its address, its service, its start, its version
+	// Changed announcements add a server, or change its address, its service, its version, its start
 	// or whether it accepts work.
 	Changed
 )
--- a/pkg/directory/validate.go
+++ b/pkg/directory/validate.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxNameBytes bounds identifiers, versions and the names of services and data centres, which are sent
-	// to every instance. Those in use have a few dozen bytes.
+	// maxNameBytes bounds identifiers and the names of services and data centres, which are sent to every
+	// instance. Those in use have a few dozen bytes.
 	maxNameBytes = 256
 	// maxSlots and maxWarmUp are far above what servers announce.
 	maxSlots  = 1 << 20
--- a/pkg/follow/convert.go
+++ b/pkg/follow/convert.go
@@ -18,8 +18,7 @@
 func EncodeAnnouncement(s directory.Server) *wire.Announcement {
 	return &wire.Announcement{
 		Id: s.ID, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, StartedMs: s.StartedMS,
-		Sequence: s.Sequence, State: stateToWire[s.State], Slots: uint32(s.Slots), WarmingMs: uint32(s.WarmingMS),
-		Version: s.Version,
+		Sequence: s.Sequence, State: stateToWire[s.State], Slots: uint32(s.Slots), WarmingMs: uint32(s.WarmingMS), Version: s.Version,
 	}
 }
 
@@ -32,8 +31,7 @@
 	}
 	s := directory.Server{
 		ID: a.Id, Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, StartedMS: a.StartedMs,
-		Sequence: a.Sequence, State: state, Slots: int(a.Slots), WarmingMS: int(a.WarmingMs),
-		Version: a.Version,
+		Sequence: a.Sequence, State: state, Slots: int(a.Slots), WarmingMS: int(a.WarmingMs), Version: a.Version,
 	}
 	return s, s.Validate(now)
 }
--- a/pkg/follow/rollouts.go
+++ b/pkg/follow/rollouts.go
@@ -111,7 +111,7 @@
 		for _, counts := range r.Counts {
 			s.Counts = append(s.Counts, &wire.VersionCounts{
 				Route: counts.Route, NewVersion: counts.NewVersion, Sent: counts.Sent, Succeeded: counts.Succeeded, Failed: counts.Failed,
-				Latencies: trimZeros(counts.Latencies[:]),
+				Void: counts.Void, Latencies: trimZeros(counts.Latencies[:]),
 			})
 		}
 		encoded.Services = append(encoded.Services, s)
@@ -133,7 +133,7 @@
 	for _, s := range report.Services {
 		r := rollout.Report{Number: s.Number, Step: int(s.Step), OldInFlight: int(s.OldInFlight)}
 		for _, counts := range s.Counts {
-			decoded := rollout.Counts{Route: counts.Route, NewVersion: counts.NewVersion, Sent: counts.Sent, Succeeded: counts.Succeeded, Failed: counts.Failed}
+			decoded := rollout.Counts{Route: counts.Route, NewVersion: counts.NewVersion, Sent: counts.Sent, Succeeded: counts.Succeeded, Failed: counts.Failed, Void: counts.Void}
 			copy(decoded.Latencies[:], counts.Latencies)
 			r.Counts = append(r.Counts, decoded)
 		}
--- a/pkg/follow/rollouts_test.go
+++ b/pkg/follow/rollouts_test.go
@@ -159,7 +159,7 @@
 	if b.address < a.address {
 		first, second = b, a
 	}
-	counts := rollout.Counts{Route: "once", NewVersion: true, Sent: 9, Succeeded: 6, Failed: 2}
+	counts := rollout.Counts{Route: "once", NewVersion: true, Sent: 9, Succeeded: 6, Failed: 2, Void: 1}
 	counts.Latencies.Add(20 * time.Millisecond)
 	reports := fixedReporter{"pool": {Number: 3, Step: 2, OldInFlight: 4, Counts: []rollout.Counts{counts, {Route: "safe", Sent: 1}}}}
 	sink := followRollouts(t, reports, a, b)
--- a/pkg/gateway/rollout.go
+++ b/pkg/gateway/rollout.go
@@ -204,18 +204,16 @@
 type versionSend struct {
 	service, route, version string
 	startedAt               time.Time
-	// counted is set when the send is in the counts.
-	counted bool
+	// number is the number of the rollout in whose counts the send is, 0 if it is in none.
+	number uint64
 }
 
 // sendOutcome is what became of a send.
 type sendOutcome int
 
 const (
-	// sendUnknown means that the caller left, or that the request certainly did not run.
-	sendUnknown sendOutcome = iota
-	// sendNotSent means that no byte of the request was sent.
-	sendNotSent
+	// sendVoid means that the caller left, or that the request certainly did not run.
+	sendVoid sendOutcome = iota
 	sendSucceeded
 	sendFailed
 )
@@ -233,40 +231,36 @@
 	}
 	versions[server.Version]++
 	send := &versionSend{service: req.service.Name, route: req.route.Name, version: server.Version, startedAt: now}
-	// Of the new version, each send counts from its start, as the exposure is bounded. Sends to other
-	// versions, of which the allowed exposure is a share, count only once they are known to have arrived.
-	if counts, isNew := g.rollouts.countsOf(send); counts != nil && isNew {
-		g.countSend(counts, send, isNew)
+	if counts := g.rollouts.countsOf(send); counts != nil {
+		send.number = g.rollouts.services[send.service].record.Number
+		counts.Sent++
+		g.metrics.countVersionSend(send.service, counts.NewVersion)
 	}
 	return send
 }
 
-// countsOf returns the counts that a send belongs to, nil if no rollout of its service is in progress, and
-// whether its server has the new version.
-func (r *rollouts) countsOf(send *versionSend) (counts *rollout.Counts, isNew bool) {
+// countsOf returns the counts that a send belongs to, nil if no rollout of its service is in progress.
+func (r *rollouts) countsOf(send *versionSend) *rollout.Counts {
 	s := r.services[send.service]
 	if s == nil || s.record.State != rollout.InProgress {
-		return nil, false
+		return nil
 	}
-	isNew = send.version == s.record.Version
-	key := countsKey{route: send.route, isNew: isNew}
-	counts = s.counts[key]
+	key := countsKey{route: send.route, isNew: send.version == s.record.Version}
+	counts := s.counts[key]
 	if counts == nil {
-		counts = &rollout.Counts{Route: send.route, NewVersion: isNew}
+		counts = &rollout.Counts{Route: send.route, NewVersion: key.isNew}
 		s.counts[key] = counts
 	}
-	return counts, isNew
+	return counts
 }
 
-// countSend counts a send to a server of the new version or of another one, unless it is counted already or
-// was sent before the order; g.mu is held.
-func (g *Gateway) countSend(counts *rollout.Counts, send *versionSend, isNew bool) {
-	if send.counted || send.startedAt.Before(g.rollouts.services[send.service].learnedAt) {
-		return
+// counted returns the counts that contain a send, nil if there are none or the rollout has ended. Sends that
+// began before the order are in none, so that the counts hold a start for each outcome.
+func (r *rollouts) counted(send *versionSend) *rollout.Counts {
+	if s := r.services[send.service]; send.number == 0 || s == nil || s.record.Number != send.number {
+		return nil
 	}
-	send.counted = true
-	counts.Sent++
-	g.metrics.countVersionSend(send.service, isNew)
+	return r.countsOf(send)
 }
 
 // endSend records the outcome of a send. latency is counted for a response that succeeded, unless it is
@@ -279,13 +273,10 @@
 	if versions[send.version]--; versions[send.version] <= 0 {
 		delete(versions, send.version)
 	}
-	counts, isNew := g.rollouts.countsOf(send)
+	counts := g.rollouts.counted(send)
 	if counts == nil {
 		return
 	}
-	if outcome != sendNotSent {
-		g.countSend(counts, send, isNew)
-	}
 	switch outcome {
 	case sendSucceeded:
 		counts.Succeeded++
@@ -294,6 +285,8 @@
 		}
 	case sendFailed:
 		counts.Failed++
+	default:
+		counts.Void++
 	}
 }
 
--- a/pkg/gateway/rollout_test.go
+++ b/pkg/gateway/rollout_test.go
@@ -486,7 +486,7 @@
 // Guards against a verdict on responses that say nothing about a version, and against bad responses that are
 // not counted.
 func TestOutcomesAreCounted(t *testing.T) {
-	type counts struct{ sent, succeeded, failed, latencies uint64 }
+	type counts struct{ sent, succeeded, failed, void, latencies uint64 }
 	large := strings.Repeat("x", maxBufferedResponseBytes+1000)
 	for _, tt := range []struct {
 		name, path string
@@ -495,30 +495,30 @@
 		leaveAfter time.Duration
 		want       counts
 	}{
-		{"call", "/once/x", respondDone, 0, counts{1, 1, 0, 1}},
-		{"error response to a call", "/once/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 0, counts{1, 0, 1, 0}},
-		{"client error", "/once/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(404) }, 0, counts{1, 1, 0, 1}},
-		{"call broken off", "/once/x", abortConnection, 0, counts{1, 0, 1, 0}},
-		{"call without a response", "/once/x", hang, 0, counts{1, 0, 1, 0}},
-		{"caller of a call left", "/once/x", hang, 100 * time.Millisecond, counts{1, 0, 0, 0}},
-		{"large response", "/once/x", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) }, 0, counts{1, 1, 0, 1}},
+		{"call", "/once/x", respondDone, 0, counts{1, 1, 0, 0, 1}},
+		{"error response to a call", "/once/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 0, counts{1, 0, 1, 0, 0}},
+		{"client error", "/once/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(404) }, 0, counts{1, 1, 0, 0, 1}},
+		{"call broken off", "/once/x", abortConnection, 0, counts{1, 0, 1, 0, 0}},
+		{"call without a response", "/once/x", hang, 0, counts{1, 0, 1, 0, 0}},
+		{"caller of a call left", "/once/x", hang, 100 * time.Millisecond, counts{1, 0, 0, 1, 0}},
+		{"large response", "/once/x", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) }, 0, counts{1, 1, 0, 0, 1}},
 		{"large response cut", "/once/x", func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, large)
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
-		}, 0, counts{1, 0, 1, 0}},
-		{"stream", "/fixed/x", streamHandler(nil), 0, counts{1, 1, 0, 1}},
-		{"error response to a stream", "/fixed/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 0, counts{1, 0, 1, 0}},
+		}, 0, counts{1, 0, 1, 0, 0}},
+		{"stream", "/fixed/x", streamHandler(nil), 0, counts{1, 1, 0, 0, 1}},
+		{"error response to a stream", "/fixed/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 0, counts{1, 0, 1, 0, 0}},
 		{"stream cut", "/fixed/x", streamHandler(func(event int) bool {
 			if event == 3 {
 				panic(http.ErrAbortHandler)
 			}
 			return true
-		}), 0, counts{1, 0, 1, 1}},
+		}), 0, counts{1, 0, 1, 0, 1}},
 		{"caller of a stream left", "/fixed/x", func(w http.ResponseWriter, r *http.Request) {
 			streamHandler(func(event int) bool { return event < 3 })(w, r)
 			<-r.Context().Done()
-		}, 100 * time.Millisecond, counts{1, 0, 0, 1}},
+		}, 100 * time.Millisecond, counts{1, 0, 0, 1, 1}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newRolloutFixture(t)
@@ -553,7 +553,7 @@
 				busy := len(f.rollouts.inFlight[service])
 				f.mu.Unlock()
 				counted := countsFor(f.report(service), route, true)
-				got = counts{counted.Sent, counted.Succeeded, counted.Failed, counted.Latencies.Total()}
+				got = counts{counted.Sent, counted.Succeeded, counted.Failed, counted.Void, counted.Latencies.Total()}
 				return busy == 0
 			})
 			qt.Assert(t, got, qt.Equals, tt.want)
@@ -576,6 +576,7 @@
 		counts := countsFor(f.report(service), route, true)
 		qt.Check(t, counts.Sent > 0, qt.IsTrue)
 		qt.Check(t, counts.Succeeded+counts.Failed, qt.Equals, uint64(0))
+		qt.Check(t, counts.Void, qt.Equals, counts.Sent)
 	}
 }
 
--- a/pkg/gateway/rolloutcall.go
+++ b/pkg/gateway/rolloutcall.go
@@ -29,7 +29,7 @@
 	cut := &cutWatch{response: res.unread}
 	res.cut = cut
 	context.AfterFunc(ctx, func() {
-		outcome := sendUnknown
+		outcome := sendVoid
 		switch {
 		case cut.complete.Load():
 			outcome = sendSucceeded
@@ -46,10 +46,8 @@
 // slow, unless it has just begun: the time that it had counts as its latency.
 func callOutcome(ctx context.Context, req *callerRequest, res *result, latency time.Duration) sendOutcome {
 	switch {
-	case res.notSent:
-		return sendNotSent
-	case res.notRun:
-		return sendUnknown
+	case res.notSent || res.notRun:
+		return sendVoid
 	case res.err == nil && !res.failed():
 		return sendSucceeded
 	case res.err == nil || ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -57,7 +55,7 @@
 	case errors.Is(context.Cause(ctx), errAnswered) && latency > time.Duration(float64(req.route.Objective)*hedgeDelayShare):
 		return sendSucceeded
 	}
-	return sendUnknown
+	return sendVoid
 }
 
 // cutWatch reads the rest of a response and keeps how it ended.
--- a/pkg/gateway/rolloutstream.go
+++ b/pkg/gateway/rolloutstream.go
@@ -110,8 +110,7 @@
 	}
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
-	if counts, isNew := s.g.rollouts.countsOf(s.send); counts != nil {
-		s.g.countSend(counts, s.send, isNew)
+	if counts := s.g.rollouts.counted(s.send); counts != nil {
 		counts.Latencies.Add(time.Since(s.send.startedAt))
 	}
 }
@@ -140,14 +139,12 @@
 	switch {
 	case err == nil || errors.Is(err, errRelocated):
 		return sendSucceeded
-	case s.versionRun == nil || errors.As(err, &notSent):
-		return sendNotSent
 	case errors.Is(err, errVersionMoved) && !s.firstEventAt.IsZero():
 		return sendSucceeded
-	case errors.Is(err, errVersionMoved), errors.Is(err, errCallerLeft), errors.Is(err, errRefused), errors.Is(err, errQuarantined):
-		return sendUnknown
+	case errors.As(err, &notSent), errors.Is(err, errVersionMoved), errors.Is(err, errCallerLeft), errors.Is(err, errRefused), errors.Is(err, errQuarantined):
+		return sendVoid
 	case s.ctx.Err() != nil && !errors.Is(s.ctx.Err(), context.DeadlineExceeded):
-		return sendUnknown
+		return sendVoid
 	}
 	return sendFailed
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -69,6 +69,9 @@
 	// Sent counts the requests sent, Succeeded and Failed the responses. Requests that certainly did not
 	// run, and those whose caller left, are in neither of the last two.
 	Sent, Succeeded, Failed uint64
-	// Latencies holds the latencies of the successful responses; for streams, the times to the first event.
+	// Void counts the requests that ended without counting as either.
+	Void uint64
+	// Latencies holds the latencies of the successful responses; for streams, the times to the first event,
+	// which are counted at that event.
 	Latencies Histogram
 }
