--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -18,8 +18,8 @@
 	leaving := announcement("a", "1:1", 10, 5)
 	leaving.State = Leaving
 	gone := Server{ID: "a", State: Gone}
-	versioned := announcement("a", "1:1", 10, 2)
-	versioned.Version = "v1"
+	versioned := announcement("a", "1:1", 10, 5)
+	versioned.Version = "v2"
 	tests := []struct {
 		name    string
 		earlier []Server
@@ -29,10 +29,10 @@
 	}{
 		{"new server", nil, announcement("a", "1:1", 10, 1), Changed, Ready},
 		{"renewal", []Server{announcement("a", "1:1", 10, 1)}, announcement("a", "1:1", 10, 2), Renewed, Ready},
-		{"version becomes known", []Server{announcement("a", "1:1", 10, 1)}, versioned, Changed, Ready},
 		{"duplicate", []Server{announcement("a", "1:1", 10, 2)}, announcement("a", "1:1", 10, 2), Stale, Ready},
 		{"delayed after leaving", []Server{leaving}, announcement("a", "1:1", 10, 4), Stale, Leaving},
 		{"leaving", []Server{announcement("a", "1:1", 10, 4)}, leaving, Changed, Leaving},
+		{"version becomes known", []Server{announcement("a", "1:1", 10, 4)}, versioned, Changed, Ready},
 		{"end without a start time", []Server{leaving}, gone, Changed, Gone},
 		{"delayed after the end", []Server{leaving, gone}, announcement("a", "1:1", 10, 9), Stale, Gone},
 		{"restarted with the same ID", []Server{leaving, gone}, announcement("a", "1:1", 20, 1), Changed, Ready},
--- a/pkg/directory/validate_test.go
+++ b/pkg/directory/validate_test.go
@@ -13,7 +13,7 @@
 // true server.
 func TestValidate(t *testing.T) {
 	now := time.UnixMilli(1_800_000_000_000)
-	sound := Server{ID: "s", Service: "pool", Address: "10.0.0.1:80", DataCentre: "d", StartedMS: now.UnixMilli(), Slots: 6, WarmingMS: 900, Version: "v1"}
+	sound := Server{ID: "s", Service: "pool", Address: "10.0.0.1:80", DataCentre: "d", StartedMS: now.UnixMilli(), Slots: 6, WarmingMS: 900}
 	qt.Assert(t, sound.Validate(now), qt.IsNil)
 	for want, change := range map[string]func(*Server){
 		"identifier is missing":  func(s *Server) { s.ID = "" },
@@ -21,15 +21,15 @@
 		"identifier is not.*256": func(s *Server) { s.ID = strings.Repeat("a", 257) },
 		"service is missing":     func(s *Server) { s.Service = "" },
 		"service is not":         func(s *Server) { s.Service = "a\r\nb" },
-		"version is not":         func(s *Server) { s.Version = "v\n1" },
-		"version is not.*256":    func(s *Server) { s.Version = strings.Repeat("v", 257) },
 		"data centre is not":     func(s *Server) { s.DataCentre = "a\x00" },
+		"version is not":         func(s *Server) { s.Version = "v2\n" },
 		"address.*99999":         func(s *Server) { s.Address = "10.0.0.1:99999" },
 		"address.*:0":            func(s *Server) { s.Address = "10.0.0.1:0" },
 		"address.*name":          func(s *Server) { s.Address = "name:80" },
 		"address.*\":\"":         func(s *Server) { s.Address = ":" },
 		"slots.*-1":              func(s *Server) { s.Slots = -1 },
 		"slots.*: [0-9]{10,}":    func(s *Server) { s.Slots = math.MaxInt32 },
+		"version is not.*256":    func(s *Server) { s.Version = strings.Repeat("v", 257) },
 		"warm-up.*-1":            func(s *Server) { s.WarmingMS = -1 },
 		"warm-up.*: [0-9]{10,}":  func(s *Server) { s.WarmingMS = math.MaxInt32 },
 		"start.*-1":              func(s *Server) { s.StartedMS = -1 },
@@ -41,9 +41,9 @@
 		err := s.Validate(now)
 		qt.Check(t, err, qt.ErrorMatches, "(?s)the .*"+want+".*", qt.Commentf("%+v", s))
 	}
-	unversioned := sound
-	unversioned.Version = ""
-	qt.Assert(t, unversioned.Validate(now), qt.IsNil)
+	versioned := sound
+	versioned.Version = "v1"
+	qt.Assert(t, versioned.Validate(now), qt.IsNil)
 	clockBehind := sound
 	qt.Assert(t, clockBehind.Validate(now.Add(-12*time.Hour)), qt.IsNil)
 	ended := Server{ID: "s", State: Gone}
