connlimit: a write deadline does not outlive its write

Change: the deadline is removed after each such write; bytes that arrived quickly do not count as progress during a later pause.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -346,13 +346,13 @@
 	if len(c.waiting) == 0 {
 		// The budget is short: wait for the caller without holding more.
 		c.writeMu.Unlock()
-		n, err := c.writeBlocking(p[:min(len(p), flushBytes)], abandonedTimeout)
+		n, err := c.writeBlocking(p[:min(len(p), flushBytes)], c.listener.abandoned)
 		c.writeMu.Lock()
 		return n, err
 	}
 	drained := c.drained
 	c.writeMu.Unlock()
-	timer := time.NewTimer(stalledTimeout)
+	timer := time.NewTimer(c.listener.stalled)
 	defer timer.Stop()
 	select {
 	case <-drained:
@@ -368,8 +368,9 @@
 }
 
 // writeBlocking writes p and waits for the caller, as long as it makes progress.
-func (c *Conn) writeBlocking(p []byte, timeout time.Duration) (int, error) {
-	written := 0
+func (c *Conn) writeBlocking(p []byte, timeout time.Duration) (written int, err error) {
+	// A deadline that is left would end a later write. If the connection is closed, there is none.
+	defer func() { _ = c.Conn.SetWriteDeadline(time.Time{}) }()
 	for written < len(p) {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 			return written, err
@@ -391,7 +392,7 @@
 	for len(c.waiting) > 0 && c.writeErr == nil {
 		piece := c.waiting[:min(len(c.waiting), flushBytes)]
 		c.writeMu.Unlock()
-		n, err := c.writeBlocking(piece, abandonedTimeout)
+		n, err := c.writeBlocking(piece, c.listener.abandoned)
 		c.writeMu.Lock()
 		c.waiting = c.waiting[n:]
 		c.account.Touch()
@@ -403,7 +404,6 @@
 		close(c.drained)
 		c.drained = make(chan struct{})
 	}
-	_ = c.Conn.SetWriteDeadline(time.Time{})
 	if c.writeErr != nil {
 		// Ends the read that watches the connection, and with it the request.
 		c.Evict()
--- a/pkg/connlimit/connlimit_test.go
+++ b/pkg/connlimit/connlimit_test.go
@@ -346,3 +346,23 @@
 	qt.Assert(t, stats.Evicted > 0, qt.IsTrue)
 	qt.Assert(t, stats.Peak <= 2<<20, qt.IsTrue)
 }
+
+// Guards against a deadline of one write that ends a later one: a stream whose caller was slow once, while the budget
+// had no room, goes on.
+func TestStreamGoesOnAfterASlowRead(t *testing.T) {
+	failed := make(chan error, 1)
+	s := serve(t, membudget.New(0), 10, 256<<10, func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write(make([]byte, 100<<10))
+		time.Sleep(600 * time.Millisecond)
+		_, secondErr := io.WriteString(w, "end")
+		failed <- errors.Join(err, secondErr, http.NewResponseController(w).Flush())
+	})
+	s.abandoned = 300 * time.Millisecond
+	conn := s.dial()
+	send(t, conn, getRequest)
+	time.Sleep(100 * time.Millisecond)
+	_, body, err := read(t, conn)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, <-failed, qt.IsNil)
+	qt.Assert(t, body, qt.HasLen, 100<<10+3)
+}
--- a/pkg/connlimit/listener.go
+++ b/pkg/connlimit/listener.go
@@ -43,9 +43,10 @@
 	budget      *membudget.Budget
 	max         int
 	bufferBytes int
-	wait        time.Duration
-	flushing    atomic.Int64
-	stats       stats
+	// wait is headWait, stalled is stalledTimeout and abandoned is abandonedTimeout, except in tests.
+	wait, stalled, abandoned time.Duration
+	flushing                 atomic.Int64
+	stats                    stats
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -66,7 +67,8 @@
 // NewListener returns a listener with up to maxConns connections, for each of which up to bufferBytes wait.
 func NewListener(l net.Listener, budget *membudget.Budget, maxConns, bufferBytes int) *Listener {
 	return &Listener{
-		Listener: l, budget: budget, max: maxConns, bufferBytes: bufferBytes, wait: headWait, conns: map[*Conn]struct{}{},
+		Listener: l, budget: budget, max: maxConns, bufferBytes: bufferBytes, wait: headWait,
+		stalled: stalledTimeout, abandoned: abandonedTimeout, conns: map[*Conn]struct{}{},
 		closed: make(chan struct{}),
 	}
 }
@@ -146,6 +148,11 @@
 			if usefulAt = c.flushingAt.Load(); usefulAt == 0 {
 				continue
 			}
+		case readingBody:
+			if usefulAt > now.UnixNano() {
+				// Bytes that arrived quickly do not make up for a later pause.
+				c.usefulAt.CompareAndSwap(usefulAt, now.UnixNano())
+			}
 		case interrupted:
 			continue
 		case idle:
