--- a/pkg/coordinator/operatorlimits.go
+++ b/pkg/coordinator/operatorlimits.go
@@ -15,8 +15,8 @@
 const (
 	// largeBodyBytes is the size from which a body counts as large: a heartbeat has at most as many bytes.
 	largeBodyBytes = 64 << 10
-	// maxLargeBodies bounds the large bodies that are decoded at the same time. A configuration of 4 MiB takes
-	// about 30 MB meanwhile; it is decided within requestTimeout.
+	// maxLargeBodies bounds the large bodies that are decoded at the same time. A configuration of 4 MiB is
+	// estimated to take 30 MB meanwhile; it is decided within requestTimeout.
 	maxLargeBodies = 2
 	// largeBodyWait bounds the wait of a large body for its turn, below the time after which operators try the
 	// next coordinator.
