connlimit: readers that the budget has no room for make room for others

Cause: found by reading: while the budget was short, a write waited for its caller for up to 15 s, and its connection did not count as one that makes no progress, so that such readers could keep all connections.

Change: it counts as one.

Measured: TestReadersWithoutRoomInTheBudgetMakeRoom fails without the change and passes with it.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -345,9 +345,11 @@
 	}
 	if len(c.waiting) == 0 {
 		// The budget is short: wait for the caller without holding more.
+		c.flushingAt.Store(time.Now().UnixNano())
 		c.writeMu.Unlock()
 		n, err := c.writeBlocking(p[:min(len(p), flushBytes)], c.listener.abandoned)
 		c.writeMu.Lock()
+		c.flushingAt.Store(0)
 		return n, err
 	}
 	drained := c.drained
--- a/pkg/connlimit/connlimit_test.go
+++ b/pkg/connlimit/connlimit_test.go
@@ -366,3 +366,24 @@
 	qt.Assert(t, <-failed, qt.IsNil)
 	qt.Assert(t, body, qt.HasLen, 100<<10+3)
 }
+
+// Guards against readers that keep all connections while the budget has no room for what waits for them: they are
+// closed so that an ordinary caller is served.
+func TestReadersWithoutRoomInTheBudgetMakeRoom(t *testing.T) {
+	s := serve(t, membudget.New(0), 8, 256<<10, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, 4<<20))
+		}
+	})
+	for range 8 {
+		send(t, s.dial(), "GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+	}
+	time.Sleep(300 * time.Millisecond)
+	conn := s.dial()
+	send(t, conn, getRequest)
+	status, _, err := read(t, conn)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, 200)
+	qt.Assert(t, s.Stats().Evicted > 0, qt.IsTrue)
+	qt.Assert(t, s.Stats().Refused, qt.Equals, int64(0))
+}
