--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -32,8 +32,9 @@
 	// headerLineBytes is what a parsed header line takes besides its bytes: an entry of a map, a slice and
 	// two strings.
 	headerLineBytes = 160
-	// freeHeaderBytes is the part of a head that the fixed size of a connection covers.
-	freeHeaderBytes = 16 << 10
+	// freeHeaderBytes is the part of a head that the fixed size of a connection covers: 15 lines of 40 bytes, as
+	// ordinary requests have, count 3 KB.
+	freeHeaderBytes = 6 << 10
 	// usefulPerByte is the time in nanoseconds for which a byte of a body or a response counts as progress: a
 	// caller of 64 KiB per second is as useful as one that has just connected.
 	usefulPerByte = int64(time.Second) / (64 << 10)
@@ -344,14 +345,16 @@
 	}
 	if len(c.waiting) == 0 {
 		// The budget is short: wait for the caller without holding more.
+		c.flushingAt.Store(time.Now().UnixNano())
 		c.writeMu.Unlock()
-		n, err := c.writeBlocking(p[:min(len(p), flushBytes)], abandonedTimeout)
+		n, err := c.writeBlocking(p[:min(len(p), flushBytes)], c.listener.abandoned)
 		c.writeMu.Lock()
+		c.flushingAt.Store(0)
 		return n, err
 	}
 	drained := c.drained
 	c.writeMu.Unlock()
-	timer := time.NewTimer(stalledTimeout)
+	timer := time.NewTimer(c.listener.stalled)
 	defer timer.Stop()
 	select {
 	case <-drained:
@@ -367,8 +370,9 @@
 }
 
 // writeBlocking writes p and waits for the caller, as long as it makes progress.
-func (c *Conn) writeBlocking(p []byte, timeout time.Duration) (int, error) {
-	written := 0
+func (c *Conn) writeBlocking(p []byte, timeout time.Duration) (written int, err error) {
+	// A deadline that is left would end a later write. If the connection is closed, there is none.
+	defer func() { _ = c.Conn.SetWriteDeadline(time.Time{}) }()
 	for written < len(p) {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 			return written, err
@@ -390,7 +394,7 @@
 	for len(c.waiting) > 0 && c.writeErr == nil {
 		piece := c.waiting[:min(len(c.waiting), flushBytes)]
 		c.writeMu.Unlock()
-		n, err := c.writeBlocking(piece, abandonedTimeout)
+		n, err := c.writeBlocking(piece, c.listener.abandoned)
 		c.writeMu.Lock()
 		c.waiting = c.waiting[n:]
 		c.account.Touch()
@@ -402,7 +406,6 @@
 		close(c.drained)
 		c.drained = make(chan struct{})
 	}
-	_ = c.Conn.SetWriteDeadline(time.Time{})
 	if c.writeErr != nil {
 		// Ends the read that watches the connection, and with it the request.
 		c.Evict()
