--- a/pkg/loadmodel/calls.go
+++ b/pkg/loadmodel/calls.go
@@ -92,12 +92,12 @@
 }
 
 type callServer struct {
-	spec             CallServerSpec
-	id               string
-	ended            bool
-	incarnation      int
-	running, waiting int
-	queue            []*callAttempt
+	spec        CallServerSpec
+	id          string
+	ended       bool
+	incarnation int
+	running     int
+	queue       []*callAttempt
 }
 
 type callGateway struct {
