overload: streams beyond the usual load of an organisation go last

Cause: the places of a gateway were shared among organisations there only; at 16 gateways and more, few streams wait at one gateway, and an organisation with many times its usual load took the places at the others. Change: while streams wait, gateways exchange the demand of organisations for them; streams beyond 1.5 times the usual load go after the others of their rank, and places are claimed for them a quarter as often. A rate counts towards the usual load after five seconds, and not while any gateway is overloaded.

--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -41,16 +41,18 @@
 	s.waitsForPlace = false
 	if pool.SelectCachingEngine(now, run) == nil && pool.CanWait(now, run) {
 		s.pending.Resumes = s.lastEventID != ""
+		s.updateExcess()
 		var selected *placement.Server
 		switch {
 		case !queue.IsNext(&s.pending, now):
-		case queue.Len() == 0:
+		case queue.Len() == 0 && !s.pending.Excess:
 			selected = pool.SelectFreeEngine(now, run)
 		default:
-			selected = pool.ClaimFreeEngine(now, run, s.g.demandShare(s.req.service.Name, now))
+			selected = pool.ClaimFreeEngine(now, run, s.claimShare(now))
 		}
 		if selected == nil {
 			queue.Join(&s.pending)
+			s.g.streamControl(s.req.service.Name).waitedAt = now
 			s.waitsForPlace = true
 			return nil
 		}
@@ -69,6 +71,15 @@
 	return 1.0 / assumedGateways
 }
 
+// claimShare returns the share of the places that this gateway claims for the stream; g.mu is held.
+func (s *streamState) claimShare(now time.Time) float64 {
+	share := s.g.demandShare(s.req.service.Name, now)
+	if s.pending.Excess {
+		share *= placement.ExcessClaimShare
+	}
+	return share
+}
+
 // leaveAdmissionQueue ends the wait for a place.
 func (s *streamState) leaveAdmissionQueue() {
 	s.g.mu.Lock()
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -133,6 +133,7 @@
 		report.Services[service] = b.Report(now)
 	}
 	g.reportCalls(&report, now)
+	g.reportStreamDemand(&report, now)
 	for _, pool := range g.pools {
 		report.Limits = append(report.Limits, pool.Limits(now)...)
 	}
@@ -149,4 +150,7 @@
 	g.usageUpdated = make(chan struct{})
 	g.applyLimits(totals.Limits, reported.Limits, now)
 	g.applyCallTotals(totals, reported, now)
+	for service, c := range g.streamControls {
+		c.HandleTotals(totals.Organisations[service])
+	}
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -82,6 +82,7 @@
 	limitQueues     map[string]*placement.LimitQueue
 	admissionQueues map[string]*placement.AdmissionQueue
 	callControls    map[string]*callControl
+	streamControls  map[string]*streamControl
 	// durations holds the durations of complete streams by route.
 	durations map[string]*placement.DurationHistory
 	// unstarted holds the streams that wait for the first event of their engine, with the function
@@ -104,8 +105,8 @@
 		budgets: map[string]*placement.RetryBudget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		serversChanged: make(chan struct{}), usageUpdated: make(chan struct{}), configured: make(chan struct{}), unstarted: map[*streamState]func(){},
 		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{}, durations: map[string]*placement.DurationHistory{}, admissionQueues: map[string]*placement.AdmissionQueue{},
-		callControls: map[string]*callControl{},
-		callerConns:  callerConns{conns: map[net.Conn]bool{}},
+		callControls: map[string]*callControl{}, streamControls: map[string]*streamControl{},
+		callerConns: callerConns{conns: map[net.Conn]bool{}},
 	}
 	g.requestsEnded, g.endRequests = context.WithCancel(context.Background())
 	g.quarantine = quarantine.NewTracker(g.rand)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -52,6 +52,8 @@
 	// pending is the place of the stream in the admission queue. waitsForPlace is set by selectEngine.
 	pending       placement.PendingStream
 	waitsForPlace bool
+	// excessDraw decides whether the stream is in excess, if its organisation is.
+	excessDraw float64
 
 	// headSent means that the head of the response was sent to the caller, with contentType.
 	headSent    bool
@@ -102,6 +104,7 @@
 	s.pending = placement.PendingStream{Rank: req.rank, OnTimeUntil: placement.LatestPlacement(req.startedAt, req.route.Objective),
 		Organisation: req.organisation, Tokens: req.fields.PromptTokens}
 	defer s.leaveAdmissionQueue()
+	s.excessDraw = g.recordStreamDemand(req.service, req.organisation)
 	if s.lastEventID != "" {
 		g.mu.Lock()
 		engines := g.promptLocations.CandidateEngines(req.fields.SessionPart, req.startedAt)
--- a/pkg/loadmodel/load.go
+++ b/pkg/loadmodel/load.go
@@ -21,6 +21,12 @@
 	Engine      EngineSpec   `json:"engine"`
 	Kinds       []Kind       `json:"kinds"`
 	Faults      []Fault      `json:"faults"`
+	// Organisations is the number of organisations, all of the same size. The last one sends ExcessTimes its usual load
+	// from ExcessFromS to ExcessToS, if that is set.
+	Organisations int     `json:"organisations"`
+	ExcessTimes   float64 `json:"excess_times"`
+	ExcessFromS   float64 `json:"excess_from_s"`
+	ExcessToS     float64 `json:"excess_to_s"`
 }
 
 // DataCentre describes the engines and gateways of one data centre.
@@ -48,6 +54,9 @@
 	// between events, in milliseconds, for a stream to be in time.
 	FirstEventMS float64 `json:"first_event_ms"`
 	PauseMS      float64 `json:"pause_ms"`
+	// TimeoutMS is the time limit of callers for the whole stream, 0 for none. Only the policy that refuses streams
+	// applies it, to those that wait.
+	TimeoutMS float64 `json:"timeout_ms"`
 }
 
 // Burst multiplies the arrival rate of a kind.
--- a/pkg/loadmodel/model.go
+++ b/pkg/loadmodel/model.go
@@ -16,7 +16,9 @@
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/overload"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
+	"github.com/geraniumpitch/geraniumpitch/pkg/usage"
 )
 
 const (
@@ -37,6 +39,9 @@
 	// announcementDelay is how long the announcement of a started engine takes to reach all
 	// gateways.
 	announcementDelay = 20 * time.Millisecond
+	// streamSmoothing and streamOverloadTTL are those of the gateways.
+	streamSmoothing   = 0.25
+	streamOverloadTTL = 3 * time.Second
 )
 
 // Policy selects the placement features that a simulation uses.
@@ -50,13 +55,15 @@
 	Herd bool
 	// HidePlacements keeps gateways from sending each other their placements.
 	HidePlacements bool
+	// Fair makes gateways divide the places among organisations, and refuse streams that cannot end in time.
+	Fair bool
 }
 
 // Policies returns all policies that can be compared. With "apart", streams run apart from the
 // prefills of other prompts, as they are relocated after their own; with "together", they stay where
 // they began; with "blind", the gateways also do not see each other's placements. With "held", streams
 // run apart and wait at their gateway while no engine can begin their prefill; with "herd", the gateways
-// also claim every place that they see.
+// also claim every place that they see; with "fair", they divide the places among organisations instead.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "apart", Relocate: true},
@@ -64,6 +71,7 @@
 		{Name: "blind", HidePlacements: true},
 		{Name: "held", Relocate: true, Hold: true},
 		{Name: "herd", Relocate: true, Hold: true, Herd: true},
+		{Name: "fair", Relocate: true, Hold: true, Fair: true},
 	}
 }
 
@@ -94,6 +102,9 @@
 	pool            *placement.Pool
 	promptLocations placement.PromptLocations
 	admission       placement.AdmissionQueue
+	organisations   overload.Organisations
+	waitedAt        time.Time
+	durations       placement.DurationHistory
 }
 
 // streamState is the state of one stream across its runs: one run on each engine that executes it.
@@ -114,7 +125,12 @@
 	backupIncarnation                      int
 	excluded                               []string
 	pending                                placement.PendingStream
-	result                                 Stream
+	organisation                           string
+	// drawn decides whether the stream is in excess, if its organisation is.
+	drawn float64
+	// estimatedAt is when it was last estimated whether the stream can end in time.
+	estimatedAt time.Duration
+	result      Stream
 }
 
 func (s *streamState) tokens() int { return s.prompt + s.output }
@@ -138,6 +154,10 @@
 	Copies int
 	// PromptTokens is the size of the prompt in tokens.
 	PromptTokens int
+	// Organisation is the organisation of the caller.
+	Organisation string
+	// Refused is set if the stream was refused while it waited.
+	Refused bool
 }
 
 type model struct {
@@ -152,6 +172,7 @@
 	gateways    []*gateway
 	streams     []Stream
 	openStreams int
+	table       *usage.Table
 }
 
 // Simulate simulates a load under a policy. The callers depend only on the load and the seed.
@@ -171,6 +192,13 @@
 	for _, e := range m.engines {
 		m.announce(e)
 	}
+	if policy.Fair {
+		m.table = usage.NewTable(m.wallTime().Add(-time.Minute))
+		for i, g := range m.gateways {
+			g.organisations.Smoothing = streamSmoothing
+			m.schedule(time.Duration(i)*usage.Interval/time.Duration(len(m.gateways)), func() { m.exchangeOrganisations(g, fmt.Sprint(i)) })
+		}
+	}
 	m.scheduleArrivals()
 	for _, f := range load.Faults {
 		m.scheduleFault(f)
@@ -223,19 +251,80 @@
 			if random.Float64() >= k.rate(elapsed)*arrivalInterval.Seconds() {
 				continue
 			}
-			s := &streamState{
-				kind: k, subject: fmt.Sprintf("r%d", m.sequence), gateway: m.gateways[random.IntN(len(m.gateways))],
-				prompt: size(k.PromptTokens, k.PromptSpread), output: size(k.OutputTokens, k.OutputSpread),
+			organisation, count := m.load.drawOrganisation(elapsed, random)
+			for range count - 1 {
+				m.scheduleStream(k, elapsed+time.Duration(random.Float64()*float64(time.Second)), organisation, random, size)
 			}
-			m.schedule(elapsed, func() {
-				s.arrivedAt = m.now
-				s.pending.Rank = k.Rank
-				s.pending.OnTimeUntil = placement.LatestPlacement(m.wallTime(), milliseconds(k.FirstEventMS))
-				m.openStreams++
-				m.dispatch(s)
-			})
+			m.scheduleStream(k, elapsed, organisation, random, size)
+		}
+	}
+}
+
+// drawOrganisation draws the organisation of a caller, and the number of streams that it sends in place of one.
+func (l *LoadPattern) drawOrganisation(elapsed time.Duration, random *rand.Rand) (organisation string, streams int) {
+	if l.Organisations == 0 {
+		return "", 1
+	}
+	i := random.IntN(l.Organisations)
+	if i < l.Organisations-1 || elapsed.Seconds() < l.ExcessFromS || elapsed.Seconds() >= l.ExcessToS {
+		return fmt.Sprint("o", i), 1
+	}
+	return fmt.Sprint("o", i), int(l.ExcessTimes + random.Float64())
+}
+
+func (m *model) scheduleStream(k *Kind, at time.Duration, organisation string, random *rand.Rand, size func(int, float64) int) {
+	s := &streamState{
+		organisation: organisation, drawn: random.Float64(),
+		kind: k, subject: fmt.Sprintf("r%d", m.sequence), gateway: m.gateways[random.IntN(len(m.gateways))],
+		prompt: size(k.PromptTokens, k.PromptSpread), output: size(k.OutputTokens, k.OutputSpread),
+	}
+	m.schedule(at, func() {
+		s.arrivedAt = m.now
+		s.gateway.organisations.Record(s.organisation, m.wallTime())
+		s.pending.Rank = k.Rank
+		s.pending.OnTimeUntil = placement.LatestPlacement(m.wallTime(), milliseconds(k.FirstEventMS))
+		if m.policy.Fair {
+			s.pending.Organisation, s.pending.Tokens = s.organisation, s.prompt
 		}
+		m.openStreams++
+		m.dispatch(s)
+	})
+}
+
+// exchangeOrganisations exchanges the demand of organisations of a gateway each second.
+func (m *model) exchangeOrganisations(g *gateway, name string) {
+	m.schedule(usage.Interval, func() { m.exchangeOrganisations(g, name) })
+	now := m.wallTime()
+	report := usage.Report{Incarnation: 1}
+	if now.Sub(g.waitedAt) < streamOverloadTTL {
+		report.Organisations = usage.Organisations{"s": g.organisations.Report(now)}
+	} else {
+		g.organisations.Measure(now)
+	}
+	g.organisations.HandleTotals(m.table.Exchange(name, report, len(m.gateways), now).Organisations["s"])
+}
+
+// cannotEnd reports whether a stream that waits cannot end before its deadline.
+func (m *model) cannotEnd(s *streamState, request placement.Run) bool {
+	if s.kind.TimeoutMS <= 0 || s.generated > 0 || s.estimatedAt > 0 && m.now-s.estimatedAt < time.Second {
+		return false
 	}
+	s.estimatedAt = m.now
+	g, now := s.gateway, m.wallTime()
+	return overload.StreamWait{
+		AheadTokens: g.admission.AheadOf(&s.pending, now), Share: 1 / float64(len(m.gateways)),
+		PlaceRate: g.pool.PlaceRate(now, request, s.prompt, g.durations.Average()), Shortest: g.durations.Shortest(),
+		Left: s.arrivedAt + milliseconds(s.kind.TimeoutMS) - m.now,
+	}.CannotEnd()
+}
+
+// refuse ends a stream that waits.
+func (m *model) refuse(s *streamState) {
+	s.gateway.admission.Leave(&s.pending)
+	m.openStreams--
+	s.result.Kind, s.result.PromptTokens, s.result.ArrivedS = s.kind.Name, s.prompt, s.arrivedAt.Seconds()
+	s.result.Organisation, s.result.Refused = s.organisation, true
+	m.streams = append(m.streams, s.result)
 }
 
 func (m *model) scheduleFault(f Fault) {
@@ -312,14 +401,24 @@
 	request.Prefer = g.promptLocations.CandidateEngines(s.subject, now)
 	var selected *placement.Server
 	if m.policy.Hold && g.pool.SelectCachingEngine(now, request) == nil && g.pool.CanWait(now, request) {
+		if m.policy.Fair {
+			s.pending.Excess = s.drawn < g.organisations.ExcessShare(s.organisation)
+		}
 		if selected = m.selectPlace(s, request); selected == nil {
+			g.waitedAt = now
+			if m.policy.Fair && m.cannotEnd(s, request) {
+				m.refuse(s)
+				return
+			}
 			g.admission.Join(&s.pending)
 			m.schedule(holdInterval, func() { m.dispatch(s) })
 			return
 		}
 	}
-	g.admission.Leave(&s.pending)
-	if selected == nil {
+	if selected != nil {
+		g.admission.Place(&s.pending)
+	} else {
+		g.admission.Leave(&s.pending)
 		selected = g.pool.SelectEngine(now, request)
 	}
 	if selected == nil {
@@ -351,10 +450,14 @@
 	switch {
 	case !queue.IsNext(&s.pending, now):
 		return nil
-	case queue.Len() == 0 || m.policy.Herd:
+	case queue.Len() == 0 && !s.pending.Excess || m.policy.Herd:
 		return pool.SelectFreeEngine(now, request)
 	}
-	return pool.ClaimFreeEngine(now, request, 1/float64(len(m.gateways)))
+	share := 1 / float64(len(m.gateways))
+	if s.pending.Excess {
+		share *= placement.ExcessClaimShare
+	}
+	return pool.ClaimFreeEngine(now, request, share)
 }
 
 // continueFromCopy continues a stream on an engine that has a copy of its memory.
@@ -494,7 +597,8 @@
 	m.release(s)
 	m.dropBackup(s)
 	m.openStreams--
-	s.result.Kind, s.result.PromptTokens = s.kind.Name, s.prompt
+	s.gateway.durations.Record(m.now - s.arrivedAt)
+	s.result.Kind, s.result.PromptTokens, s.result.Organisation = s.kind.Name, s.prompt, s.organisation
 	s.result.ArrivedS, s.result.FirstEventS = s.arrivedAt.Seconds(), s.firstEventDelay.Seconds()
 	s.result.DurationS, s.result.MaxPauseS = (m.now - s.arrivedAt).Seconds(), s.maxPause.Seconds()
 	s.result.InTime = s.firstEventDelay <= milliseconds(s.kind.FirstEventMS) && s.maxPause <= milliseconds(s.kind.PauseMS)
--- a/pkg/overload/organisations.go
+++ b/pkg/overload/organisations.go
@@ -18,9 +18,15 @@
 const (
 	// usualWeight is the weight of one second in the usual load of an organisation: about a minute.
 	usualWeight = 1.0 / 60
+	// usualDelay is the number of seconds after which a rate counts towards the usual load. An organisation sends many
+	// times its usual load for some seconds before calls begin to wait.
+	usualDelay = 5
 	// minUsualShare is the smallest usual load that counts, as a share of the mean. An organisation that is new has
 	// none.
 	minUsualShare = 0.25
+	// excessTolerance is the multiple of its usual load up to which an organisation is not in excess. The usual load of a
+	// small one is known to a half.
+	excessTolerance = 1.5
 	// organisationTTL is how long an organisation is kept that offers nothing, and maxKnownOrganisations how many are
 	// kept.
 	organisationTTL       = 5 * time.Minute
@@ -32,7 +38,9 @@
 type Organisations struct {
 	known map[string]*organisation
 	// seconds is the number of seconds in which the usual load was measured.
-	seconds    int
+	seconds int
+	// delayed is the number of seconds without overload whose rates are kept in organisation.delayed.
+	delayed    int
 	measuredAt time.Time
 	// fill lists the organisations of the last totals by their demand relative to their weight, ascending.
 	fill []filled
@@ -40,11 +48,17 @@
 	byName map[string]int
 	// total is the demand of all of them.
 	total float64
+	// Smoothing is the weight of the latest totals in the demand; 0 is 1. Where organisations offer only a few
+	// requests per second, one second alone says little.
+	Smoothing float64
+	smoothed  map[string]float64
 }
 
 type organisation struct {
 	meter meter[float64]
 	usual float64
+	// delayed holds the rates of the latest seconds, which do not count towards the usual load yet.
+	delayed [usualDelay]float64
 	// seenAt is the time of its latest call.
 	seenAt time.Time
 }
@@ -86,22 +100,32 @@
 }
 
 // Measure updates the usual load of the organisations. It is called about once a second, and only without overload:
-// an organisation that causes one does not get a larger share from it.
+// an organisation that causes one does not get a larger share from it. It does nothing while another gateway
+// reports an overload.
 func (o *Organisations) Measure(now time.Time) {
-	if now.Sub(o.measuredAt) < meterWindow {
+	if now.Sub(o.measuredAt) < meterWindow || len(o.fill) > 0 {
 		return
 	}
 	o.measuredAt = now
-	o.seconds++
+	slot, isFull := o.delayed%usualDelay, o.delayed >= usualDelay
+	o.delayed++
+	if isFull {
+		o.seconds++
+	}
 	maps.DeleteFunc(o.known, func(_ string, known *organisation) bool { return now.Sub(known.seenAt) > organisationTTL })
-	weight := max(usualWeight, 1/float64(o.seconds))
+	weight := max(usualWeight, 1/float64(max(1, o.seconds)))
 	for _, known := range o.known {
-		known.usual += weight * (known.rate(now) - known.usual)
+		if isFull {
+			known.usual += weight * (known.delayed[slot] - known.usual)
+		}
+		known.delayed[slot] = known.rate(now)
 	}
 }
 
 // Report returns the demand of the organisations for an exchange.
 func (o *Organisations) Report(now time.Time) []usage.OrganisationCalls {
+	// The latest seconds led to the overload.
+	o.delayed = 0
 	list := make([]usage.OrganisationCalls, 0, len(o.known))
 	for name, known := range o.known {
 		if rate := known.rate(now); rate > 0 || known.usual > 0 {
@@ -122,7 +146,7 @@
 		meanUsual += c.Usual / float64(len(list))
 	}
 	weight := func(c usage.OrganisationCalls) float64 { return max(c.Usual, minUsualShare*meanUsual, 1e-3) }
-	sorted := slices.Clone(list)
+	sorted := o.smooth(list)
 	slices.SortFunc(sorted, func(a, b usage.OrganisationCalls) int { return cmp.Compare(a.Offered/weight(a), b.Offered/weight(b)) })
 	weights := 0.0
 	for _, c := range sorted {
@@ -136,6 +160,36 @@
 	}
 }
 
+// smooth returns a copy of the totals with the demand averaged over the latest ones.
+func (o *Organisations) smooth(list []usage.OrganisationCalls) []usage.OrganisationCalls {
+	averaged := slices.Clone(list)
+	if o.Smoothing <= 0 {
+		return averaged
+	}
+	previous := o.smoothed
+	o.smoothed = make(map[string]float64, len(list))
+	for i := range averaged {
+		c := &averaged[i]
+		before, ok := previous[c.Organisation]
+		if !ok {
+			before = c.Usual
+		}
+		c.Offered = before + o.Smoothing*(c.Offered-before)
+		o.smoothed[c.Organisation] = c.Offered
+	}
+	return averaged
+}
+
+// ExcessShare returns the share of the requests of an organisation that are beyond its usual load, 0 if it does not offer
+// more than excessTolerance times as much.
+func (o *Organisations) ExcessShare(name string) float64 {
+	i, ok := o.byName[name]
+	if !ok || o.fill[i].ratio <= excessTolerance {
+		return 0
+	}
+	return 1 - excessTolerance/o.fill[i].ratio
+}
+
 // Share returns the share of the calls of an organisation to admit, if a share of all calls, whose rate is offered, is
 // admitted. Organisations that are not in the totals offer less than the others, and are admitted.
 func (o *Organisations) Share(name string, share, offered float64) float64 {
--- a/pkg/overload/organisations_test.go
+++ b/pkg/overload/organisations_test.go
@@ -91,3 +91,23 @@
 		o.Share("7", 0.7, 528)
 	}
 }
+
+// Guards against a few requests in one second that count as an excess, and against an excess that is not seen for long.
+func TestExcessOfStreams(t *testing.T) {
+	o := Organisations{Smoothing: 0.25}
+	second := func(offered float64) {
+		o.HandleTotals([]usage.OrganisationCalls{{Organisation: "a", Offered: offered, Usual: 2}, {Organisation: "b", Offered: 2, Usual: 2}})
+	}
+	second(2)
+	second(4)
+	qt.Assert(t, o.ExcessShare("a"), qt.Equals, 0.0)
+	for range 4 {
+		second(15)
+	}
+	share := o.ExcessShare("a")
+	qt.Assert(t, share > 0.6 && share < 0.8, qt.IsTrue, qt.Commentf("%.2f", share))
+	qt.Assert(t, o.ExcessShare("b"), qt.Equals, 0.0)
+	qt.Assert(t, o.ExcessShare("unknown"), qt.Equals, 0.0)
+	o.HandleTotals(nil)
+	qt.Assert(t, o.ExcessShare("a"), qt.Equals, 0.0, qt.Commentf("no gateway reports an overload"))
+}
--- a/pkg/placement/admission.go
+++ b/pkg/placement/admission.go
@@ -16,6 +16,9 @@
 	placementLag = 150 * time.Millisecond
 	// claimInterval is the interval at which a gateway may claim a place at one engine.
 	claimInterval = 50 * time.Millisecond
+	// ExcessClaimShare is how much less often a gateway claims places for a stream in excess. The streams of other
+	// gateways that are not then get most of them.
+	ExcessClaimShare = 0.25
 )
 
 // PendingStream is a stream that has no engine yet.
@@ -26,6 +29,8 @@
 	Resumes bool
 	// OnTimeUntil is the latest time of a placement with which the first event is on time.
 	OnTimeUntil time.Time
+	// Excess is set if the organisation offers much more than its usual load, and this stream is not part of that.
+	Excess bool
 	// Organisation is the organisation of the caller, and Tokens the size of the prompt.
 	Organisation string
 	Tokens       int
@@ -103,6 +108,9 @@
 	if s.Rank != other.Rank {
 		return s.Rank < other.Rank
 	}
+	if s.Excess != other.Excess {
+		return other.Excess
+	}
 	if order := q.shares.compare(s, other); order != 0 {
 		return order < 0
 	}
--- a/pkg/placement/admissionshares_test.go
+++ b/pkg/placement/admissionshares_test.go
@@ -107,3 +107,20 @@
 		q.IsNext(s, now)
 	}
 }
+
+// Guards against streams beyond the usual load of their organisation that go before others of their rank, or after those
+// of a more patient one.
+func TestExcessGoesLastWithinItsRank(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := &AdmissionQueue{}
+	for _, s := range []PendingStream{
+		{Organisation: "patient", Rank: 2, OnTimeUntil: now.Add(time.Second)},
+		{Organisation: "excess", Excess: true, OnTimeUntil: now.Add(time.Second)},
+		{Organisation: "usual", OnTimeUntil: now.Add(2 * time.Second)},
+	} {
+		q.Join(&s)
+	}
+	for _, want := range []string{"usual", "excess", "patient"} {
+		qt.Assert(t, placeNext(t, q, now).Organisation, qt.Equals, want)
+	}
+}
