placement: avoided servers may have room for a refused call

Cause: a refused call was not sent to a server that is avoided after a failed connection, although such servers are selected when there are no others. Change: they count in HasRoomForCall.

--- a/pkg/placement/capacity_test.go
+++ b/pkg/placement/capacity_test.go
@@ -56,6 +56,9 @@
 	qt.Assert(t, p.HasRoomForCall(now, []string{"e0", "e1"}), qt.IsFalse)
 	qt.Assert(t, p.HasRoomForCall(now.Add(callLoadTTL), []string{"e0"}), qt.IsTrue, qt.Commentf("the report has expired"))
 	qt.Assert(t, p.IsBusy("e0", now), qt.IsTrue)
+	avoided := newEnginePool(1, 2)
+	avoided.RecordUnreachable("e1", now)
+	qt.Assert(t, avoided.HasRoomForCall(now, []string{"e0"}), qt.IsTrue, qt.Commentf("it may be back"))
 	p.RecordLoad("e0", LoadReport{Running: 5, Slots: 6}, now)
 	qt.Assert(t, p.IsBusy("e0", now), qt.IsFalse)
 }
--- a/pkg/placement/room.go
+++ b/pkg/placement/room.go
@@ -16,12 +16,12 @@
 }
 
 // HasRoomForCall reports whether a server that is not excluded may have room for a call: it has not reported
-// lately that as many calls wait as it has slots.
+// lately that as many calls wait as it has slots. Avoided servers count, as they are selected if there are no others.
 func (p *Pool) HasRoomForCall(now time.Time, exclude []string) bool {
 	first, step := p.stride(maxUnsampledServers)
 	for i := first; i < len(p.all.servers); i += step {
 		s := p.all.servers[i]
-		if !p.isSelectable(s, now, exclude) || p.isAvoided(s, now) {
+		if !p.isSelectable(s, now, exclude) {
 			continue
 		}
 		if now.Sub(s.loadReportedAt) >= callLoadTTL || s.lastLoad.Waiting < max(1, s.lastLoad.Slots) {
