--- a/pkg/usage/calls.go
+++ b/pkg/usage/calls.go
@@ -28,16 +28,6 @@
 	return c.Queue / c.Reports
 }
 
-// Calls returns the calls of a service at all gateways, given the present ones at this one, and the time since
-// the last exchange. Only the calls that callers offer are replaced by the present ones: the others are
-// compared with each other, so all of them are of the same age.
-func (v *View) Calls(service string, own Calls) Calls {
-	total, reported := v.totals.Services[service].Calls, v.reported.Services[service].Calls
-	total.Offered += own.Offered - reported.Offered
-	total.Late += own.Late - reported.Late
-	return total
-}
-
 // Scale multiplies all rates by a factor.
 func (c Calls) Scale(factor float64) Calls {
 	return Calls{
