--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -28,6 +28,9 @@
 	// gapWindowAt the start of the present one.
 	longestGaps [2]time.Duration
 	gapWindowAt time.Time
+	// heardAt is the last time that an event was received or a connection accepted. It does not end an outage,
+	// as the other servers of a data centre that fails may follow.
+	heardAt time.Time
 }
 
 // enginePace returns the estimate of a server's process, which is created if there is none.
@@ -71,7 +74,7 @@
 	if s == nil {
 		return
 	}
-	s.lastAliveAt = now
+	s.heardAt = now
 	s.recordLongestGap(longest, now)
 	from := now.Add(-period)
 	// Whether a prompt was read is compared at the start and the end: a sample of both kinds says little.
@@ -147,12 +150,12 @@
 // IsAlive reports whether something was received from a process after a time.
 func (p *Pool) IsAlive(process Process, since time.Time) bool {
 	s := p.serverOf(process)
-	return s != nil && s.lastAliveAt.After(since)
+	return s != nil && (s.lastAliveAt.After(since) || s.heardAt.After(since))
 }
 
 // RecordAlive records that a connection to a process was accepted.
 func (p *Pool) RecordAlive(process Process, now time.Time) {
 	if s := p.serverOf(process); s != nil {
-		s.lastAliveAt = now
+		s.heardAt = now
 	}
 }
