placement: decisions follow the learned speed of servers

Cause: a prefill was assumed to take 1.2 s and a run 7 s on every engine, the costs of engines counted streams as if all were equally fast, and the latency of a server for calls counted only above 2.5 times the median. Change: the durations of prefills and runs, the costs of engines and backups, and the places for prompts are weighted by the pace of each engine; relocations by the prefills, and by the pace only above twice the usual. Calls go by their expected latency, with the reported slowdown by its age, and by the concurrency that a server handles well.

--- a/pkg/gateway/pace.go
+++ b/pkg/gateway/pace.go
@@ -75,3 +75,10 @@
 	defer s.g.mu.Unlock()
 	s.g.pool(s.req.service.Name).RecordFirstEvent(engine.Process(), prompt, s.firstEventAt.Sub(s.sentAt), s.firstEventAt)
 }
+
+// latestPlacement returns the latest time of a placement with which the first event of a stream is on time.
+func (g *Gateway) latestPlacement(req *callerRequest) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool(req.service.Name).LatestPlacement(req.startedAt, req.route.Objective, req.fields.PromptTokens)
+}
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -8,84 +8,10 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 )
 
-// reachCheckLead is how long before the event timeout it is checked whether a silent engine can be reached: as
-// long as a connection attempt takes at most, so that the result is known at the timeout.
-const reachCheckLead = 150 * time.Millisecond
-
-// reachCheckInterval is the interval of these checks while an engine is silent. Each is a connection.
-const reachCheckInterval = 300 * time.Millisecond
-
 // minFreeze is the time by which a timer is late when this process has not run. Timers of a busy process are late
 // by less.
 const minFreeze = 100 * time.Millisecond
 
-// silence describes a run without an event.
-type silence struct {
-	// elapsed is the time since the last event.
-	elapsed time.Duration
-	// timeout is the time after which an engine that cannot be reached is left, and one whose silence nothing
-	// explains; slowTimeout that after which any engine is left.
-	timeout, slowTimeout time.Duration
-	// plausible is the longest time between events that the engine can be expected to take without a fault.
-	plausible time.Duration
-	// hasCopy is set if the run can go on elsewhere without a prefill, and denied if the retry budget does not
-	// allow that at the moment.
-	hasCopy, denied bool
-	// checkedAt is the time without an event at which the last check of the engine began, 0 if there was none,
-	// and unreachable its result.
-	checkedAt   time.Duration
-	unreachable bool
-}
-
-// silenceAction is what to do about a silent run.
-type silenceAction int
-
-const (
-	// waitOn waits for the returned time and decides again.
-	waitOn silenceAction = iota
-	// checkEngine checks whether the engine can be reached, and decides again.
-	checkEngine
-	// leaveGone goes on elsewhere: the engine cannot be reached, or nothing explains its silence.
-	leaveGone
-	// leaveSlow goes on elsewhere, although the engine can be reached and may only be slow.
-	leaveSlow
-)
-
-// decide returns the next action, and the time to wait for waitOn. An engine that cannot be reached is left at the
-// timeout, half of the pause that is in time. One that can be reached is left then only if nothing explains
-// the silence and there is a copy; moving a run costs a connection, room and the time of the resumption, so an
-// engine that is only slow is not left before it has been silent for longer than it plausibly is. Without a
-// copy, the prompt would be read again: the run stays until slowTimeout.
-func (d silence) decide() (silenceAction, time.Duration) {
-	patience, firstCheck := d.slowTimeout, d.timeout
-	if d.hasCopy && !d.denied {
-		patience = max(d.timeout, min(d.plausible, d.slowTimeout))
-		firstCheck = max(0, d.timeout-reachCheckLead)
-	}
-	unexplained := d.hasCopy && !d.denied && patience == d.timeout
-	switch {
-	case d.unreachable && d.elapsed >= d.timeout:
-		return leaveGone, 0
-	case d.unreachable:
-		return waitOn, d.timeout - d.elapsed
-	case d.elapsed >= patience && unexplained:
-		return leaveGone, 0
-	case d.elapsed >= patience:
-		return leaveSlow, 0
-	case unexplained:
-		// The result of a check would not matter.
-		return waitOn, patience - d.elapsed
-	}
-	nextCheck := firstCheck
-	if d.checkedAt > 0 {
-		nextCheck = d.checkedAt + reachCheckInterval
-	}
-	if d.elapsed >= nextCheck {
-		return checkEngine, 0
-	}
-	return waitOn, min(patience, nextCheck) - d.elapsed
-}
-
 // eventTimeout returns the time without an event after which an engine counts as silent, if it cannot be reached
 // or nothing explains the silence.
 func (s *streamState) eventTimeout() time.Duration {
@@ -126,7 +52,7 @@
 // firstDecision returns the time without an event at which the watch first decides.
 func (w *silenceWatch) firstDecision() time.Duration {
 	timeout := w.s.eventTimeout()
-	return max(timeout/2, timeout-reachCheckLead)
+	return max(timeout/2, timeout-placement.ReachCheckLead)
 }
 
 // recordEvent records that an event has arrived.
@@ -143,31 +69,31 @@
 	}
 	seen := w.events.Load()
 	lastEventAt := time.Now().Add(-w.firstDecision())
-	d := silence{timeout: w.s.eventTimeout(), slowTimeout: w.s.slowEventTimeout()}
+	d := placement.Silence{Timeout: w.s.eventTimeout(), SlowTimeout: w.s.slowEventTimeout()}
 	var estimate placement.GapEstimate
 	for w.events.Load() == seen && w.ctx.Err() == nil {
-		d.elapsed, d.hasCopy = time.Since(lastEventAt), w.s.hasUsableCopy()
-		d.plausible, estimate = w.s.plausibleGap(w.engine)
-		action, wait := d.decide()
+		d.Elapsed, d.HasCopy = time.Since(lastEventAt), w.s.hasUsableCopy()
+		d.Plausible, estimate = w.s.plausibleGap(w.engine)
+		action, wait := d.Decide()
 		switch action {
-		case waitOn:
+		case placement.WaitOn:
 			lastEventAt = lastEventAt.Add(w.sleep(wait))
-		case checkEngine:
-			d.checkedAt = d.elapsed
-			d.unreachable = w.s.isUnreachable(w.ctx, w.engine, lastEventAt)
-		case leaveGone, leaveSlow:
+		case placement.CheckEngine:
+			d.CheckedAt = d.Elapsed
+			d.Unreachable = w.s.isUnreachable(w.ctx, w.engine, lastEventAt)
+		case placement.LeaveGone, placement.LeaveSlow:
 			// A run at an engine that cannot be reached ends in any case, so that it needs no send reserved.
-			if !d.unreachable && !w.s.sends.reserve(placement.Resume) {
-				if d.elapsed >= d.slowTimeout {
+			if !d.Unreachable && !w.s.sends.reserve(placement.Resume) {
+				if d.Elapsed >= d.SlowTimeout {
 					return
 				}
-				d.denied = true
+				d.Denied = true
 				continue
 			}
 			if w.events.Load() != seen {
 				return
 			}
-			w.engineSlow.Store(action == leaveSlow)
+			w.engineSlow.Store(action == placement.LeaveSlow)
 			w.s.logSilence(w.engine, d, estimate, action)
 			w.abort()
 			return
@@ -212,9 +138,9 @@
 }
 
 // logSilence logs that a run leaves an engine because of its silence, with the estimate behind the decision.
-func (s *streamState) logSilence(engine *placement.Server, d silence, e placement.GapEstimate, action silenceAction) {
-	s.g.log.Info("engine is silent", "request", s.req.fields.ID, "engine", engine.ID, "silent_ms", d.elapsed.Milliseconds(),
-		"plausible_ms", d.plausible.Milliseconds(), "unreachable", d.unreachable, "slow", action == leaveSlow, "has_copy", d.hasCopy,
+func (s *streamState) logSilence(engine *placement.Server, d placement.Silence, e placement.GapEstimate, action placement.SilenceAction) {
+	s.g.log.Info("engine is silent", "request", s.req.fields.ID, "engine", engine.ID, "silent_ms", d.Elapsed.Milliseconds(),
+		"plausible_ms", d.Plausible.Milliseconds(), "unreachable", d.Unreachable, "slow", action == placement.LeaveSlow, "has_copy", d.HasCopy,
 		"usual_gap_ms", e.Usual.Milliseconds(), "longest_gap_ms", e.Longest.Milliseconds(), "prefill", e.Prefill,
 		"pace", e.Pace, "pace_source", string(e.Source), "pace_age_ms", e.Age.Milliseconds())
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -100,7 +100,7 @@
 	defer s.sends.release()
 	s.limit = g.newLimitWait(req, time.Duration(float64(req.route.Objective)*limitPatienceShare))
 	defer s.endLimitWait()
-	s.pending = placement.PendingStream{Rank: req.rank, OnTimeUntil: placement.LatestPlacement(req.startedAt, req.route.Objective)}
+	s.pending = placement.PendingStream{Rank: req.rank, OnTimeUntil: g.latestPlacement(req)}
 	defer s.leaveAdmissionQueue()
 	if s.lastEventID != "" {
 		g.mu.Lock()
--- a/pkg/pace/call.go
+++ b/pkg/pace/call.go
@@ -16,6 +16,12 @@
 	maxFigureRatio = 4
 	// figureSmoothing is the weight of the latest report in the moving average of the reported slowdown.
 	figureSmoothing = 0.05
+	// serviceTTL is the time without a sample after which the next one replaces the earlier ones: a server that
+	// was slow gets a call now and then, and a quick response shows that it no longer is.
+	serviceTTL = 5 * time.Second
+	// minFigureExcess is the difference from the average below which a report counts as usual, so that servers
+	// that are equal otherwise share the calls.
+	minFigureExcess = 0.05
 	// maxQueueRatio bounds the waiting requests per slot that a report is believed to have. Servers have queues
 	// of four times their slots.
 	maxQueueRatio = 8
@@ -63,12 +69,14 @@
 		c.slots = l.Slots
 		queue = max(0, min(maxQueueRatio, float64(l.Waiting)/float64(l.Slots)))
 	}
+	if c.service.Age(now) >= serviceTTL {
+		c.service = Estimate{}
+	}
 	sample := math.Log(milliseconds(latency) / (1 + queue))
 	c.service.Add(sample, 1, now)
-	c.RecordFigure(l.Slowdown, now)
 	if l.Slots > 0 && l.Running > 0 {
 		serviceMS := math.Exp(sample)
-		if l.Slowdown > 0 {
+		if l.Slowdown > 0 && c.usualFigure > 0 {
 			// What slows down the machine as a whole says nothing about its concurrency.
 			serviceMS /= max(1, min(maxFigureRatio, l.Slowdown/c.usualFigure))
 		}
@@ -116,7 +124,11 @@
 		return 1
 	}
 	ratio := max(1.0/maxFigureRatio, min(maxFigureRatio, c.figure/c.usualFigure))
-	return 1 + (ratio-1)*math.Exp(-float64(max(0, now.Sub(c.figureAt)))/float64(figureLife))
+	excess := (ratio - 1) * math.Exp(-float64(max(0, now.Sub(c.figureAt)))/float64(figureLife))
+	if math.Abs(excess) < minFigureExcess {
+		return 1
+	}
+	return 1 + excess
 }
 
 // ServiceLog returns the logarithm of the service time in ms and its weight, 0 if it is unknown.
--- a/pkg/pace/call_test.go
+++ b/pkg/pace/call_test.go
@@ -224,6 +224,7 @@
 		if i/10%6 == 0 {
 			slowdown = 3
 		}
+		told.RecordFigure(slowdown, now)
 		told.RecordLatency(duration(15*slowdown), Load{Running: 6, Slots: 6, Slowdown: slowdown}, now)
 		untold.RecordLatency(duration(15*slowdown), Load{Running: 6, Slots: 6}, now)
 	}
--- a/pkg/pace/engine.go
+++ b/pkg/pace/engine.go
@@ -16,6 +16,9 @@
 	// aheadWeight is the weight of a first event whose prompt had others ahead of it: it is not known how much
 	// of them was left.
 	aheadWeight = 0.3
+	// maxAhead is the number of prompts ahead up to which a first event gives a sample. With more, the engine is
+	// overloaded, and what is ahead is not known well enough.
+	maxAhead = 1
 	// minPromptTokens is the size from which the time of a first event says how fast prompts are read: for
 	// smaller ones, the way and the steps between take longer.
 	minPromptTokens = 500
@@ -57,13 +60,15 @@
 	Tokens, Ahead int
 }
 
-// RecordFirstEvent records the time from the start of an attempt to its first event.
-func (u *Engines) RecordFirstEvent(e *Engine, p Prompt, elapsed time.Duration, now time.Time) {
-	if p.Tokens < minPromptTokens || elapsed <= 0 {
-		return
+// RecordFirstEvent records the time from the start of an attempt to its first event. It returns the sample of the
+// pace that it gives, with a weight of 0 if it gives none.
+func (u *Engines) RecordFirstEvent(e *Engine, p Prompt, elapsed time.Duration, now time.Time) (log, weight float64) {
+	if p.Tokens < minPromptTokens || elapsed <= 0 || p.Ahead > maxAhead {
+		return 0, 0
 	}
 	u.prompt.add(math.Log(float64(p.Tokens)))
-	tokens, weight := float64(p.Tokens), 1.0
+	tokens := float64(p.Tokens)
+	weight = 1
 	if p.Ahead > 0 {
 		// On average, half of the first prompt ahead has been read.
 		tokens += (float64(p.Ahead) - 0.5) * math.Exp(u.prompt.log)
@@ -73,7 +78,7 @@
 	if p.Ahead == 0 {
 		u.perToken.add(sample)
 	}
-	e.add(&u.perToken, sample, weight, now)
+	return e.add(&u.perToken, sample, weight, now)
 }
 
 // Gaps describes consecutive events of one stream.
@@ -85,10 +90,11 @@
 	Prefill bool
 }
 
-// RecordGaps records the times between events of a stream.
-func (u *Engines) RecordGaps(e *Engine, g Gaps, now time.Time) {
+// RecordGaps records the times between events of a stream. It returns the sample of the pace that they give, with
+// a weight of 0 if they give none.
+func (u *Engines) RecordGaps(e *Engine, g Gaps, now time.Time) (log, weight float64) {
 	if g.Mean <= 0 {
-		return
+		return 0, 0
 	}
 	class := u.gapClass(g.Streams, g.Prefill)
 	sample := math.Log(milliseconds(g.Mean))
@@ -96,7 +102,7 @@
 	if g.Prefill {
 		u.prefillGap.add(sample)
 	}
-	e.add(class, sample, gapWeight, now)
+	return e.add(class, sample, gapWeight, now)
 }
 
 func (u *Engines) gapClass(streams int, prefill bool) *usual {
@@ -108,10 +114,13 @@
 }
 
 // add adds a sample of a quantity to the pace of the engine, if it is known what is usual.
-func (e *Engine) add(usual *usual, sample, weight float64, now time.Time) {
-	if usual.known() {
-		e.pace.Add(max(-maxLog, min(maxLog, sample-usual.log)), weight, now)
+func (e *Engine) add(usual *usual, sample, weight float64, now time.Time) (log, added float64) {
+	if !usual.known() {
+		return 0, 0
 	}
+	log = max(-maxLog, min(maxLog, sample-usual.log))
+	e.pace.Add(log, weight, now)
+	return log, weight
 }
 
 // RecordShared records an estimate that a coordinator merged.
@@ -174,14 +183,6 @@
 	return SourceOwn, e.pace.Age(now)
 }
 
-// Own returns the estimate of this gateway, as a logarithm, and its weight.
-func (e *Engine) Own(now time.Time) (log, weight float64) {
-	if e == nil {
-		return 0, 0
-	}
-	return e.pace.median, e.pace.Weight(now)
-}
-
 // PrefillTime returns the time that an engine takes until the first event of a prompt with nothing ahead of
 // it, and false if that is not known.
 func (u *Engines) PrefillTime(e *Engine, tokens int, now time.Time) (time.Duration, bool) {
--- a/pkg/pace/estimate.go
+++ b/pkg/pace/estimate.go
@@ -29,6 +29,9 @@
 	// maxLog bounds a sample: servers of 0.6 times the usual speed that are slowed down five times are
 	// 8.3 times as slow as usual.
 	maxLog = 2.3
+	// middleQuantile is the quantile of Median: somewhat less than a half, as servers are slowed down for a
+	// moment and never sped up.
+	middleQuantile = 0.45
 	// lowQuantile is the quantile of Low. Delays on the way add to the time that a server takes and never
 	// subtract from it.
 	lowQuantile = 0.25
@@ -71,41 +74,51 @@
 
 // update computes the weighted quantiles of the buckets.
 func (e *Estimate) update(now time.Time) {
-	type point struct{ value, weight float64 }
-	var points [maxBuckets]point
-	n, total := 0, 0.0
+	var buffer [maxBuckets]point
+	points, total := buffer[:0], 0.0
 	for i := range e.n {
 		b := &e.buckets[i]
-		age := now.Sub(b.startedAt)
-		if age >= bucketTTL {
-			continue
+		if age := now.Sub(b.startedAt); age < bucketTTL {
+			p := point{b.mean, min(1, b.weight) * decay(age)}
+			points, total = insert(points, p), total+p.weight
 		}
-		p := point{b.mean, min(1, b.weight) * decay(age)}
-		total += p.weight
-		at := n
-		for ; at > 0 && points[at-1].value > p.value; at-- {
-			points[at] = points[at-1]
-		}
-		points[at] = p
-		n++
 	}
-	// The values are interpolated between the centres of the weights, so that the estimate has no jumps.
-	quantile := func(q float64) float64 {
-		below, target := 0.0, q*total
-		for i := range n {
-			centre := below + points[i].weight/2
-			if centre >= target {
-				if i == 0 {
-					return points[0].value
-				}
-				previous := below - points[i-1].weight/2
-				return points[i-1].value + (points[i].value-points[i-1].value)*(target-previous)/(centre-previous)
+	e.median, e.low, e.weight, e.updatedAt = quantile(points, middleQuantile, total), quantile(points, lowQuantile, total), total, now
+}
+
+// point is a value with a weight.
+type point struct{ value, weight float64 }
+
+// insert inserts a point into a slice that is sorted by value.
+func insert(points []point, p point) []point {
+	points = append(points, p)
+	at := len(points) - 1
+	for ; at > 0 && points[at-1].value > p.value; at-- {
+		points[at] = points[at-1]
+	}
+	points[at] = p
+	return points
+}
+
+// quantile returns a weighted quantile of sorted points. It interpolates between the centres of the weights, so
+// that it has no jumps.
+func quantile(points []point, q, total float64) float64 {
+	below, target := 0.0, q*total
+	for i, p := range points {
+		centre := below + p.weight/2
+		if centre >= target {
+			if i == 0 {
+				return p.value
 			}
-			below += points[i].weight
+			previous := below - points[i-1].weight/2
+			return points[i-1].value + (p.value-points[i-1].value)*(target-previous)/(centre-previous)
 		}
-		return points[max(0, n-1)].value
+		below += p.weight
+	}
+	if len(points) == 0 {
+		return 0
 	}
-	e.median, e.low, e.weight, e.updatedAt = quantile(0.45), quantile(lowQuantile), total, now
+	return points[len(points)-1].value
 }
 
 // Weight returns the weight of the samples at now, 0 if there are none. A bucket that has just been filled
--- a/pkg/placement/admission.go
+++ b/pkg/placement/admission.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// maxPrefillsPerEngine is the number of prompts that gateways send to one engine before the first event
-	// of the earliest: one in prefill, and one that follows it while the gateways learn of its end.
+	// maxPrefillsPerEngine is the number of prompts that gateways send to one engine of the usual pace before
+	// the first event of the earliest: one in prefill, and one that follows it while the gateways learn of
+	// its end.
 	maxPrefillsPerEngine = 2
 	// placementLag is the time until the other gateways know of a placement: the interval at which
 	// placements are sent, and the way through a coordinator.
@@ -93,7 +94,8 @@
 	return !s.Resumes && !now.After(s.OnTimeUntil)
 }
 
-// LatestPlacement returns the latest time of a placement with which the first event of a stream is on time.
+// LatestPlacement returns the latest time of a placement with which the first event of a stream with a usual
+// prompt is on time.
 func LatestPlacement(arrivedAt time.Time, objective time.Duration) time.Time {
 	return arrivedAt.Add(objective - prefillDuration)
 }
@@ -156,7 +158,7 @@
 // prompts are ahead.
 func hasPlace(s *Server, now time.Time, r Run) bool {
 	_, peerPrefills, _ := s.peerRunCounts(now)
-	if s.Prefilling+peerPrefills >= maxPrefillsPerEngine || s.Slots > 0 && s.streams(now) >= s.Slots {
+	if float64(s.Prefilling+peerPrefills)*s.relativePace(now) >= maxPrefillsPerEngine || s.Slots > 0 && s.streams(now) >= s.Slots {
 		return false
 	}
 	return hasRoom(s, now, r)
--- a/pkg/placement/engine.go
+++ b/pkg/placement/engine.go
@@ -32,8 +32,9 @@
 	// memoryReserveShare is the share of an engine's memory that this gateway leaves free for the
 	// runs of other gateways and for cached prompts.
 	memoryReserveShare = 0.1
-	// peerRunTTL is how long a run of another gateway is assumed to last, which is the usual
-	// length of a stream. prefillDuration is the assumed duration of a prompt's prefill.
+	// peerRunTTL is how long a run of another gateway is assumed to last at an engine of the usual pace,
+	// which is the usual length of a stream. prefillDuration is the assumed duration of a prompt's prefill
+	// there.
 	peerRunTTL      = 7 * time.Second
 	prefillDuration = 1200 * time.Millisecond
 	// maxPeerRuns is the maximum number of runs of other gateways that are recorded per engine.
@@ -59,8 +60,8 @@
 }
 
 // SelectEngine selects the engine for a run: a preferred engine that has room, otherwise the one
-// with the lowest cost. Streams count once, prompts in prefill prefillCost times, and engines in
-// other data centres cost more. This spreads a burst of prompts, whose prefills would otherwise run
+// with the lowest cost. Streams count once, prompts in prefill prefillCost times, both by the pace of the
+// engine, and engines in other data centres cost more. This spreads a burst of prompts, whose prefills would otherwise run
 // one after the other on one engine. It returns nil if no engine accepts work.
 func (p *Pool) SelectEngine(now time.Time, r Run) *Server {
 	if s := p.SelectCachingEngine(now, r); s != nil {
@@ -180,15 +181,19 @@
 // peerRunCounts returns the number of unexpired runs of other gateways on an engine, how many of
 // them are in prefill, and the number of copies on it.
 func (s *Server) peerRunCounts(now time.Time) (running, prefilling, copies int) {
+	if len(s.peerRuns) == 0 {
+		return 0, 0, 0
+	}
+	ttl, prefill := scaled(peerRunTTL, s.relativePace(now)), s.assumedPrefill(now)
 	for _, run := range s.peerRuns {
 		age := now.Sub(run.placedAt)
 		switch {
-		case age >= peerRunTTL:
+		case age >= ttl:
 		case run.isCopy:
 			copies++
 		default:
 			running++
-			if age < prefillDuration && !run.promptCopied {
+			if age < prefill && !run.promptCopied {
 				prefilling++
 			}
 		}
@@ -218,14 +223,14 @@
 	if now.Sub(s.loadReportedAt) < engineLoadTTL {
 		running = max(running, float64(s.lastLoad.Running+s.lastLoad.Waiting))
 	}
-	cost := running + prefillCost*float64(s.Prefilling+peerPrefills)
+	cost := pacedCost(running+prefillCost*float64(s.Prefilling+peerPrefills), s.relativePace(now))
 	if r.Tokens > 0 {
 		cost += copyCost * (float64(s.CopyTokens)/float64(r.Tokens) + float64(peerCopies))
 	}
 	if !hasRoom(s, now, r) {
 		cost += noCapacityCost
 	}
-	return cost * (1 + s.failureRate)
+	return withFailures(cost, s.failureRate)
 }
 
 // Reserve adds the memory of runs and of copies, in tokens, and the number of runs in prefill to
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -31,6 +31,9 @@
 	// heardAt is the last time that an event was received or a connection accepted. It does not end an outage,
 	// as the other servers of a data centre that fails may follow.
 	heardAt time.Time
+	// pace is the pace of the engine as of paceAt.
+	pace   float64
+	paceAt time.Time
 }
 
 // enginePace returns the estimate of a server's process, which is created if there is none.
@@ -57,13 +60,33 @@
 		return 0
 	}
 	_, peerPrefills, _ := s.peerRunCounts(now)
-	return s.Prefilling + peerPrefills
+	unread := 0
+	if busy := p.busyUntil(s, now).Sub(now); busy > 0 {
+		unread = 1 + int(busy/s.assumedPrefill(now))
+	}
+	return max(s.Prefilling+peerPrefills, unread)
 }
 
 // RecordFirstEvent records the time from the start of an attempt to the first event of its prompt.
 func (p *Pool) RecordFirstEvent(process Process, prompt pace.Prompt, elapsed time.Duration, now time.Time) {
 	if s := p.serverOf(process); s != nil {
-		p.engines.RecordFirstEvent(s.enginePace(), prompt, elapsed, now)
+		log, weight := p.engines.RecordFirstEvent(s.enginePace(), prompt, elapsed, now)
+		p.addPaceSample(process, log, weight, now)
+	}
+}
+
+func (p *Pool) addPaceSample(process Process, log, weight float64, now time.Time) {
+	p.paceSamples.Add(pace.Sample{Process: pace.Process(process), Log: log, Weight: weight, At: now})
+}
+
+// TakePaceSamples returns the samples of the pace of engines since the last call, for the other gateways.
+func (p *Pool) TakePaceSamples() []pace.Sample { return p.paceSamples.Take() }
+
+// RecordSharedPace records the estimate of an engine's pace from the samples of all gateways. Those of a process
+// that has ended are ignored.
+func (p *Pool) RecordSharedPace(e pace.Entry, now time.Time) {
+	if s := p.serverOf(Process(e.Process)); s != nil {
+		s.enginePace().RecordShared(pace.Shared{Log: e.Log, Weight: e.Weight, Gateways: e.Gateways, ReceivedAt: now})
 	}
 }
 
@@ -79,7 +102,8 @@
 	from := now.Add(-period)
 	// Whether a prompt was read is compared at the start and the end: a sample of both kinds says little.
 	if prefill := p.readsPrompt(s, now); prefill == p.readsPrompt(s, from) {
-		p.engines.RecordGaps(s.enginePace(), pace.Gaps{Mean: mean, Streams: s.streams(now), Prefill: prefill}, now)
+		log, weight := p.engines.RecordGaps(s.enginePace(), pace.Gaps{Mean: mean, Streams: s.streams(now), Prefill: prefill}, now)
+		p.addPaceSample(process, log, weight, now)
 	}
 }
 
@@ -108,7 +132,12 @@
 // readsPrompt reports whether an engine reads a prompt at a time, as far as this gateway knows: prompts that
 // were sent to it are read one after the other.
 func (p *Pool) readsPrompt(s *Server, at time.Time) bool {
-	var busyUntil time.Time
+	return at.Before(p.busyUntil(s, at))
+}
+
+// busyUntil returns the time until which an engine reads the prompts that were sent to it before a time.
+func (p *Pool) busyUntil(s *Server, at time.Time) (busyUntil time.Time) {
+	duration := s.assumedPrefill(at)
 	for _, startedAt := range s.prefillStarts {
 		if startedAt.After(at) {
 			continue
@@ -116,9 +145,9 @@
 		if busyUntil.Before(startedAt) {
 			busyUntil = startedAt
 		}
-		busyUntil = busyUntil.Add(prefillDuration)
+		busyUntil = busyUntil.Add(duration)
 	}
-	return at.Before(busyUntil)
+	return busyUntil
 }
 
 // PlausibleGap returns the longest time between two events that the engine of a run can be expected to take
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -35,11 +35,9 @@
 	// failureSmoothing is the weight of the latest outcome in the moving average of the failure
 	// rate.
 	failureSmoothing = 0.12
-	// slowLatencyRatio is the ratio to the median latency above which a server counts as slow.
-	slowLatencyRatio = 2.5
 	// latencySmoothing is the weight of the latest sample in the moving average of the latency.
 	latencySmoothing = 0.2
-	// latencyTTL is how long a moving average of the latency counts without a new sample. A server that
+	// latencyTTL is how long an estimate of the latency counts without a new sample. A server that
 	// is not selected because it was slow gets no sample that shows that it no longer is.
 	latencyTTL = 5 * time.Second
 	// warmUpCost is the cost, in requests, of a server that is still slow after its start.
@@ -117,6 +115,8 @@
 	lastLimitAt, lastPauseEnd time.Time
 	// engines is what is usual for the speed of the service's engines.
 	engines pace.Engines
+	// paceSamples are the samples of the pace of engines that other gateways have not received.
+	paceSamples pace.Pending
 }
 
 // NewPool returns an empty pool for a gateway in dataCentre.
@@ -221,11 +221,11 @@
 // It returns nil if no server is available.
 func (p *Pool) SelectForCall(now time.Time, exclude []string) *Server {
 	candidates := p.candidates(now, exclude)
-	median := medianLatency(candidates, now)
-	return p.selectCheapest(candidates, func(s *Server) float64 { return p.callCost(s, now, median) })
+	usualLog, known := usualServiceLog(candidates, now)
+	return p.selectCheapest(candidates, func(s *Server) float64 { return p.callCost(s, now, usualLog, known) })
 }
 
-func (p *Pool) callCost(s *Server, now time.Time, median float64) float64 {
+func (p *Pool) callCost(s *Server, now time.Time, usualLog float64, known bool) float64 {
 	openRequests := float64(s.Inflight)
 	if now.Sub(s.loadReportedAt) < callLoadTTL {
 		openRequests = max(openRequests, float64(s.lastLoad.Running+s.lastLoad.Waiting))
@@ -237,37 +237,13 @@
 	if s.WarmingMS > 0 && now.Sub(s.firstSeenAt) < time.Duration(s.WarmingMS)*time.Millisecond {
 		cost += warmUpCost
 	}
-	if slots := s.Slots; slots > 0 && openRequests >= float64(slots) {
+	if slots := s.calls.Limit(s.Slots); slots > 0 && openRequests >= float64(slots) {
 		cost *= 2
 	}
-	if latency := s.recentLatency(now); median > 0 && latency > slowLatencyRatio*median {
-		cost *= latency / median
-	}
+	cost *= s.expectedLatency(usualLog, known, now)
 	return cost * (1 + failureWeight*s.failureRate)
 }
 
-// recentLatency returns the moving average of the latency in milliseconds, 0 if it does not count.
-func (s *Server) recentLatency(now time.Time) float64 {
-	if now.Sub(s.latencySampledAt) >= latencyTTL {
-		return 0
-	}
-	return s.latencyMS
-}
-
-func medianLatency(servers []*Server, now time.Time) float64 {
-	var latencies []float64
-	for _, s := range servers {
-		if latency := s.recentLatency(now); latency > 0 {
-			latencies = append(latencies, latency)
-		}
-	}
-	if len(latencies) < 2 {
-		return 0
-	}
-	slices.Sort(latencies)
-	return latencies[(len(latencies)-1)/2]
-}
-
 func (p *Pool) selectCheapest(servers []*Server, cost func(*Server) float64) *Server {
 	// A fixed order makes the choice reproducible for a given seed.
 	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
@@ -325,6 +301,9 @@
 func (p *Pool) RecordLoad(id string, l LoadReport, now time.Time) {
 	if s := p.servers[id]; s != nil {
 		s.lastLoad, s.loadReportedAt, s.lastAliveAt = l, now, now
+		if l.Slowdown > 0 {
+			s.callPace().RecordFigure(l.Slowdown, now)
+		}
 	}
 }
 
@@ -338,10 +317,15 @@
 	s.avoidBackoff = 0
 	s.lastAliveAt = now
 	ms := float64(duration) / float64(time.Millisecond)
-	if s.recentLatency(now) == 0 {
+	if now.Sub(s.latencySampledAt) >= latencyTTL {
 		s.latencyMS = ms
 	}
 	s.latencyMS += latencySmoothing * (ms - s.latencyMS)
+	var load pace.Load
+	if now.Sub(s.loadReportedAt) <= duration {
+		load = pace.Load{Running: s.lastLoad.Running, Waiting: s.lastLoad.Waiting, Slots: s.lastLoad.Slots, Slowdown: s.lastLoad.Slowdown}
+	}
+	s.callPace().RecordLatency(duration, load, now)
 	s.latencySampledAt = now
 }
 
--- a/pkg/placement/relocate.go
+++ b/pkg/placement/relocate.go
@@ -25,6 +25,10 @@
 	// memory. Ratios of 1.0 to 1.1 give the shortest streams in the simulations of package
 	// loadmodel.
 	minRelocateGain = 1.05
+	// slowEnginePace is the pace above which streams leave an engine because of it. Weighing every difference
+	// moves the streams to the fast engines, which then have no room for prompts: in simulations with speeds of
+	// 0.6, 1.0 and 1.6 and 95 gateways, 95% of the streams are in time instead of 97%.
+	slowEnginePace = 2.0
 	// maxRatioToMean bounds the expected prefill share of an engine to this multiple of the mean
 	// over all engines: while few prompts arrive, an engine's past prefills do not predict future
 	// ones.
@@ -51,7 +55,7 @@
 			n++
 		}
 	}
-	return min(maxPrefillShare, float64(n)*float64(prefillDuration)/float64(prefillWindow))
+	return min(maxPrefillShare, float64(n)*float64(s.assumedPrefill(now))/float64(prefillWindow))
 }
 
 // streamSlowdown returns the duration of a stream on an engine with the given number of streams
@@ -60,6 +64,10 @@
 	return (1 + slowdownPerStream*float64(streams)) / (1 - prefillShare)
 }
 
+// relocationFactor returns the factor by which the pace of an engine counts when streams are relocated: they
+// leave only engines that are much slower than usual.
+func relocationFactor(pace float64) float64 { return max(1, pace/slowEnginePace) }
+
 // SelectRelocationTarget selects the engine on which a run continues after its prefill, or returns
 // nil if the run should stay. One prefill stalls all streams of an engine for about a second. During
 // a burst of prompts, some of the engines do the prefills while streams continue undisturbed on the
@@ -77,10 +85,10 @@
 			candidates = append(candidates, s)
 		}
 	}
-	currentCost := streamSlowdown(current.streams(now), min(current.prefillShare(now), maxRatioToMean*shareSum/n))
+	currentCost := streamSlowdown(current.streams(now), min(current.prefillShare(now), maxRatioToMean*shareSum/n)) * relocationFactor(current.relativePace(now))
 	cost := func(s *Server) float64 {
 		streams := s.streams(now)
-		slowdown := streamSlowdown(streams+1, s.prefillShare(now))
+		slowdown := streamSlowdown(streams+1, s.prefillShare(now)) * relocationFactor(s.relativePace(now))
 		if streams == 0 {
 			slowdown += idleTargetCost
 		}
