loadmodel: engines of different speed, noise, silent engines and learned paces

Cause: the model knew only equal engines, so that decisions by speed could not be replayed. Change: load patterns have speeds and noise; the policies silent, learned and shared leave silent engines, learn paces, and exchange them. gp-experiment compare takes -gateways and prints runs and silent moves per stream.

--- a/cmd/gp-experiment/compare.go
+++ b/cmd/gp-experiment/compare.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/google/subcommands"
@@ -26,6 +27,7 @@
 	output     io.Writer
 	policies   string
 	seeds      uint64
+	gateways   string
 	plotFolder string
 }
 
@@ -43,7 +45,9 @@
   gp-experiment compare -policies apart,together -seeds 20 -plots plots loads/*.json
 
 Policies: apart relocates runs away from engines that prefill prompts; together does not;
-blind is together without exchanging the placement of runs between gateways.
+blind is together without exchanging the placement of runs between gateways. silent also makes
+streams wait for a place and leave engines without an event; learned and shared do so with the
+paces of engines that one gateway, or all of them, learn.
 
 Exit status: 0 on success, 1 if a file cannot be read or a plot cannot be written, 2 on
 invalid usage.
@@ -53,6 +57,7 @@
 func (c *compareCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.policies, "policies", "apart,together,blind", "policies to compare, separated by commas")
 	f.Uint64Var(&c.seeds, "seeds", 10, "number of seeds to simulate; each generates different callers")
+	f.StringVar(&c.gateways, "gateways", "", "numbers of gateways to simulate in place of those of the load, separated by commas")
 	f.StringVar(&c.plotFolder, "plots", "", "folder for plots in SVG; no plots if empty")
 }
 
@@ -85,15 +90,34 @@
 	return selected, nil
 }
 
-// compareLoad simulates the load pattern in a file under each policy and prints the table.
+// compareLoad simulates the load pattern in a file under each policy.
 func (c *compareCommand) compareLoad(file string, policies []loadmodel.Policy) error {
 	load, err := loadmodel.ReadLoadPattern(file)
 	if err != nil {
 		return err
 	}
+	if c.gateways == "" {
+		return c.comparePolicies(load, policies)
+	}
+	for _, field := range strings.Split(c.gateways, ",") {
+		n, err := strconv.Atoi(field)
+		if err != nil || n <= 0 {
+			return eris.Errorf("invalid number of gateways %q", field)
+		}
+		changed := load.WithGateways(n)
+		changed.Name = fmt.Sprintf("%s-%d", load.Name, n)
+		if err := c.comparePolicies(changed, policies); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// comparePolicies simulates a load pattern under each policy and prints the table.
+func (c *compareCommand) comparePolicies(load *loadmodel.LoadPattern, policies []loadmodel.Policy) error {
 	fmt.Fprintf(c.output, "%s: %s\n\n", load.Name, load.Description)
-	fmt.Fprintln(c.output, "| policy | streams | in time | first event s, median and 95% | whole s | longest pause s | read again | copies |")
-	fmt.Fprintln(c.output, "|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(c.output, "| policy | streams | in time | first event s, median and 95% | whole s | longest pause s | read again | copies | runs | silent |")
+	fmt.Fprintln(c.output, "|---|---|---|---|---|---|---|---|---|---|")
 	streamsByPolicy := map[string][]loadmodel.Stream{}
 	for _, policy := range policies {
 		var streams []loadmodel.Stream
@@ -102,10 +126,10 @@
 		}
 		streamsByPolicy[policy.Name] = streams
 		summary := loadmodel.Summarize(streams)
-		fmt.Fprintf(c.output, "| %s | %d | %.1f%% | %.2f %.2f | %.2f %.2f | %.2f %.2f | %.1f%% | %.2f |\n", policy.Name, summary.Streams,
+		fmt.Fprintf(c.output, "| %s | %d | %.1f%% | %.2f %.2f | %.2f %.2f | %.2f %.2f | %.1f%% | %.2f | %.2f | %.3f |\n", policy.Name, summary.Streams,
 			100*summary.InTime, summary.FirstEvent.Median, summary.FirstEvent.P95, summary.Duration.Median, summary.Duration.P95,
 			summary.MaxPause.Median, summary.MaxPause.P95,
-			100*summary.RepeatedPrefillShare, summary.Copies)
+			100*summary.RepeatedPrefillShare, summary.Copies, summary.Attempts, summary.SilentMoves)
 	}
 	fmt.Fprintln(c.output)
 	if c.plotFolder == "" {
--- a/pkg/loadmodel/engine.go
+++ b/pkg/loadmodel/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -45,6 +46,11 @@
 	spec       EngineSpec
 	id         string
 	dataCentre string
+	// speed is relative to that of spec. noisyUntil is the time at which it is drawn again whether the engine is
+	// slowed down, and noisy the last result.
+	speed      float64
+	noisy      bool
+	noisyUntil time.Duration
 	// incarnation counts the restarts of the engine's process. A restart ends all tasks.
 	incarnation int
 	failed      bool
@@ -87,9 +93,24 @@
 	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.sequence, b.sequence))
 }
 
-// runStep executes one step that begins at now. It returns the step's duration and the tasks that
+// slowdown returns how much longer than specified a step takes that begins at now.
+func (e *engine) slowdown(now time.Duration, noise Noise, random *rand.Rand) float64 {
+	if noise.Share == 0 {
+		return 1 / e.speed
+	}
+	if now >= e.noisyUntil {
+		e.noisy = random.Float64() < noise.Share
+		e.noisyUntil = now + milliseconds(noise.LengthMS*(0.5+0.5*random.Float64()))
+	}
+	if e.noisy {
+		return noise.Times / e.speed
+	}
+	return 1 / e.speed
+}
+
+// runStep executes one step that begins at now and takes slowdown times as long as specified. It returns the step's duration and the tasks that
 // generate a token at its end.
-func (e *engine) runStep(now time.Duration) (duration time.Duration, decoded []*task) {
+func (e *engine) runStep(now time.Duration, slowdown float64) (duration time.Duration, decoded []*task) {
 	e.admit()
 	var prefilling *task
 	decoding := 0
@@ -108,11 +129,15 @@
 	if prefilling != nil {
 		chunk := min(prefilling.prefillLeft, e.spec.ChunkTokens)
 		ms += float64(chunk) / e.spec.ReadTokensPerMS
+		ms *= slowdown
 		prefilling.prefillLeft -= chunk
 		if prefilling.prefillLeft == 0 {
 			prefilling.firstTokenAt = now + milliseconds(ms+e.spec.FirstMS)
 		}
 	}
+	if prefilling == nil {
+		ms *= slowdown
+	}
 	return milliseconds(ms), decoded
 }
 
--- a/pkg/loadmodel/load.go
+++ b/pkg/loadmodel/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,8 +20,11 @@
 	Seconds     float64      `json:"seconds"`
 	DataCentres []DataCentre `json:"data_centres"`
 	Engine      EngineSpec   `json:"engine"`
-	Kinds       []Kind       `json:"kinds"`
-	Faults      []Fault      `json:"faults"`
+	// Speeds are the speeds of the engines relative to Engine, which take turns; all are 1 if it is empty.
+	Speeds []float64 `json:"speeds"`
+	Noise  Noise     `json:"noise"`
+	Kinds  []Kind    `json:"kinds"`
+	Faults []Fault   `json:"faults"`
 }
 
 // DataCentre describes the engines and gateways of one data centre.
@@ -30,6 +34,14 @@
 	Gateways int    `json:"gateways"`
 }
 
+// Noise slows down engines for a moment, as other work on their machines does.
+type Noise struct {
+	// Share is the share of the time in which an engine takes Times as long, for up to LengthMS at a time.
+	Share    float64 `json:"share"`
+	Times    float64 `json:"times"`
+	LengthMS float64 `json:"length_ms"`
+}
+
 // Kind describes one kind of stream.
 type Kind struct {
 	Name string `json:"name"`
@@ -84,6 +96,16 @@
 	return load, load.validate()
 }
 
+// WithGateways returns the load with the given number of gateways in all, spread evenly over the data centres.
+func (l *LoadPattern) WithGateways(n int) *LoadPattern {
+	changed := *l
+	changed.DataCentres = slices.Clone(l.DataCentres)
+	for i := range changed.DataCentres {
+		changed.DataCentres[i].Gateways = (n + i) / len(l.DataCentres)
+	}
+	return &changed
+}
+
 func (l *LoadPattern) validate() error {
 	engines, gateways := 0, 0
 	for _, d := range l.DataCentres {
@@ -93,6 +115,10 @@
 	switch {
 	case engines == 0 || gateways == 0:
 		return eris.Errorf("load %q: data_centres must contain an engine and a gateway", l.Name)
+	case slices.ContainsFunc(l.Speeds, func(speed float64) bool { return speed <= 0 }):
+		return eris.Errorf("load %q: speeds must be positive", l.Name)
+	case l.Noise.Share > 0 && (l.Noise.Times <= 0 || l.Noise.LengthMS <= 0):
+		return eris.Errorf("load %q: times and length_ms of noise must be positive", l.Name)
 	case len(l.Kinds) == 0 || l.Seconds <= 0:
 		return eris.Errorf("load %q: kinds must not be empty and seconds must be positive", l.Name)
 	case l.Engine.StepMS <= 0 || l.Engine.ReadTokensPerMS <= 0 || l.Engine.ChunkTokens <= 0 || l.Engine.TokensPerEvent <= 0:
--- a/pkg/loadmodel/model.go
+++ b/pkg/loadmodel/model.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/pace"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 )
 
@@ -34,6 +35,16 @@
 	// promptCacheTTL is how long an engine caches a prompt, about the time in which ten other
 	// prompts evict it.
 	promptCacheTTL = 10 * time.Second
+	// silenceTimeout and slowTimeout are the event timeouts of gateways for pauses of up to 700 ms.
+	silenceTimeout = 350 * time.Millisecond
+	slowTimeout    = 1400 * time.Millisecond
+	// resumeDelay is how long it takes until a stream that leaves its engine runs at another one: the request
+	// and a connection.
+	resumeDelay = 10 * time.Millisecond
+	// paceInterval is the interval at which gateways exchange what they learned.
+	paceInterval = 2 * time.Second
+	// maxPaceEntries is the number of entries that a gateway gets at a time.
+	maxPaceEntries = 100
 	// announcementDelay is how long the announcement of a started engine takes to reach all
 	// gateways.
 	announcementDelay = 20 * time.Millisecond
@@ -48,6 +59,12 @@
 	Hold bool
 	// Herd makes the gateways of held streams claim every place that they see.
 	Herd bool
+	// Learn makes gateways learn the pace of engines from their streams, and Share exchange what they learn
+	// every paceInterval.
+	Learn, Share bool
+	// LeaveSilent moves streams from their copy if their engine has sent no event for silenceTimeout. With
+	// Learn, gateways take the pace of the engine into account.
+	LeaveSilent bool
 	// HidePlacements keeps gateways from sending each other their placements.
 	HidePlacements bool
 }
@@ -56,7 +73,9 @@
 // prefills of other prompts, as they are relocated after their own; with "together", they stay where
 // they began; with "blind", the gateways also do not see each other's placements. With "held", streams
 // run apart and wait at their gateway while no engine can begin their prefill; with "herd", the gateways
-// also claim every place that they see.
+// also claim every place that they see. With "silent", streams are held and also leave silent engines; with
+// "learned", gateways take the pace of engines into account that they learn, and with "shared" that which all
+// of them learn.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "apart", Relocate: true},
@@ -64,6 +83,9 @@
 		{Name: "blind", HidePlacements: true},
 		{Name: "held", Relocate: true, Hold: true},
 		{Name: "herd", Relocate: true, Hold: true, Herd: true},
+		{Name: "silent", Relocate: true, Hold: true, LeaveSilent: true},
+		{Name: "learned", Relocate: true, Hold: true, LeaveSilent: true, Learn: true},
+		{Name: "shared", Relocate: true, Hold: true, LeaveSilent: true, Learn: true, Share: true},
 	}
 }
 
@@ -94,6 +116,8 @@
 	pool            *placement.Pool
 	promptLocations placement.PromptLocations
 	admission       placement.AdmissionQueue
+	// paceVersion is the version of the table of paces that the gateway has.
+	paceVersion uint64
 }
 
 // streamState is the state of one stream across its runs: one run on each engine that executes it.
@@ -114,7 +138,13 @@
 	backupIncarnation                      int
 	excluded                               []string
 	pending                                placement.PendingStream
-	result                                 Stream
+	// event counts the events. gapsFrom is the start of the period of gaps that are not recorded, gaps their
+	// number and longestGap the longest of them.
+	event, gaps          int
+	gapsFrom, longestGap time.Duration
+	// prompt is the prompt that the engine reads for the present run.
+	prompted pace.Prompt
+	result   Stream
 }
 
 func (s *streamState) tokens() int { return s.prompt + s.output }
@@ -136,6 +166,8 @@
 	PrefillTokens int
 	// Copies is the number of copies made of the stream's memory.
 	Copies int
+	// Attempts is the number of runs, and SilentMoves that of moves from an engine without an event.
+	Attempts, SilentMoves int
 	// PromptTokens is the size of the prompt in tokens.
 	PromptTokens int
 }
@@ -152,11 +184,12 @@
 	gateways    []*gateway
 	streams     []Stream
 	openStreams int
+	paces       *pace.Table
 }
 
 // Simulate simulates a load under a policy. The callers depend only on the load and the seed.
 func Simulate(load *LoadPattern, policy Policy, seed uint64) []Stream {
-	m := &model{load: load, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), enginesByID: map[string]*engine{}}
+	m := &model{load: load, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), enginesByID: map[string]*engine{}, paces: pace.NewTable()}
 	for _, d := range load.DataCentres {
 		for range d.Engines {
 			m.addEngine(d.Name)
@@ -172,6 +205,11 @@
 		m.announce(e)
 	}
 	m.scheduleArrivals()
+	if policy.Share {
+		for i, g := range m.gateways {
+			m.schedule(paceInterval*time.Duration(i)/time.Duration(len(m.gateways)), func() { m.exchangePaces(i, g) })
+		}
+	}
 	for _, f := range load.Faults {
 		m.scheduleFault(f)
 	}
@@ -195,7 +233,10 @@
 func (m *model) wallTime() time.Time { return time.Unix(0, 0).Add(m.now) }
 
 func (m *model) addEngine(dataCentre string) *engine {
-	e := &engine{cachedUntil: map[string]time.Duration{}, spec: m.load.Engine, id: fmt.Sprintf("e%03d", len(m.engines)), dataCentre: dataCentre}
+	e := &engine{cachedUntil: map[string]time.Duration{}, spec: m.load.Engine, speed: 1, id: fmt.Sprintf("e%03d", len(m.engines)), dataCentre: dataCentre}
+	if n := len(m.load.Speeds); n > 0 {
+		e.speed = m.load.Speeds[len(m.engines)%n]
+	}
 	m.engines = append(m.engines, e)
 	m.enginesByID[e.id] = e
 	return e
@@ -289,7 +330,7 @@
 // failOver continues the stream of a failed engine from its backup, or dispatches it again.
 func (m *model) failOver(s *streamState) {
 	backup := s.backup
-	usable := backup != nil && !backup.failed && backup.incarnation == s.backupIncarnation && m.now-s.placedAt > backupDelay && s.generated > 0
+	usable := m.hasUsableBackup(s)
 	m.dropBackup(s)
 	if !usable {
 		m.dispatch(s)
@@ -333,11 +374,13 @@
 		m.schedule(time.Millisecond, func() { m.dispatch(s) })
 		return
 	}
+	s.prompted = pace.Prompt{Tokens: s.prompt + s.generated, Ahead: g.pool.PromptsAhead(e.id, now)}
 	g.pool.RecordPrefill(e.id, now)
 	relocates := m.policy.Relocate && g.pool.SelectRelocationTarget(now, request, e.id) != nil
 	prefillTokens := s.prompt + s.generated
 	if until, ok := e.cachedUntil[s.subject]; ok && m.now < until {
 		prefillTokens = s.generated
+		s.prompted.Tokens = 0
 	}
 	e.cachedUntil[s.subject] = m.now + promptCacheTTL
 	m.startTask(s, e, prefillTokens, !relocates, relocates)
@@ -365,6 +408,8 @@
 func (m *model) startTask(s *streamState, e *engine, prefillTokens int, withBackup, relocates bool) {
 	g := s.gateway
 	s.engine, s.placedAt = e, m.now
+	s.gaps, s.longestGap, s.gapsFrom = 0, 0, 0
+	s.result.Attempts++
 	s.result.PrefillTokens += prefillTokens
 	e.lastTaskSequence++
 	s.task = &task{stream: s, prefillLeft: prefillTokens, priority: 2*s.kind.Rank + 1, sequence: e.lastTaskSequence, relocates: relocates}
@@ -437,7 +482,7 @@
 	}
 	e.stepScheduled = true
 	incarnation := e.incarnation
-	duration, decoded := e.runStep(m.now)
+	duration, decoded := e.runStep(m.now, e.slowdown(m.now, m.load.Noise, m.random))
 	m.schedule(duration, func() {
 		e.stepScheduled = false
 		if e.incarnation != incarnation {
@@ -467,6 +512,7 @@
 	t.tokensSinceEvent++
 	if first || t.tokensSinceEvent >= m.load.Engine.TokensPerEvent || s.generated >= s.output {
 		t.tokensSinceEvent = 0
+		m.learn(s, first)
 		m.recordEvent(s)
 	}
 	if s.generated >= s.output {
@@ -486,6 +532,10 @@
 		s.maxPause = max(s.maxPause, m.now-s.lastEventAt)
 	}
 	s.lastEventAt = m.now
+	s.event++
+	if m.policy.LeaveSilent {
+		m.watchSilence(s)
+	}
 }
 
 func (m *model) finishStream(e *engine, t *task) {
--- a/pkg/loadmodel/summary.go
+++ b/pkg/loadmodel/summary.go
@@ -17,8 +17,9 @@
 	// RepeatedPrefillShare is the number of prompt tokens in repeated prefills, as a fraction of
 	// all prompt tokens.
 	RepeatedPrefillShare float64
-	// Copies is the mean number of memory copies per stream.
-	Copies float64
+	// Copies is the mean number of memory copies per stream, Attempts that of runs, and SilentMoves that of
+	// moves from an engine without an event.
+	Copies, Attempts, SilentMoves float64
 }
 
 // Quantiles holds the median and the 95th percentile of a duration, in seconds.
@@ -31,7 +32,7 @@
 		return s
 	}
 	kinds := map[string]int{}
-	prefilled, prompts, copies := 0, 0, 0
+	prefilled, prompts, copies, attempts, silentMoves := 0, 0, 0, 0, 0
 	for _, stream := range streams {
 		kinds[stream.Kind]++
 		if stream.InTime {
@@ -41,6 +42,8 @@
 		prefilled += stream.PrefillTokens
 		prompts += stream.PromptTokens
 		copies += stream.Copies
+		attempts += stream.Attempts
+		silentMoves += stream.SilentMoves
 	}
 	s.InTime /= float64(len(streams))
 	for kind, n := range kinds {
@@ -48,6 +51,8 @@
 	}
 	s.RepeatedPrefillShare = float64(prefilled-prompts) / float64(prompts)
 	s.Copies = float64(copies) / float64(len(streams))
+	s.Attempts = float64(attempts) / float64(len(streams))
+	s.SilentMoves = float64(silentMoves) / float64(len(streams))
 	s.FirstEvent = quantiles(streams, func(s Stream) float64 { return s.FirstEventS })
 	s.Duration = quantiles(streams, func(s Stream) float64 { return s.DurationS })
 	s.MaxPause = quantiles(streams, func(s Stream) float64 { return s.MaxPauseS })
