placement: engines of machines that are slowed down get more time between events

Cause: at 95 gateways, most engines that were left as silent read a prompt, and the gateway had not yet learned how long the gaps are then. On machines of constant speed, 2.5 times the usual gap is more than needed, and a hung engine is left later. Change: 2.5 times the usual gap, and a gap of 230 ms before it is learned, count only where servers report how long work takes at the moment; 1.5 times the usual or the longest recent gap counts everywhere.

--- a/pkg/loadmodel/pace.go
+++ b/pkg/loadmodel/pace.go
@@ -24,6 +24,14 @@
 	if first && s.prompted.Tokens > 0 {
 		pool.RecordFirstEvent(s.engine.process(), s.prompted, m.now-s.placedAt, m.wallTime())
 	}
+	if first && m.load.Noise.Share > 0 {
+		e := s.engine
+		report := placement.LoadReport{Running: len(e.running), Waiting: len(e.waiting), Slots: e.spec.Runs, Slowdown: 1}
+		if e.noisy {
+			report.Slowdown = m.load.Noise.Times
+		}
+		pool.RecordLoad(e.id, report, m.wallTime())
+	}
 	if s.gapsFrom == 0 {
 		s.gapsFrom = m.now
 		return
--- a/pkg/placement/capacity_test.go
+++ b/pkg/placement/capacity_test.go
@@ -131,6 +131,11 @@
 	process := func(id string) Process { return Process{ID: id, StartedMS: 1} }
 	gap, _ := p.PlausibleGap(process("e0"), now)
 	qt.Check(t, gap, qt.Equals, time.Duration(0))
+	fresh := newEnginePool(1, 2)
+	fresh.RecordLoad("e1", LoadReport{Slots: 6, Slowdown: 1}, now)
+	fresh.RecordPrefill("e0", now)
+	gap, _ = fresh.PlausibleGap(process("e0"), now)
+	qt.Check(t, gap, qt.Equals, 575*time.Millisecond, qt.Commentf("nothing learned yet"))
 	record := func(reading bool, ms int) {
 		for range 20 {
 			for _, id := range []string{"e0", "e1"} {
@@ -151,6 +156,9 @@
 	p.RecordPrefill("e0", now)
 	gap, e = p.PlausibleGap(process("e0"), now.Add(100*time.Millisecond))
 	qt.Check(t, e.Prefill, qt.IsTrue)
+	qt.Check(t, gap > 350*time.Millisecond && gap < 400*time.Millisecond, qt.IsTrue, qt.Commentf("with a prompt, on machines of constant speed: %s", gap))
+	p.RecordLoad("e1", LoadReport{Slots: 6, Slowdown: 1}, now)
+	gap, _ = p.PlausibleGap(process("e0"), now.Add(100*time.Millisecond))
 	qt.Check(t, gap > 550*time.Millisecond && gap < 700*time.Millisecond, qt.IsTrue, qt.Commentf("with a prompt: %s", gap))
 	p.RecordGaps(process("e2"), 430*time.Millisecond, 430*time.Millisecond, 430*time.Millisecond, now)
 	gap, _ = p.PlausibleGap(process("e2"), now.Add(time.Second))
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -11,12 +11,17 @@
 	// several times as long as the prefill of a prompt, during which all events are late.
 	recentGapWindow = 4 * time.Second
 	// slowdownRatio and slowdownLength are how much longer an engine may take without a fault, and for how
-	// long at a time: other work on the machine.
-	slowdownRatio  = 2.5
-	slowdownLength = 600 * time.Millisecond
-	// recentGapMargin is the ratio to the longest recent time between events up to which a time is no
-	// surprise.
-	recentGapMargin = 1.5
+	// long at a time, because of other work on its machine. They count where servers report how long work
+	// takes at the moment, in the last slowdownReportTTL.
+	slowdownRatio     = 2.5
+	slowdownLength    = 600 * time.Millisecond
+	slowdownReportTTL = time.Minute
+	// assumedPrefillGap is the time between events of an engine of the usual pace that reads a prompt, before
+	// it has been learned.
+	assumedPrefillGap = 230 * time.Millisecond
+	// gapMargin is the ratio to the usual and to the longest recent time between events up to which a time is
+	// no surprise. Steps of equal engines differ by their numbers of streams.
+	gapMargin = 1.5
 )
 
 // processPace is what this gateway learned of the speed of a process. The parts are nil until there is a
@@ -160,8 +165,14 @@
 	e := GapEstimate{Pace: s.engine.Pace(now), Prefill: p.readsPrompt(s, now), Longest: s.longestGap(now)}
 	e.Source, e.Age = s.engine.Explain(now)
 	e.Usual = p.engines.Gap(s.engine, s.streams(now), e.Prefill, now)
-	slowedDown := min(time.Duration(float64(e.Usual)*slowdownRatio), e.Usual+time.Duration(float64(slowdownLength)*(1-1/slowdownRatio)))
-	return max(slowedDown, time.Duration(float64(e.Longest)*recentGapMargin)), e
+	plausible := scaled(max(e.Usual, e.Longest), gapMargin)
+	if !p.slowdownReportedAt.IsZero() && now.Sub(p.slowdownReportedAt) < slowdownReportTTL {
+		if e.Prefill && e.Usual == 0 {
+			e.Usual = scaled(assumedPrefillGap, e.Pace)
+		}
+		plausible = max(plausible, min(scaled(e.Usual, slowdownRatio), e.Usual+scaled(slowdownLength, 1-1/slowdownRatio)))
+	}
+	return plausible, e
 }
 
 // GapEstimate is the estimate of the time between two events of an engine, for logs.
@@ -176,6 +187,16 @@
 	Prefill        bool
 }
 
+// PaceEstimate returns the pace of an engine, its source and the age of its last sample.
+func (p *Pool) PaceEstimate(id string, now time.Time) (float64, pace.Source, time.Duration) {
+	s := p.servers[id]
+	if s == nil {
+		return 1, pace.SourceNone, 0
+	}
+	source, age := s.engine.Explain(now)
+	return s.relativePace(now), source, age
+}
+
 // IsAlive reports whether something was received from a process after a time.
 func (p *Pool) IsAlive(process Process, since time.Time) bool {
 	s := p.serverOf(process)
@@ -188,3 +209,40 @@
 		s.heardAt = now
 	}
 }
+
+// PaceClass is a class of speed, for metrics.
+type PaceClass string
+
+// The classes of speed. Their bounds lie between the speeds of 0.6, 1.0 and 1.6 times the usual, and above them.
+const (
+	PaceUnknown PaceClass = "unknown"
+	PaceFast    PaceClass = "fast"
+	PaceUsual   PaceClass = "usual"
+	PaceSlow    PaceClass = "slow"
+	PaceStalled PaceClass = "very_slow"
+)
+
+// PaceClasses lists all classes.
+var PaceClasses = []PaceClass{PaceUnknown, PaceFast, PaceUsual, PaceSlow, PaceStalled}
+
+// CountPaceClasses adds the number of engines of each class to counts.
+func (p *Pool) CountPaceClasses(now time.Time, counts map[PaceClass]int64) {
+	const fastBelow, slowFrom, verySlowFrom = 0.8, 1.25, 2.5
+	for _, s := range p.all.servers {
+		if s.engine == nil {
+			continue
+		}
+		class, relative := PaceUsual, s.relativePace(now)
+		switch source, _ := s.engine.Explain(now); {
+		case source == pace.SourceNone:
+			class = PaceUnknown
+		case relative < fastBelow:
+			class = PaceFast
+		case relative >= verySlowFrom:
+			class = PaceStalled
+		case relative >= slowFrom:
+			class = PaceSlow
+		}
+		counts[class]++
+	}
+}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -115,6 +115,8 @@
 	lastLimitAt, lastPauseEnd time.Time
 	// engines is what is usual for the speed of the service's engines.
 	engines pace.Engines
+	// slowdownReportedAt is the latest time at which a server reported how long work takes at the moment.
+	slowdownReportedAt time.Time
 	// paceSamples are the samples of the pace of engines that other gateways have not received.
 	paceSamples pace.Pending
 }
@@ -303,6 +305,7 @@
 		s.lastLoad, s.loadReportedAt, s.lastAliveAt = l, now, now
 		if l.Slowdown > 0 {
 			s.callPace().RecordFigure(l.Slowdown, now)
+			p.slowdownReportedAt = now
 		}
 	}
 }
