pace: gateways share what they learn of the speed of engines

Cause: a gateway with two requests per second sees each of 142 engines about once a minute, which is too seldom to know its speed. Change: gateways send their new samples to a coordinator every 2 s (wire.Pace.Exchange) and get the entries of its table that have changed. A gateway that is cut off keeps what it has, by age. The metric gp_gateway_server_paces counts engines by class of speed, and the log lines of silent engines and served streams name the estimate, its source and its age.

--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -43,6 +43,7 @@
 	// inForce and stored encode the publication in force and that of the stored log.
 	inForce, stored follow.PublicationEncoder
 	usage           usageTable
+	paces           *paceTable
 	// metrics is nil if RegisterMetrics was not called.
 	metrics *metrics
 	// peerClient receives announcements from the other coordinators.
@@ -54,7 +55,7 @@
 // New returns a coordinator that is not started yet.
 func New(s settings.Coordinator, dialer *rpc.Dialer, server *rpc.Server, log *slog.Logger) *Service {
 	return &Service{settings: s, dialer: dialer, server: server, log: log, openLog: wal.Open, hub: newHub(ServerTTL(s.AnnounceIntervalMS)),
-		usage: usageTable{table: usage.NewTable(time.Now())}}
+		usage: usageTable{table: usage.NewTable(time.Now())}, paces: newPaceTable()}
 }
 
 // ServiceName implements kernel.Service.
@@ -73,6 +74,10 @@
 		cancel()
 		return eris.Wrap(err, "register the coordinator calls")
 	}
+	if err := wire.DRPCRegisterPace(s.server.Mux(), s.paces); err != nil {
+		cancel()
+		return eris.Wrap(err, "register the exchange of paces")
+	}
 	if err := s.server.Listen(ctx, s.settings.PeerAddress); err != nil {
 		cancel()
 		return err
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -9,6 +9,8 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 )
 
 // metrics holds the instruments of a gateway. The cardinality of labels is bounded:
@@ -81,6 +83,15 @@
 		}
 		return int64(total)
 	})
+	_, err := meter.Int64ObservableGauge("gp_gateway_server_paces", metric.WithDescription("Engines by class of their learned speed."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			counts := g.paceClasses(time.Now())
+			for _, class := range placement.PaceClasses {
+				o.Observe(counts[class], metric.WithAttributes(attribute.String("class", string(class))))
+			}
+			return nil
+		}))
+	errs = append(errs, err)
 	gauge("gp_gateway_waiting_streams", "Streams that wait for a place at an engine.", func() int64 { return int64(g.waitingStreams()) })
 	return m, eris.Wrap(errors.Join(errs...), "register the metrics of the gateway")
 }
--- a/pkg/gateway/pace.go
+++ b/pkg/gateway/pace.go
@@ -82,3 +82,43 @@
 	defer g.mu.Unlock()
 	return g.pool(req.service.Name).LatestPlacement(req.startedAt, req.route.Objective, req.fields.PromptTokens)
 }
+
+// TakePaceSamples implements follow.PaceReporter.
+func (g *Gateway) TakePaceSamples() (samples []pace.Sample) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.pools {
+		samples = append(samples, p.TakePaceSamples()...)
+	}
+	return samples
+}
+
+// HandlePaceEntries implements follow.PaceReporter.
+func (g *Gateway) HandlePaceEntries(entries []pace.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for _, e := range entries {
+		if s, ok := g.servers.Lookup(e.Process.ID); ok {
+			g.pool(s.Service).RecordSharedPace(e, now)
+		}
+	}
+}
+
+// paceClasses returns the number of servers by class of speed.
+func (g *Gateway) paceClasses(now time.Time) map[placement.PaceClass]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts := map[placement.PaceClass]int64{}
+	for _, p := range g.pools {
+		p.CountPaceClasses(now, counts)
+	}
+	return counts
+}
+
+// engineEstimate returns the pace of the last engine of a stream, its source and its age, for logs.
+func (s *streamState) engineEstimate() (float64, pace.Source, time.Duration) {
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	return s.g.pool(s.req.service.Name).PaceEstimate(s.engineID, time.Now())
+}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -145,6 +145,7 @@
 	go g.coordinators.RunPlacements(ctx)
 	go g.coordinators.RunPromptReports(ctx)
 	go g.coordinators.RunUsage(ctx, g)
+	go g.coordinators.RunPaces(ctx, g)
 	return nil
 }
 
--- a/pkg/gateway/streamwatch.go
+++ b/pkg/gateway/streamwatch.go
@@ -29,10 +29,11 @@
 	if s.req.fields.LastEventID == "" {
 		s.g.recordDuration(s.req.route.Name, time.Since(s.req.startedAt))
 	}
+	relative, source, age := s.engineEstimate()
 	s.g.log.Info("stream served", "request", s.req.fields.ID, "route", s.req.route.Name, "engine", s.engineID, "tries", s.attempts,
 		"first_event_ms", s.pauseStats.firstEvent.Milliseconds(), "longest_pause_ms", s.pauseStats.longest.Milliseconds(),
 		"pause_cause", s.pauseStats.longestCause, "first_engine", s.firstEngineID, "resumed_by_caller", s.req.fields.LastEventID != "",
-		"after_ms", time.Since(s.req.startedAt).Milliseconds())
+		"after_ms", time.Since(s.req.startedAt).Milliseconds(), "pace", relative, "pace_source", string(source), "pace_age_ms", age.Milliseconds())
 }
 
 // pauseStats measures the delays between the events of a stream.
--- a/pkg/pace/engine_test.go
+++ b/pkg/pace/engine_test.go
@@ -12,7 +12,6 @@
 // simEngine is an engine of a speed that is slowed down for a share of the time.
 type simEngine struct {
 	speed      float64
-	noise      func() bool
 	estimate   *Engine
 	slow       bool
 	noiseUntil time.Duration
--- a/pkg/pace/table.go
+++ b/pkg/pace/table.go
@@ -15,6 +15,8 @@
 	entryTTL = time.Minute
 	// maxEntries bounds the table, above the 11,000 servers that a deployment may have.
 	maxEntries = 20_000
+	// expireSteps bounds the entries that are checked with each report.
+	expireSteps = 32
 	// publishChange is the change of a logarithm from which an entry is sent again, and publishInterval the
 	// time after which it is in any case, as its weight decays at the gateways.
 	publishChange   = 0.1
@@ -152,23 +154,34 @@
 // publish gives an entry a new version if it has changed.
 func (t *Table) publish(e *tableEntry, now time.Time) {
 	current := e.entry(now)
-	if e.version > 0 && math.Abs(current.Log-e.published) < publishChange && now.Sub(e.publishedAt) < publishInterval {
-		return
+	if e.version > 0 && math.Abs(current.Log-e.published) < publishChange {
+		// An engine of the usual pace counts as usual without an estimate too.
+		isUsual := max(math.Abs(current.Log), math.Abs(e.published)) < evenWidth
+		if isUsual || now.Sub(e.publishedAt) < publishInterval {
+			return
+		}
 	}
 	t.version++
 	e.published, e.version, e.publishedAt = current.Log, t.version, now
 	t.order.MoveToBack(e.element)
 }
 
-// expire removes the entries that were published first, as far as they have no samples any more.
+// expire removes entries without samples. It looks at those that were published first, at most expireSteps of them,
+// and publishes those again that have samples.
 func (t *Table) expire(now time.Time) {
-	for front := t.order.Front(); front != nil; front = t.order.Front() {
-		e := front.Value.(*tableEntry)
-		if now.Sub(e.sampledAt) < entryTTL {
+	for front, steps := t.order.Front(), 0; front != nil && steps < expireSteps; steps++ {
+		next := front.Next()
+		if e := front.Value.(*tableEntry); now.Sub(e.sampledAt) >= entryTTL {
+			t.order.Remove(front)
+			delete(t.entries, e.process.ID)
+		} else if now.Sub(e.publishedAt) >= entryTTL {
+			t.version++
+			e.version, e.publishedAt = t.version, now
+			t.order.MoveToBack(front)
+		} else {
 			return
 		}
-		t.order.Remove(front)
-		delete(t.entries, e.process.ID)
+		front = next
 	}
 }
 
--- a/pkg/pace/table_test.go
+++ b/pkg/pace/table_test.go
@@ -85,8 +85,10 @@
 		table.Record("g", []Sample{{Process: Process{ID: fmt.Sprint(i)}, Weight: 1, At: now}}, now)
 	}
 	qt.Check(t, table.Len(), qt.Equals, maxEntries)
-	later2 := now.Add(2 * entryTTL)
-	table.Record("g", []Sample{{Process: Process{ID: "new"}, Weight: 1, At: later2}}, later2)
+	expired := now.Add(2 * entryTTL)
+	for range maxEntries/expireSteps + 1 {
+		table.Record("g", []Sample{{Process: Process{ID: "new"}, Weight: 1, At: expired}}, expired)
+	}
 	qt.Check(t, table.Len(), qt.Equals, 1)
 }
 
@@ -116,6 +118,14 @@
 	}
 	qt.Check(t, repeat(now.Add(time.Second)), qt.Equals, 0)
 	qt.Check(t, repeat(now.Add(publishInterval)), qt.Equals, 1)
+	// One of the usual pace is not: without an estimate, an engine counts as usual.
+	usual := []Sample{{Process: Process{ID: "usual"}, Weight: 1, At: now.Add(publishInterval)}}
+	table.Record("g", usual, now.Add(publishInterval))
+	_, version = table.Changes(version, 100, now.Add(publishInterval))
+	usual[0].At = now.Add(3 * publishInterval)
+	table.Record("g", usual, usual[0].At)
+	changes, _ := table.Changes(version, 100, usual[0].At)
+	qt.Check(t, changes, qt.HasLen, 0)
 }
 
 // Guards against pending samples that grow while no coordinator can be reached.
