pace: a limit that is close to the slots counts as all of them

Cause: service times that vary by chance lower the learned limit of concurrency by up to a third, and with it the capacity from which overload is judged. Change: a limit of 0.6 of the slots and more counts as the slots.

--- a/pkg/pace/call.go
+++ b/pkg/pace/call.go
@@ -31,6 +31,9 @@
 	limitRatio   = 2
 	limitCut     = 0.9
 	lowestGrowth = 1.0005
+	// limitDeadBand is the share of the slots above which a limit counts as all of them: service times that
+	// vary by chance lower it by up to a third.
+	limitDeadBand = 0.6
 	// minCapacityWeight is the weight of the samples from which a capacity is known: one sample of 12 s ago.
 	minCapacityWeight = 0.125
 	// loadedShare is the share of the limit from which the concurrency is the likely cause of a long service
@@ -154,7 +157,7 @@
 
 // Limit returns the number of concurrent requests that a server with the given slots handles well.
 func (c *Calls) Limit(slots int) int {
-	if c == nil || c.limit == 0 || slots <= 0 {
+	if c == nil || c.limit == 0 || slots <= 0 || c.limit >= limitDeadBand*float64(slots) {
 		return slots
 	}
 	return max(1, min(slots, int(math.Round(c.limit))))
