gpctl: where shows where a gateway would send a request now, and why

Cause: the estimates behind a decision could be seen only in the log lines of requests that had been sent. Change: gateways answer GET /debug/where at the address for readiness checks with the candidates, their costs, the learned paces with source and age, and the decision; gpctl where prints that as text or JSON. Result: TestExplanationsMatchDecisions compares the explanations with decisions; nothing is sent or reserved (TestWhere).

--- a/cmd/gpctl/main.go
+++ b/cmd/gpctl/main.go
@@ -42,7 +42,7 @@
 	subcommands.Register(instance.VersionCommand{}, "")
 	for _, c := range []subcommands.Command{
 		&getCommand{}, &diffCommand{}, &applyCommand{}, &validateCommand{}, &auditCommand{}, &statusCommand{}, &hashKeyCommand{},
-		&explainCommand{},
+		&explainCommand{}, &whereCommand{},
 	} {
 		subcommands.Register(c, "")
 	}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -185,6 +185,7 @@
 		},
 	}
 	r := chi.NewRouter()
+	r.Get("/debug/where", g.serveWhere)
 	r.Get("/*", g.serveReady)
 	g.readinessServer = &http.Server{Handler: r, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: maxIdleTimeout}
 	serve := func(s *http.Server, l net.Listener) {
