--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -45,6 +45,7 @@
 	inForce, stored follow.PublicationEncoder
 	usage           usageTable
 	rollouts        rollouts
+	paces           *paceTable
 	// metrics is nil if RegisterMetrics was not called.
 	metrics *metrics
 	// peerClient receives announcements from the other coordinators.
@@ -56,7 +57,7 @@
 // New returns a coordinator that is not started yet.
 func New(s settings.Coordinator, dialer *rpc.Dialer, server *rpc.Server, log *slog.Logger) *Service {
 	return &Service{settings: s, dialer: dialer, server: server, log: log, openLog: wal.Open, hub: newHub(ServerTTL(s.AnnounceIntervalMS)),
-		usage: usageTable{table: usage.NewTable(time.Now())}, rollouts: newRollouts()}
+		usage: usageTable{table: usage.NewTable(time.Now())}, rollouts: newRollouts(), paces: newPaceTable()}
 }
 
 // ServiceName implements kernel.Service.
@@ -79,6 +80,10 @@
 		cancel()
 		return eris.Wrap(err, "register the calls for rollouts")
 	}
+	if err := wire.DRPCRegisterPace(s.server.Mux(), s.paces); err != nil {
+		cancel()
+		return eris.Wrap(err, "register the exchange of paces")
+	}
 	if err := s.server.Listen(ctx, s.settings.PeerAddress); err != nil {
 		cancel()
 		return err
--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -56,7 +56,7 @@
 			s.waitsForPlace = true
 			return nil
 		}
-		queue.Place(&s.pending)
+		queue.Leave(&s.pending)
 		return selected
 	}
 	queue.Leave(&s.pending)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/connlimit"
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 )
 
 // metrics holds the instruments of a gateway. The cardinality of labels is bounded:
@@ -85,6 +86,15 @@
 		}
 		return int64(total)
 	})
+	_, err := meter.Int64ObservableGauge("gp_gateway_server_paces", metric.WithDescription("Engines by class of their learned speed."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			counts := g.paceClasses(time.Now())
+			for _, class := range placement.PaceClasses {
+				o.Observe(counts[class], metric.WithAttributes(attribute.String("class", string(class))))
+			}
+			return nil
+		}))
+	errs = append(errs, err)
 	gauge("gp_gateway_waiting_streams", "Streams that wait for a place at an engine.", func() int64 { return int64(g.waitingStreams()) })
 	errs = append(errs, g.guard.RegisterMetrics(meter, connlimit.MetricNames{
 		BytesHeld: "gp_gateway_caller_bytes", Connections: "gp_gateway_caller_connections", Effects: "gp_gateway_caller_limits",
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -159,6 +159,7 @@
 		go g.coordinators.RunRollouts(ctx, g)
 		go g.runMoves(ctx)
 	}
+	go g.coordinators.RunPaces(ctx, g)
 	return nil
 }
 
@@ -200,6 +201,7 @@
 		},
 	}
 	r := chi.NewRouter()
+	r.Get("/debug/where", g.serveWhere)
 	r.Get("/*", g.serveReady)
 	g.readinessServer = &http.Server{Handler: r, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: maxIdleTimeout, ConnState: connlimit.SetState}
 	serve := func(s *http.Server, l net.Listener) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -110,8 +110,7 @@
 	defer s.sends.release()
 	s.limit = g.newLimitWait(req, time.Duration(float64(req.route.Objective)*limitPatienceShare))
 	defer s.endLimitWait()
-	s.pending = placement.PendingStream{Rank: req.rank, OnTimeUntil: placement.LatestPlacement(req.startedAt, req.route.Objective),
-		Organisation: req.organisation, Tokens: req.fields.PromptTokens}
+	s.pending = placement.PendingStream{Rank: req.rank, OnTimeUntil: g.latestPlacement(req), Tokens: req.fields.PromptTokens}
 	defer s.leaveAdmissionQueue()
 	s.excessDraw = g.recordStreamDemand(req.service, req.organisation)
 	if s.lastEventID != "" {
--- a/pkg/pace/call.go
+++ b/pkg/pace/call.go
@@ -16,6 +16,12 @@
 	maxFigureRatio = 4
 	// figureSmoothing is the weight of the latest report in the moving average of the reported slowdown.
 	figureSmoothing = 0.05
+	// serviceTTL is the time without a sample after which the next one replaces the earlier ones: a server that
+	// was slow gets a call now and then, and a quick response shows that it no longer is.
+	serviceTTL = 5 * time.Second
+	// minFigureExcess is the difference from the average below which a report counts as usual, so that servers
+	// that are equal otherwise share the calls.
+	minFigureExcess = 0.05
 	// maxQueueRatio bounds the waiting requests per slot that a report is believed to have. Servers have queues
 	// of four times their slots.
 	maxQueueRatio = 8
@@ -25,6 +31,9 @@
 	limitRatio   = 2
 	limitCut     = 0.9
 	lowestGrowth = 1.0005
+	// limitDeadBand is the share of the slots above which a limit counts as all of them: service times that
+	// vary by chance lower it by up to a third.
+	limitDeadBand = 0.6
 	// minCapacityWeight is the weight of the samples from which a capacity is known: one sample of 12 s ago.
 	minCapacityWeight = 0.125
 	// loadedShare is the share of the limit from which the concurrency is the likely cause of a long service
@@ -63,12 +72,14 @@
 		c.slots = l.Slots
 		queue = max(0, min(maxQueueRatio, float64(l.Waiting)/float64(l.Slots)))
 	}
+	if c.service.Age(now) >= serviceTTL {
+		c.service = Estimate{}
+	}
 	sample := math.Log(milliseconds(latency) / (1 + queue))
 	c.service.Add(sample, 1, now)
-	c.RecordFigure(l.Slowdown, now)
 	if l.Slots > 0 && l.Running > 0 {
 		serviceMS := math.Exp(sample)
-		if l.Slowdown > 0 {
+		if l.Slowdown > 0 && c.usualFigure > 0 {
 			// What slows down the machine as a whole says nothing about its concurrency.
 			serviceMS /= max(1, min(maxFigureRatio, l.Slowdown/c.usualFigure))
 		}
@@ -116,7 +127,11 @@
 		return 1
 	}
 	ratio := max(1.0/maxFigureRatio, min(maxFigureRatio, c.figure/c.usualFigure))
-	return 1 + (ratio-1)*math.Exp(-float64(max(0, now.Sub(c.figureAt)))/float64(figureLife))
+	excess := (ratio - 1) * math.Exp(-float64(max(0, now.Sub(c.figureAt)))/float64(figureLife))
+	if math.Abs(excess) < minFigureExcess {
+		return 1
+	}
+	return 1 + excess
 }
 
 // ServiceLog returns the logarithm of the service time in ms and its weight, 0 if it is unknown.
@@ -142,7 +157,7 @@
 
 // Limit returns the number of concurrent requests that a server with the given slots handles well.
 func (c *Calls) Limit(slots int) int {
-	if c == nil || c.limit == 0 || slots <= 0 {
+	if c == nil || c.limit == 0 || slots <= 0 || c.limit >= limitDeadBand*float64(slots) {
 		return slots
 	}
 	return max(1, min(slots, int(math.Round(c.limit))))
--- a/pkg/placement/admission.go
+++ b/pkg/placement/admission.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// maxPrefillsPerEngine is the number of prompts that gateways send to one engine before the first event
-	// of the earliest: one in prefill, and one that follows it while the gateways learn of its end.
+	// maxPrefillsPerEngine is the number of prompts that gateways send to one engine of the usual pace before
+	// the first event of the earliest: one in prefill, and one that follows it while the gateways learn of
+	// its end.
 	maxPrefillsPerEngine = 2
 	// placementLag is the time until the other gateways know of a placement: the interval at which
 	// placements are sent, and the way through a coordinator.
@@ -31,9 +32,8 @@
 	OnTimeUntil time.Time
 	// Excess is set if the organisation offers much more than its usual load, and this stream is not part of that.
 	Excess bool
-	// Organisation is the organisation of the caller, and Tokens the size of the prompt.
-	Organisation string
-	Tokens       int
+	// Tokens is the size of the prompt.
+	Tokens int
 
 	joined  bool
 	arrival uint64
@@ -47,7 +47,6 @@
 type AdmissionQueue struct {
 	waiting  []*PendingStream
 	arrivals uint64
-	shares   admissionShares
 }
 
 // Join adds a stream, unless it waits already.
@@ -58,7 +57,6 @@
 	q.arrivals++
 	s.joined, s.arrival = true, q.arrivals
 	q.waiting = append(q.waiting, s)
-	q.shares.join(s)
 }
 
 // Leave removes a stream, if it waits.
@@ -68,13 +66,6 @@
 	}
 	s.joined = false
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *PendingStream) bool { return other == s })
-	q.shares.leave(s)
-}
-
-// Place removes a stream that has got a place, which counts for the share of its organisation.
-func (q *AdmissionQueue) Place(s *PendingStream) {
-	q.shares.place(s)
-	q.Leave(s)
 }
 
 // AheadOf returns the tokens of the prompts that go before a stream, which need not wait itself.
@@ -97,7 +88,8 @@
 
 // goesBefore reports whether s is placed before other. Streams that have begun come first, as their callers
 // wait in the middle of a response. Streams that can no longer be on time come last: they would make
-// others late without being on time themselves. Within a rank, organisations share the places.
+// others late without being on time themselves. Within a rank, streams beyond the usual load of their
+// organisation come after the others.
 func (q *AdmissionQueue) goesBefore(s, other *PendingStream, now time.Time) bool {
 	if onTime, otherOnTime := s.canBeOnTime(now), other.canBeOnTime(now); onTime != otherOnTime {
 		return onTime
@@ -111,9 +103,6 @@
 	if s.Excess != other.Excess {
 		return other.Excess
 	}
-	if order := q.shares.compare(s, other); order != 0 {
-		return order < 0
-	}
 	if !s.OnTimeUntil.Equal(other.OnTimeUntil) {
 		return s.OnTimeUntil.Before(other.OnTimeUntil)
 	}
@@ -126,7 +115,8 @@
 	return !s.Resumes && !now.After(s.OnTimeUntil)
 }
 
-// LatestPlacement returns the latest time of a placement with which the first event of a stream is on time.
+// LatestPlacement returns the latest time of a placement with which the first event of a stream with a usual
+// prompt is on time.
 func LatestPlacement(arrivedAt time.Time, objective time.Duration) time.Time {
 	return arrivedAt.Add(objective - prefillDuration)
 }
@@ -189,7 +179,7 @@
 // prompts are ahead.
 func hasPlace(s *Server, now time.Time, r Run) bool {
 	_, peerPrefills, _ := s.peerRunCounts(now)
-	if s.Prefilling+peerPrefills >= maxPrefillsPerEngine || s.Slots > 0 && s.streams(now) >= s.Slots {
+	if float64(s.Prefilling+peerPrefills)*s.relativePace(now) >= maxPrefillsPerEngine || s.Slots > 0 && s.streams(now) >= s.Slots {
 		return false
 	}
 	return hasRoom(s, now, r)
--- a/pkg/placement/capacity.go
+++ b/pkg/placement/capacity.go
@@ -1,103 +1,109 @@
 package placement
 
 import (
+	"math"
+	"slices"
 	"time"
 
-	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/pace"
 )
 
 const (
-	// callDurationWindow is the period of which the shortest duration of a call counts. It is long enough for a
-	// gateway with two requests per second to see a few calls that did not wait.
-	callDurationWindow = 10 * time.Second
-	// callCapacityTTL is how long a computed capacity is used again.
-	callCapacityTTL = 200 * time.Millisecond
-	// capacitySample is about half of the servers at most from which the capacity is computed. Of 256 servers, the share that is ready is
-	// known to about two in a hundred.
-	capacitySample = 256
+	// paceInterval is how long a computed pace is used: it changes little within it, and a decision compares
+	// dozens of engines.
+	paceInterval = 200 * time.Millisecond
+	// maxPrefillScale bounds the prefill that placements assume, relative to prefillDuration.
+	maxPrefillScale = 8
 )
 
-// callDuration is the shortest duration of a call without its wait, in two windows of which the older one counts
-// until it is callDurationWindow old.
-type callDuration struct {
-	current, previous time.Duration
-	startedAt         time.Time
-}
-
-func (d *callDuration) record(duration time.Duration, now time.Time) {
-	if now.Sub(d.startedAt) >= callDurationWindow {
-		d.previous, d.current, d.startedAt = d.current, 0, now
+// PrefillTime returns the time until the first event of a prompt that a server begins to read now with nothing
+// ahead of it. A nil server is one of the usual pace, and 0 tokens a prompt of the usual size. It is
+// prefillDuration, scaled by the pace of the server, until the service's time per prompt token is known.
+func (p *Pool) PrefillTime(s *Server, tokens int, now time.Time) time.Duration {
+	var engine *pace.Engine
+	if s != nil {
+		engine = s.engine
 	}
-	if d.current == 0 || duration < d.current {
-		d.current = duration
+	if d, known := p.engines.PrefillTime(engine, tokens, now); known {
+		return d
 	}
+	return s.assumedPrefill(now)
 }
 
-func (d *callDuration) shortest() time.Duration {
-	if d.previous > 0 && (d.current == 0 || d.previous < d.current) {
-		return d.previous
+// relativePace returns the pace of a server's process: 1 is usual, 2 half the speed.
+func (s *processPace) relativePace(now time.Time) float64 {
+	if s.engine == nil {
+		return 1
+	}
+	if age := now.Sub(s.paceAt); s.paceAt.IsZero() || age >= paceInterval || age < 0 {
+		s.pace, s.paceAt = s.engine.Pace(now), now
 	}
-	return d.current
+	return s.pace
 }
 
-// capacityCache holds the last computed capacity of a pool, and the shortest duration of a call.
-type capacityCache struct {
-	capacity   float64
-	duration   time.Duration
-	computedAt time.Time
+// assumedPrefill returns the duration of a usual prompt's prefill at a server that placements assume.
+func (s *Server) assumedPrefill(now time.Time) time.Duration {
+	if s == nil {
+		return prefillDuration
+	}
+	return scaled(prefillDuration, s.relativePace(now))
 }
 
-// recordCallDuration records the duration of a call, of which a part was spent in the queue that the server
-// reported with the response.
-func (s *Server) recordCallDuration(duration time.Duration, now time.Time) {
-	if now.Sub(s.loadReportedAt) < callLoadTTL {
-		duration = time.Duration(float64(duration) / (1 + float64(s.lastLoad.Waiting)/float64(max(1, s.lastLoad.Slots))))
+func scaled(d time.Duration, factor float64) time.Duration {
+	if factor == 1 {
+		return d
 	}
-	s.callDuration.record(duration, now)
+	return time.Duration(float64(d) * factor)
 }
 
-// CallCapacity returns the number of calls per second that the ready servers serve in time, 0 if it is unknown.
-// Servers without a response of their own count as the mean of the others.
-func (p *Pool) CallCapacity(now time.Time) float64 { return p.currentCapacity(now).capacity }
-
-// CallDuration returns the time that a call takes when it does not wait, 0 if it is unknown.
-func (p *Pool) CallDuration(now time.Time) time.Duration { return p.currentCapacity(now).duration }
+// LatestPlacement returns the latest time of a placement at an engine of the usual pace with which the first
+// event of a stream with a prompt of the given size is on time.
+func (p *Pool) LatestPlacement(arrivedAt time.Time, objective time.Duration, tokens int) time.Time {
+	return arrivedAt.Add(objective - scaled(prefillDuration, min(maxPrefillScale, p.engines.RelativeSize(tokens))))
+}
 
-// currentCapacity returns the capacity, computed at most callCapacityTTL ago.
-func (p *Pool) currentCapacity(now time.Time) capacityCache {
-	if age := now.Sub(p.callCapacity.computedAt); age >= 0 && age < callCapacityTTL {
-		return p.callCapacity
+// pacedCost returns the cost of an engine with the given load for a run. A run adds the cost of a prefill, and all
+// of it takes longer at a slow engine; at engines of the usual pace, only the load counts.
+func pacedCost(load, pace float64) float64 {
+	if pace == 1 {
+		return load
 	}
-	total, considered, slots, knownSlots := len(p.all.servers), 0, 0, 0
-	first, step := p.stride(capacitySample)
-	current := capacityCache{computedAt: now}
-	for i := first; i < total; i += step {
-		s := p.all.servers[i]
-		considered++
-		if s.State != directory.Ready || s.leaving || s.isPaused(now) {
-			continue
-		}
-		n := max(s.Slots, s.lastLoad.Slots)
-		slots += n
-		if duration := s.callDuration.shortest(); duration > 0 {
-			knownSlots += n
-			current.capacity += float64(n) / duration.Seconds()
-			if current.duration == 0 || duration < current.duration {
-				current.duration = duration
-			}
+	return (load+prefillCost)*pace - prefillCost
+}
+
+// usualServiceLog returns the median of the servers' service times, as a logarithm, and false if fewer than two
+// are known.
+func usualServiceLog(servers []*Server, now time.Time) (float64, bool) {
+	var logs [sampleSize]float64
+	known := logs[:0]
+	for _, s := range servers {
+		if log, weight := s.calls.ServiceLog(now); weight > 0 && len(known) < cap(known) {
+			known = append(known, log)
 		}
 	}
-	if knownSlots > 0 {
-		current.capacity *= float64(slots) / float64(knownSlots) * float64(total) / float64(considered)
+	if len(known) < 2 {
+		return 0, false
 	}
-	p.callCapacity = current
-	return current
+	slices.Sort(known)
+	return known[(len(known)-1)/2], true
 }
 
-// PrefillTime returns the time in which an engine reads a prompt of some tokens.
-func (p *Pool) PrefillTime(_ *Server, tokens int, _ time.Time) time.Duration {
-	return time.Duration(float64(prefillDuration) * float64(tokens) / prefillTokens)
+// expectedLatency returns the latency of a call at a server relative to the usual one, queues aside. An estimate
+// older than latencyTTL counts as usual, so that a server that was slow gets a call that shows whether it still
+// is.
+func (s *Server) expectedLatency(usualLog float64, known bool, now time.Time) float64 {
+	if s.calls == nil {
+		return 1
+	}
+	ratio := s.calls.Slowdown(now)
+	if known && now.Sub(s.latencySampledAt) < latencyTTL {
+		ratio *= s.calls.Relative(usualLog, now)
+	}
+	return max(minLatencyRatio, ratio)
 }
 
-// prefillTokens is the number of tokens of a prompt that takes prefillDuration.
-const prefillTokens = 8000
+// minLatencyRatio bounds how much better than usual a server may look, as its reports may be false.
+const minLatencyRatio = 0.25
+
+// withFailures scales a cost by a failure rate, which never lowers it.
+func withFailures(cost, failureRate float64) float64 { return cost + math.Abs(cost)*failureRate }
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -11,12 +11,17 @@
 	// several times as long as the prefill of a prompt, during which all events are late.
 	recentGapWindow = 4 * time.Second
 	// slowdownRatio and slowdownLength are how much longer an engine may take without a fault, and for how
-	// long at a time: other work on the machine.
-	slowdownRatio  = 2.5
-	slowdownLength = 600 * time.Millisecond
-	// recentGapMargin is the ratio to the longest recent time between events up to which a time is no
-	// surprise.
-	recentGapMargin = 1.5
+	// long at a time, because of other work on its machine. They count where servers report how long work
+	// takes at the moment, in the last slowdownReportTTL.
+	slowdownRatio     = 2.5
+	slowdownLength    = 600 * time.Millisecond
+	slowdownReportTTL = time.Minute
+	// assumedPrefillGap is the time between events of an engine of the usual pace that reads a prompt, before
+	// it has been learned.
+	assumedPrefillGap = 230 * time.Millisecond
+	// gapMargin is the ratio to the usual and to the longest recent time between events up to which a time is
+	// no surprise. Steps of equal engines differ by their numbers of streams.
+	gapMargin = 1.5
 )
 
 // processPace is what this gateway learned of the speed of a process. The parts are nil until there is a
@@ -28,6 +33,12 @@
 	// gapWindowAt the start of the present one.
 	longestGaps [2]time.Duration
 	gapWindowAt time.Time
+	// heardAt is the last time that an event was received or a connection accepted. It does not end an outage,
+	// as the other servers of a data centre that fails may follow.
+	heardAt time.Time
+	// pace is the pace of the engine as of paceAt.
+	pace   float64
+	paceAt time.Time
 }
 
 // enginePace returns the estimate of a server's process, which is created if there is none.
@@ -54,13 +65,33 @@
 		return 0
 	}
 	_, peerPrefills, _ := s.peerRunCounts(now)
-	return s.Prefilling + peerPrefills
+	unread := 0
+	if busy := p.busyUntil(s, now).Sub(now); busy > 0 {
+		unread = 1 + int(busy/s.assumedPrefill(now))
+	}
+	return max(s.Prefilling+peerPrefills, unread)
 }
 
 // RecordFirstEvent records the time from the start of an attempt to the first event of its prompt.
 func (p *Pool) RecordFirstEvent(process Process, prompt pace.Prompt, elapsed time.Duration, now time.Time) {
 	if s := p.serverOf(process); s != nil {
-		p.engines.RecordFirstEvent(s.enginePace(), prompt, elapsed, now)
+		log, weight := p.engines.RecordFirstEvent(s.enginePace(), prompt, elapsed, now)
+		p.addPaceSample(process, log, weight, now)
+	}
+}
+
+func (p *Pool) addPaceSample(process Process, log, weight float64, now time.Time) {
+	p.paceSamples.Add(pace.Sample{Process: pace.Process(process), Log: log, Weight: weight, At: now})
+}
+
+// TakePaceSamples returns the samples of the pace of engines since the last call, for the other gateways.
+func (p *Pool) TakePaceSamples() []pace.Sample { return p.paceSamples.Take() }
+
+// RecordSharedPace records the estimate of an engine's pace from the samples of all gateways. Those of a process
+// that has ended are ignored.
+func (p *Pool) RecordSharedPace(e pace.Entry, now time.Time) {
+	if s := p.serverOf(Process(e.Process)); s != nil {
+		s.enginePace().RecordShared(pace.Shared{Log: e.Log, Weight: e.Weight, Gateways: e.Gateways, ReceivedAt: now})
 	}
 }
 
@@ -71,12 +102,13 @@
 	if s == nil {
 		return
 	}
-	s.lastAliveAt = now
+	s.heardAt = now
 	s.recordLongestGap(longest, now)
 	from := now.Add(-period)
 	// Whether a prompt was read is compared at the start and the end: a sample of both kinds says little.
 	if prefill := p.readsPrompt(s, now); prefill == p.readsPrompt(s, from) {
-		p.engines.RecordGaps(s.enginePace(), pace.Gaps{Mean: mean, Streams: s.streams(now), Prefill: prefill}, now)
+		log, weight := p.engines.RecordGaps(s.enginePace(), pace.Gaps{Mean: mean, Streams: s.streams(now), Prefill: prefill}, now)
+		p.addPaceSample(process, log, weight, now)
 	}
 }
 
@@ -105,7 +137,12 @@
 // readsPrompt reports whether an engine reads a prompt at a time, as far as this gateway knows: prompts that
 // were sent to it are read one after the other.
 func (p *Pool) readsPrompt(s *Server, at time.Time) bool {
-	var busyUntil time.Time
+	return at.Before(p.busyUntil(s, at))
+}
+
+// busyUntil returns the time until which an engine reads the prompts that were sent to it before a time.
+func (p *Pool) busyUntil(s *Server, at time.Time) (busyUntil time.Time) {
+	duration := s.assumedPrefill(at)
 	for _, startedAt := range s.prefillStarts {
 		if startedAt.After(at) {
 			continue
@@ -113,9 +150,9 @@
 		if busyUntil.Before(startedAt) {
 			busyUntil = startedAt
 		}
-		busyUntil = busyUntil.Add(prefillDuration)
+		busyUntil = busyUntil.Add(duration)
 	}
-	return at.Before(busyUntil)
+	return busyUntil
 }
 
 // PlausibleGap returns the longest time between two events that the engine of a run can be expected to take
@@ -128,8 +165,14 @@
 	e := GapEstimate{Pace: s.engine.Pace(now), Prefill: p.readsPrompt(s, now), Longest: s.longestGap(now)}
 	e.Source, e.Age = s.engine.Explain(now)
 	e.Usual = p.engines.Gap(s.engine, s.streams(now), e.Prefill, now)
-	slowedDown := min(time.Duration(float64(e.Usual)*slowdownRatio), e.Usual+time.Duration(float64(slowdownLength)*(1-1/slowdownRatio)))
-	return max(slowedDown, time.Duration(float64(e.Longest)*recentGapMargin)), e
+	plausible := scaled(max(e.Usual, e.Longest), gapMargin)
+	if !p.slowdownReportedAt.IsZero() && now.Sub(p.slowdownReportedAt) < slowdownReportTTL {
+		if e.Prefill && e.Usual == 0 {
+			e.Usual = scaled(assumedPrefillGap, e.Pace)
+		}
+		plausible = max(plausible, min(scaled(e.Usual, slowdownRatio), e.Usual+scaled(slowdownLength, 1-1/slowdownRatio)))
+	}
+	return plausible, e
 }
 
 // GapEstimate is the estimate of the time between two events of an engine, for logs.
@@ -144,15 +187,62 @@
 	Prefill        bool
 }
 
+// PaceEstimate returns the pace of an engine, its source and the age of its last sample.
+func (p *Pool) PaceEstimate(id string, now time.Time) (float64, pace.Source, time.Duration) {
+	s := p.servers[id]
+	if s == nil {
+		return 1, pace.SourceNone, 0
+	}
+	source, age := s.engine.Explain(now)
+	return s.relativePace(now), source, age
+}
+
 // IsAlive reports whether something was received from a process after a time.
 func (p *Pool) IsAlive(process Process, since time.Time) bool {
 	s := p.serverOf(process)
-	return s != nil && s.lastAliveAt.After(since)
+	return s != nil && (s.lastAliveAt.After(since) || s.heardAt.After(since))
 }
 
 // RecordAlive records that a connection to a process was accepted.
 func (p *Pool) RecordAlive(process Process, now time.Time) {
 	if s := p.serverOf(process); s != nil {
-		s.lastAliveAt = now
+		s.heardAt = now
+	}
+}
+
+// PaceClass is a class of speed, for metrics.
+type PaceClass string
+
+// The classes of speed. Their bounds lie between the speeds of 0.6, 1.0 and 1.6 times the usual, and above them.
+const (
+	PaceUnknown PaceClass = "unknown"
+	PaceFast    PaceClass = "fast"
+	PaceUsual   PaceClass = "usual"
+	PaceSlow    PaceClass = "slow"
+	PaceStalled PaceClass = "very_slow"
+)
+
+// PaceClasses lists all classes.
+var PaceClasses = []PaceClass{PaceUnknown, PaceFast, PaceUsual, PaceSlow, PaceStalled}
+
+// CountPaceClasses adds the number of engines of each class to counts.
+func (p *Pool) CountPaceClasses(now time.Time, counts map[PaceClass]int64) {
+	const fastBelow, slowFrom, verySlowFrom = 0.8, 1.25, 2.5
+	for _, s := range p.all.servers {
+		if s.engine == nil {
+			continue
+		}
+		class, relative := PaceUsual, s.relativePace(now)
+		switch source, _ := s.engine.Explain(now); {
+		case source == pace.SourceNone:
+			class = PaceUnknown
+		case relative < fastBelow:
+			class = PaceFast
+		case relative >= verySlowFrom:
+			class = PaceStalled
+		case relative >= slowFrom:
+			class = PaceSlow
+		}
+		counts[class]++
 	}
 }
