--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -248,14 +248,20 @@
 
 // replace exchanges a report of one process for a later one.
 func (s sums) replace(earlier, later Report) {
-	for _, c := range earlier.Counts {
-		k := key{c.Route, c.NewVersion}
-		s[k] = s[k].minus(c)
-	}
-	for _, c := range later.Counts {
+	for i, c := range later.Counts {
 		k := key{c.Route, c.NewVersion}
+		// Reports of one process usually name the routes in one order, which saves a lookup.
+		if i < len(earlier.Counts) && earlier.Counts[i].Route == c.Route && earlier.Counts[i].NewVersion == c.NewVersion {
+			c = c.minus(earlier.Counts[i])
+		}
 		s[k] = s[k].plus(c)
 	}
+	for i, c := range earlier.Counts {
+		if i >= len(later.Counts) || later.Counts[i].Route != c.Route || later.Counts[i].NewVersion != c.NewVersion {
+			k := key{c.Route, c.NewVersion}
+			s[k] = s[k].minus(c)
+		}
+	}
 }
 
 // answered returns the number of responses of the new version.
--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -30,6 +30,8 @@
 	// leaderChangeAt is the share of the time limit after which the leader ends, if it is above 0. The next one
 	// decides 800 ms later, and knows the record and reports from then on.
 	leaderChangeAt float64
+	// loadFactor multiplies the rate from loadFrom, a share of the time limit, on, if it is above 0.
+	loadFactor, loadFrom float64
 }
 
 // badness describes a bad version; the zero value is a good one.
@@ -158,7 +160,11 @@
 			evidence.Add(fmt.Sprint(r.gateway), 1, r.report, at)
 		}
 		delete(reports, now)
-		for n := poisson(random, s.rate*simTick.Seconds()); n > 0; n-- {
+		rate := s.rate
+		if s.loadFactor > 0 && now >= time.Duration(s.loadFrom*float64(s.duration)) {
+			rate *= s.loadFactor
+		}
+		for n := poisson(random, rate*simTick.Seconds()); n > 0; n-- {
 			i := random.IntN(len(gateways))
 			g := gateways[i]
 			route := []string{"a", "b"}[random.IntN(2)]
@@ -320,6 +326,7 @@
 			o := s.run(seed)
 			qt.Check(t, o.state, qt.Equals, Complete, qt.Commentf("seed %d, failures %g: %+v", seed, s.normalFailures, o))
 			late := o.decidedAt - s.duration
+			t.Logf("complete %d ms after the limit", late.Milliseconds())
 			qt.Check(t, late <= s.allowedDelay(), qt.IsTrue, qt.Commentf("seed %d, failures %g: %s late: %+v", seed, s.normalFailures, late, o))
 			qt.Check(t, o.lostRequests, qt.Equals, 0)
 		}
@@ -338,6 +345,24 @@
 	}
 }
 
+// Guards against a bad version that exceeds its exposure because the load rises or falls during the rollout. A burst
+// that begins after share 1 is not among them: no share that was chosen before could account for it.
+func TestLoadChanges(t *testing.T) {
+	for _, rate := range simRates {
+		for _, s := range []simulation{{loadFactor: 2.6, loadFrom: 0.3}, {loadFactor: 2.6, loadFrom: 0.7}, {loadFactor: 0.4, loadFrom: 0.5}} {
+			for _, s.bad = range []badness{{failing: 0.4, fromShare: 0.8}, {slow: 5, from: 0.7}, {failing: 0.4}} {
+				for seed := range uint64(4) {
+					s.gateways, s.rate, s.duration = 95, rate, 12*time.Second
+					o := s.run(seed)
+					comment := qt.Commentf("seed %d, %+v: %+v", seed, s, o)
+					qt.Check(t, float64(o.exposed) <= 0.1*float64(o.all)+50, qt.IsTrue, comment)
+					qt.Check(t, o.lateRequests, qt.Equals, 0, comment)
+				}
+			}
+		}
+	}
+}
+
 // Guards against a rollout that misses its time limit because the leader ends well before it, and against a new
 // leader that takes the reports of the whole rollout for recent ones and raises the share too early.
 func TestLeaderChanges(t *testing.T) {
