--- a/pkg/rollout/sim_test.go
+++ b/pkg/rollout/sim_test.go
@@ -363,6 +363,20 @@
 	}
 }
 
+// Guards against a rollout of a service without requests, or with hardly any, that never completes: there is
+// nothing to judge then.
+func TestIdleServicesComplete(t *testing.T) {
+	for _, rate := range []float64{0, 0.3, 2} {
+		for seed := range uint64(4) {
+			s := simulation{gateways: 16, rate: rate, duration: 20 * time.Second}
+			o := s.run(seed)
+			comment := qt.Commentf("seed %d, %+v: %+v", seed, s, o)
+			qt.Check(t, o.state, qt.Equals, Complete, comment)
+			qt.Check(t, o.decidedAt <= s.duration+RollbackReserve, qt.IsTrue, comment)
+		}
+	}
+}
+
 // Guards against a rollout that misses its time limit because the leader ends well before it, and against a new
 // leader that takes the reports of the whole rollout for recent ones and raises the share too early.
 func TestLeaderChanges(t *testing.T) {
