--- a/pkg/pace/call.go
+++ b/pkg/pace/call.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// callEvenWidth is the logarithm of the ratio up to which servers for calls count as equally fast: 1.5.
-	// The ways to other data centres and the gateway itself add up to half of a service time of 15 ms.
-	callEvenWidth = 0.4
+	// callEvenWidth is the logarithm of the ratio up to which servers for calls count as equally fast: 2.5. The service
+	// time leaves out the wait in the queue, so that gateways which see a few calls per second would all keep to
+	// a server that is somewhat faster, and fill its queue.
+	callEvenWidth = 0.92
 	// figureLife is the time in which the value of a reported slowdown falls to a third. Servers are slowed
 	// down for up to 600 ms at a time and report it with each response.
 	figureLife = 100 * time.Millisecond
