--- a/pkg/pace/call.go
+++ b/pkg/pace/call.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// callEvenWidth is the logarithm of the ratio up to which servers for calls count as equally fast: 2.5. The service
+	// callEvenWidth is the logarithm of the ratio up to which servers for calls count as equally fast: 2. The service
 	// time leaves out the wait in the queue, so that gateways which see a few calls per second would all keep to
 	// a server that is somewhat faster, and fill its queue.
-	callEvenWidth = 0.92
+	callEvenWidth = 0.7
 	// figureLife is the time in which the value of a reported slowdown falls to a third. Servers are slowed
 	// down for up to 600 ms at a time and report it with each response.
 	figureLife = 100 * time.Millisecond
