rollout: age of orders in events, sends without a response that is owed, one copy of the conversions

Cause: gateways and coordinators were built side by side. Coordinators did not tell the age of an order, so that a gateway which started late took the limit for a later one, and took requests that were refused or whose caller had left for requests without a response, which count as slow. Change: coordinators use the conversions of package follow, with the age; the evidence keeps the count of such requests. Result: rollout, follow and the tests of rollouts in coordinator pass.

--- a/pkg/coordinator/rollouts.go
+++ b/pkg/coordinator/rollouts.go
@@ -16,6 +16,7 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/consensus"
 	"github.com/geraniumpitch/geraniumpitch/pkg/control"
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
+	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rollout"
 	"github.com/geraniumpitch/geraniumpitch/pkg/rpc"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
@@ -67,21 +68,12 @@
 		BeginUnknown: wire.BeginRolloutStatus_BEGIN_ROLLOUT_UNKNOWN,
 	}
 	beginFromWire = map[wire.BeginRolloutStatus]BeginOutcome{}
-
-	stateToWire = map[rollout.State]wire.RolloutState{
-		rollout.InProgress: wire.RolloutState_ROLLOUT_IN_PROGRESS, rollout.Complete: wire.RolloutState_ROLLOUT_COMPLETE,
-		rollout.RolledBack: wire.RolloutState_ROLLOUT_ROLLED_BACK,
-	}
-	stateFromWire = map[wire.RolloutState]rollout.State{}
 )
 
 func init() {
 	for outcome, status := range beginToWire {
 		beginFromWire[status] = outcome
 	}
-	for state, encoded := range stateToWire {
-		stateFromWire[encoded] = state
-	}
 }
 
 // rollouts holds what this coordinator knows of rollouts beside the records of the control group. All of it is
@@ -151,23 +143,13 @@
 func (r *rollouts) addReport(report *wire.RolloutReport, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, service := range report.Services {
+	for _, service := range follow.DecodeRolloutReport(report) {
 		if f := r.followed[service.Number]; f != nil {
-			f.evidence.Add(report.Instance, report.Incarnation, decodeServiceReport(service), now)
+			f.evidence.Add(report.Instance, report.Incarnation, service, now)
 		}
 	}
 }
 
-func decodeServiceReport(s *wire.ServiceRolloutReport) rollout.Report {
-	report := rollout.Report{Number: s.Number, Step: int(s.Step), OldInFlight: int(s.OldInFlight)}
-	for _, c := range s.Counts {
-		counts := rollout.Counts{Route: c.Route, NewVersion: c.NewVersion, Sent: c.Sent, Succeeded: c.Succeeded, Failed: c.Failed}
-		copy(counts.Latencies[:], c.Latencies)
-		report.Counts = append(report.Counts, counts)
-	}
-	return report
-}
-
 // lead returns the time since which this coordinator leads.
 func (r *rollouts) lead(term uint64, now time.Time) time.Time {
 	r.mu.Lock()
@@ -342,30 +324,15 @@
 				return wire.NewDRPCRolloutsClient(conn).Read(ctx, &wire.ReadRolloutRequest{Service: service})
 			})
 		if err == nil && response.Confirmed {
-			return decodeRollout(response.Rollout), response.Rollout != nil, true
+			for _, r := range follow.DecodeRollouts([]*wire.Rollout{response.Rollout}, time.Now()) {
+				return r, true, true
+			}
+			return rollout.Record{}, false, true
 		}
 	}
 	return rollout.Record{}, false, false
 }
 
-// encodeRollout converts a record to its wire format, which leaves out the time of the order.
-func encodeRollout(r rollout.Record) *wire.Rollout {
-	return &wire.Rollout{
-		Service: r.Service, Number: r.Number, Version: r.Version, Established: r.Established, State: stateToWire[r.State],
-		Step: uint32(r.Step), Share: r.Share, DurationMs: uint64(r.Duration.Milliseconds()),
-	}
-}
-
-func decodeRollout(r *wire.Rollout) rollout.Record {
-	if r == nil {
-		return rollout.Record{}
-	}
-	return rollout.Record{
-		Service: r.Service, Number: r.Number, Version: r.Version, Established: r.Established, State: stateFromWire[r.State],
-		Step: int(r.Step), Share: r.Share, Duration: time.Duration(r.DurationMs) * time.Millisecond,
-	}
-}
-
 // rolloutServer implements the RPC interface for rollouts.
 type rolloutServer struct{ service *Service }
 
@@ -384,7 +351,7 @@
 	}
 	response := &wire.ReadRolloutResponse{Confirmed: true}
 	if record, exists := node.Rollout(request.Service); exists {
-		response.Rollout = encodeRollout(record)
+		response.Rollout = follow.EncodeRollout(record, time.Now())
 	}
 	return response, nil
 }
@@ -518,12 +485,12 @@
 
 // changed returns the rollouts that are newer than those sent before, and records them as sent. A member that
 // replaces its node may hold older ones for a while.
-func (sent sentRollouts) changed(records []rollout.Record) (encoded []*wire.Rollout) {
+func (sent sentRollouts) changed(records []rollout.Record, now time.Time) (encoded []*wire.Rollout) {
 	for _, r := range records {
 		version, previous := [2]uint64{r.Number, uint64(r.Step)}, sent[r.Service]
 		if version[0] > previous[0] || version[0] == previous[0] && version[1] > previous[1] {
 			sent[r.Service] = version
-			encoded = append(encoded, encodeRollout(r))
+			encoded = append(encoded, follow.EncodeRollout(r, now))
 		}
 	}
 	return encoded
--- a/pkg/coordinator/rollouts_test.go
+++ b/pkg/coordinator/rollouts_test.go
@@ -411,7 +411,7 @@
 		step   int
 		want   int
 	}{{1, 0, 1}, {1, 0, 0}, {1, 2, 1}, {1, 1, 0}, {2, 0, 1}, {1, 9, 0}} {
-		qt.Check(t, sent.changed([]rollout.Record{{Service: "app", Number: tt.number, Step: tt.step}}), qt.HasLen, tt.want)
+		qt.Check(t, sent.changed([]rollout.Record{{Service: "app", Number: tt.number, Step: tt.step}}, time.Now()), qt.HasLen, tt.want)
 	}
 }
 
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -452,7 +452,7 @@
 			}
 			// The channel was taken before, so that it is closed by any later change of a rollout.
 			records, _ := node.RolloutsAndChange()
-			event.Rollouts = sentRollouts.changed(records)
+			event.Rollouts = sentRollouts.changed(records, time.Now())
 		}
 		if err := stream.Send(event); err != nil {
 			return err
--- a/pkg/follow/rollouts.go
+++ b/pkg/follow/rollouts.go
@@ -44,8 +44,8 @@
 func DecodeRollouts(rollouts []*wire.Rollout, now time.Time) []rollout.Record {
 	var records []rollout.Record
 	for _, r := range rollouts {
-		state, ok := rolloutStateFromWire[r.State]
-		if !ok || r.Service == "" {
+		state, ok := rolloutStateFromWire[r.GetState()]
+		if !ok || r.GetService() == "" {
 			continue
 		}
 		records = append(records, rollout.Record{
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -283,13 +283,13 @@
 }
 
 func (c Counts) plus(other Counts) Counts {
-	c.Sent, c.Succeeded, c.Failed = c.Sent+other.Sent, c.Succeeded+other.Succeeded, c.Failed+other.Failed
+	c.Sent, c.Succeeded, c.Failed, c.Void = c.Sent+other.Sent, c.Succeeded+other.Succeeded, c.Failed+other.Failed, c.Void+other.Void
 	c.Latencies.Merge(other.Latencies)
 	return c
 }
 
 func (c Counts) minus(other Counts) Counts {
-	c.Sent, c.Succeeded, c.Failed = c.Sent-other.Sent, c.Succeeded-other.Succeeded, c.Failed-other.Failed
+	c.Sent, c.Succeeded, c.Failed, c.Void = c.Sent-other.Sent, c.Succeeded-other.Succeeded, c.Failed-other.Failed, c.Void-other.Void
 	for i, count := range other.Latencies {
 		c.Latencies[i] -= count
 	}
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -286,7 +286,9 @@
 }
 
 func (e *Evidence) unansweredAt(k key, threshold int, t time.Time) float64 {
-	sent, answered := e.at(t.Add(-answerWait(threshold)))[k].Sent, answers(e.at(t)[k])
+	// Requests that were refused, or whose caller left, wait for no response.
+	known := e.at(t)[k]
+	sent, answered := e.at(t.Add(-answerWait(threshold)))[k].Sent, answers(known)+known.Void
 	if sent <= answered {
 		return 0
 	}
