--- a/pkg/placement/version_test.go
+++ b/pkg/placement/version_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -48,10 +49,18 @@
 			p.RecordRequestStart(updated)
 		}
 		selections := map[string]func() *Server{
-			"call":       func() *Server { return p.SelectForCall(now, nil) },
-			"engine":     func() *Server { return p.SelectEngine(now, testRun) },
-			"free":       func() *Server { return p.SelectFreeEngine(now, testRun) },
-			"claim":      func() *Server { return p.ClaimFreeEngine(now, testRun, 1) },
+			"call":   func() *Server { return p.SelectForCall(now, nil) },
+			"engine": func() *Server { return p.SelectEngine(now, testRun) },
+			"free":   func() *Server { return p.SelectFreeEngine(now, testRun) },
+			"claim": func() *Server {
+				// A gateway claims a place with a probability, once in each interval.
+				for i := range 100 {
+					if s := p.ClaimFreeEngine(now.Add(time.Duration(i)*claimInterval), testRun, 1); s != nil {
+						return s
+					}
+				}
+				return nil
+			},
 			"relocation": func() *Server { return p.SelectRelocationTarget(now, testRun, updated) },
 			"caching": func() *Server {
 				run := testRun
