wire: the calls for rollouts have a name of their own

Cause: their generated names were those of the operators' calls, which stay in platform/. Change: the service is named RolloutService.

--- a/pkg/coordinator/rollouts.go
+++ b/pkg/coordinator/rollouts.go
@@ -218,7 +218,7 @@
 	for _, address := range s.leaderCandidates() {
 		response, err := rpc.Call(ctx, s.dialer, address, callTimeout,
 			func(ctx context.Context, conn drpc.Conn) (*wire.BeginRolloutResponse, error) {
-				return wire.NewDRPCRolloutsClient(conn).Begin(ctx, request)
+				return wire.NewDRPCRolloutServiceClient(conn).Begin(ctx, request)
 			})
 		var dialErr *rpc.DialError
 		switch {
@@ -321,7 +321,7 @@
 	for _, address := range s.leaderCandidates() {
 		response, err := rpc.Call(ctx, s.dialer, address, callTimeout,
 			func(ctx context.Context, conn drpc.Conn) (*wire.ReadRolloutResponse, error) {
-				return wire.NewDRPCRolloutsClient(conn).Read(ctx, &wire.ReadRolloutRequest{Service: service})
+				return wire.NewDRPCRolloutServiceClient(conn).Read(ctx, &wire.ReadRolloutRequest{Service: service})
 			})
 		if err == nil && response.Confirmed {
 			for _, r := range follow.DecodeRollouts([]*wire.Rollout{response.Rollout}, time.Now()) {
@@ -336,14 +336,14 @@
 // rolloutServer implements the RPC interface for rollouts.
 type rolloutServer struct{ service *Service }
 
-// Begin implements wire.DRPCRolloutsServer.
+// Begin implements wire.DRPCRolloutServiceServer.
 func (r *rolloutServer) Begin(ctx context.Context, request *wire.BeginRolloutRequest) (*wire.BeginRolloutResponse, error) {
 	duration := time.Duration(min(request.DurationMs, math.MaxInt64/uint64(time.Millisecond))) * time.Millisecond
 	outcome, message := r.service.beginAtLeader(ctx, request.Service, request.Version, duration)
 	return &wire.BeginRolloutResponse{Status: beginToWire[outcome], Message: message}, nil
 }
 
-// Read implements wire.DRPCRolloutsServer.
+// Read implements wire.DRPCRolloutServiceServer.
 func (r *rolloutServer) Read(ctx context.Context, request *wire.ReadRolloutRequest) (*wire.ReadRolloutResponse, error) {
 	node := r.service.group.currentNode()
 	if node == nil || !node.ConfirmRead(ctx) {
@@ -356,7 +356,7 @@
 	return response, nil
 }
 
-// Report implements wire.DRPCRolloutsServer.
+// Report implements wire.DRPCRolloutServiceServer.
 func (r *rolloutServer) Report(ctx context.Context, report *wire.RolloutReport) (*wire.RolloutReportResponse, error) {
 	s := r.service
 	node := s.group.currentNode()
@@ -370,7 +370,7 @@
 	}
 	return rpc.Call(ctx, s.dialer, leader, reportTimeout,
 		func(ctx context.Context, conn drpc.Conn) (*wire.RolloutReportResponse, error) {
-			return wire.NewDRPCRolloutsClient(conn).Report(ctx, report)
+			return wire.NewDRPCRolloutServiceClient(conn).Report(ctx, report)
 		})
 }
 
--- a/pkg/coordinator/rollouts_test.go
+++ b/pkg/coordinator/rollouts_test.go
@@ -159,7 +159,7 @@
 	for i := 1; i <= len(w.group.seeds); i++ {
 		_, err := rpc.Call(ctx, w.dialer, w.group.address(i), time.Second,
 			func(ctx context.Context, conn drpc.Conn) (*wire.RolloutReportResponse, error) {
-				return wire.NewDRPCRolloutsClient(conn).Report(ctx, report)
+				return wire.NewDRPCRolloutServiceClient(conn).Report(ctx, report)
 			})
 		if err == nil {
 			return
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -76,7 +76,7 @@
 		cancel()
 		return eris.Wrap(err, "register the coordinator calls")
 	}
-	if err := wire.DRPCRegisterRollouts(s.server.Mux(), &rolloutServer{service: s}); err != nil {
+	if err := wire.DRPCRegisterRolloutService(s.server.Mux(), &rolloutServer{service: s}); err != nil {
 		cancel()
 		return eris.Wrap(err, "register the calls for rollouts")
 	}
--- a/pkg/follow/rollouts.go
+++ b/pkg/follow/rollouts.go
@@ -93,7 +93,7 @@
 	for _, address := range c.usageTargets() {
 		_, err := rpc.Call(ctx, c.dialer, address, rolloutReportTimeout,
 			func(ctx context.Context, conn drpc.Conn) (*wire.RolloutReportResponse, error) {
-				return wire.NewDRPCRolloutsClient(conn).Report(ctx, report)
+				return wire.NewDRPCRolloutServiceClient(conn).Report(ctx, report)
 			})
 		if err == nil {
 			return nil
--- a/pkg/follow/rollouts_test.go
+++ b/pkg/follow/rollouts_test.go
@@ -70,7 +70,7 @@
 	c := &rolloutCoordinator{events: make(chan *wire.FollowEvent, 8)}
 	server := rpc.NewServer(nil, &rpc.Counters{}, slog.New(slog.DiscardHandler))
 	qt.Assert(t, wire.DRPCRegisterCoordinator(server.Mux(), c), qt.IsNil)
-	qt.Assert(t, wire.DRPCRegisterRollouts(server.Mux(), c), qt.IsNil)
+	qt.Assert(t, wire.DRPCRegisterRolloutService(server.Mux(), c), qt.IsNil)
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	c.address = free.Addr().String()
