--- a/pkg/follow/rollouts_test.go
+++ b/pkg/follow/rollouts_test.go
@@ -23,7 +23,7 @@
 // rolloutCoordinator is a coordinator that sends given events and records reports.
 type rolloutCoordinator struct {
 	wire.DRPCCoordinatorUnimplementedServer
-	wire.DRPCRolloutsUnimplementedServer
+	wire.DRPCRolloutServiceUnimplementedServer
 	address string
 	events  chan *wire.FollowEvent
 
