--- a/pkg/placement/capacity.go
+++ b/pkg/placement/capacity.go
@@ -12,6 +12,9 @@
 	// paceInterval is how long a computed pace is used: it changes little within it, and a decision compares
 	// dozens of engines.
 	paceInterval = 200 * time.Millisecond
+	// evenPaceWidth is the logarithm of the difference up to which placements treat engines alike: 35%. Where all engines
+	// are equally fast, estimates differ by up to that under load, and all gateways would prefer the same few.
+	evenPaceWidth = 0.3
 	// maxPrefillScale bounds the prefill that placements assume, relative to prefillDuration.
 	maxPrefillScale = 8
 )
@@ -36,7 +39,7 @@
 		return 1
 	}
 	if age := now.Sub(s.paceAt); s.paceAt.IsZero() || age >= paceInterval || age < 0 {
-		s.pace, s.paceAt = s.engine.Pace(now), now
+		s.pace, s.paceAt = pace.Marked(s.engine.Pace(now), evenPaceWidth), now
 	}
 	return s.pace
 }
