--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -155,6 +155,10 @@
 	return busyUntil
 }
 
+// minSlowGap is the time between events from which an engine whose machine has a constant speed counts as slow. An engine
+// of the usual speed that reads a prompt sends an event every 260 ms; its silence is an end more often than not.
+const minSlowGap = 300 * time.Millisecond
+
 // PlausibleGap returns the longest time between two events that the engine of a run can be expected to take
 // without a fault, 0 if nothing is known of it, and the estimate that it follows from.
 func (p *Pool) PlausibleGap(process Process, now time.Time) (time.Duration, GapEstimate) {
@@ -165,8 +169,13 @@
 	e := GapEstimate{Pace: s.engine.Pace(now), Prefill: p.readsPrompt(s, now), Longest: s.longestGap(now)}
 	e.Source, e.Age = s.engine.Explain(now)
 	e.Usual = p.engines.Gap(s.engine, s.streams(now), e.Prefill, now)
-	plausible := scaled(max(e.Usual, e.Longest), gapMargin)
-	if !p.slowdownReportedAt.IsZero() && now.Sub(p.slowdownReportedAt) < slowdownReportTTL {
+	longest := max(e.Usual, e.Longest)
+	plausible := scaled(longest, gapMargin)
+	reportsSlowdown := !p.slowdownReportedAt.IsZero() && now.Sub(p.slowdownReportedAt) < slowdownReportTTL
+	if !reportsSlowdown && longest < minSlowGap {
+		return 0, e
+	}
+	if reportsSlowdown {
 		if e.Prefill && e.Usual == 0 {
 			e.Usual = scaled(assumedPrefillGap, e.Pace)
 		}
