placement: paces count where engines differ in speed

Change: where less than 35% of the engines with an estimate differ by 35%, only differences above a factor of 2 count.

--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -36,6 +36,8 @@
 	// heardAt is the last time that an event was received or a connection accepted. It does not end an outage,
 	// as the other servers of a data centre that fails may follow.
 	heardAt time.Time
+	// spread tells whether the engines of the service differ in speed; nil if that is unknown.
+	spread *paceSpread
 	// pace is the pace of the engine as of paceAt.
 	pace   float64
 	paceAt time.Time
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -118,8 +118,9 @@
 	lastLimitAt, lastPauseEnd time.Time
 	versions                  versionState
 	callCapacity              capacityCache
-	// engines is what is usual for the speed of the service's engines.
+	// engines is what is usual for the speed of the service's engines, and spread whether they differ in it.
 	engines pace.Engines
+	spread  paceSpread
 	// slowdownReportedAt is the latest time at which a server reported how long work takes at the moment.
 	slowdownReportedAt time.Time
 	// paceSamples are the samples of the pace of engines that other gateways have not received.
@@ -203,6 +204,7 @@
 
 // candidates returns the selectable servers. It returns avoided servers only if there are no others.
 func (p *Pool) candidates(now time.Time, exclude []string) []*Server {
+	p.updatePaceSpread(now)
 	return p.preferHealthy(now, func(s *Server) bool { return p.isSelectable(s, now, exclude) })
 }
 
