placement: paces of engines count where servers report the speed of their machines

Change: placements use a pace only while servers of the service report how long work takes on their machines. Result: tests of placement, pace and of paces in loadmodel pass.

--- a/pkg/pace/estimate.go
+++ b/pkg/pace/estimate.go
@@ -166,15 +166,6 @@
 	return x * (1 - ratio*ratio*ratio*ratio)
 }
 
-// Marked returns a ratio with differences up to a width, as a logarithm, removed.
-func Marked(ratio, width float64) float64 {
-	x := threshold(math.Log(ratio), width)
-	if x == 0 {
-		return 1
-	}
-	return math.Exp(x)
-}
-
 // usual is the usual value of a quantity over all servers of a service, as a logarithm. It follows slowly, so
 // that the change of one server does not change what is usual.
 type usual struct {
--- a/pkg/placement/capacity.go
+++ b/pkg/placement/capacity.go
@@ -12,19 +12,6 @@
 	// paceInterval is how long a computed pace is used: it changes little within it, and a decision compares
 	// dozens of engines.
 	paceInterval = 200 * time.Millisecond
-	// evenPaceWidth is the logarithm of the difference, 35%, from which an engine counts as one of another speed, and
-	// outlierPaceWidth that, a factor of 2, up to which placements treat the engines of a service alike whose engines
-	// are not uneven: there, estimates differ under load, and all gateways would prefer the same few engines.
-	evenPaceWidth    = 0.3
-	outlierPaceWidth = 0.7
-	// unevenShare is the share of the engines with an estimate that must differ by evenPaceWidth for the engines of a
-	// service to count as uneven, and minKnownPaces the number of estimates that this needs.
-	unevenShare   = 0.35
-	minKnownPaces = 3
-	// spreadInterval is how long it is used again whether the engines are uneven, and spreadSample about half of the
-	// engines at most from which that is told.
-	spreadInterval = time.Second
-	spreadSample   = 256
 	// maxPrefillScale bounds the prefill that placements assume, relative to prefillDuration.
 	maxPrefillScale = 8
 )
@@ -43,45 +30,15 @@
 	return s.assumedPrefill(now)
 }
 
-// paceSpread tells whether the engines of a service differ in speed.
-type paceSpread struct {
-	uneven     bool
-	computedAt time.Time
-}
-
-// updatePaceSpread computes the spread if it is older than spreadInterval.
-func (p *Pool) updatePaceSpread(now time.Time) {
-	if age := now.Sub(p.spread.computedAt); !p.spread.computedAt.IsZero() && age >= 0 && age < spreadInterval {
-		return
-	}
-	known, different := 0, 0
-	first, step := p.stride(spreadSample)
-	for i := first; i < len(p.all.servers); i += step {
-		s := p.all.servers[i]
-		if s.engine == nil {
-			continue
-		}
-		if source, _ := s.engine.Explain(now); source == pace.SourceNone {
-			continue
-		}
-		known++
-		if pace.Marked(s.engine.Pace(now), evenPaceWidth) != 1 {
-			different++
-		}
-	}
-	p.spread = paceSpread{uneven: known >= minKnownPaces && float64(different) >= unevenShare*float64(known), computedAt: now}
-}
-
-// relativePace returns the pace of a server's process: 1 is usual, 2 half the speed.
+// relativePace returns the pace of a server's process that placements use: 1 is usual, 2 half the speed. It is 1
+// unless servers of the service report how long work takes on their machines: where all engines are equally fast,
+// estimates differ under load, and all gateways would prefer the same few engines.
 func (s *processPace) relativePace(now time.Time) float64 {
-	if s.engine == nil {
+	if s.engine == nil || !s.machines.vary(now) {
 		return 1
 	}
 	if age := now.Sub(s.paceAt); s.paceAt.IsZero() || age >= paceInterval || age < 0 {
 		s.pace, s.paceAt = s.engine.Pace(now), now
-		if s.spread == nil || !s.spread.uneven {
-			s.pace = pace.Marked(s.pace, outlierPaceWidth)
-		}
 	}
 	return s.pace
 }
--- a/pkg/placement/capacity_test.go
+++ b/pkg/placement/capacity_test.go
@@ -85,6 +85,8 @@
 	p := newEnginePool(1, 9)
 	paces := []float64{1.67, 1, 0.62, 1.67, 1, 0.62, 1.67, 1, 0.62}
 	now := learnPaces(p, time.Unix(1000, 0), paces)
+	qt.Check(t, p.Get("e0").relativePace(now), qt.Equals, 1.0, qt.Commentf("no server says that the speed of its machine varies"))
+	p.RecordLoad("e0", LoadReport{Slots: 6, Slowdown: 1}, now)
 	taken := map[float64]int{}
 	for range 12 {
 		s := p.SelectEngine(now, Run{Tokens: 100, EngineMemoryTokens: 88000})
@@ -112,6 +114,7 @@
 	qt.Check(t, p.PrefillTime(p.Get("e0"), 20000, time.Unix(1000, 0)), qt.Equals, prefillDuration)
 	qt.Check(t, p.PrefillTime(nil, 0, time.Unix(1000, 0)), qt.Equals, prefillDuration)
 	now := learnPaces(p, time.Unix(1000, 0), []float64{4, 1, 1})
+	p.RecordLoad("e1", LoadReport{Slots: 6, Slowdown: 1}, now)
 	qt.Check(t, p.Get("e0").relativePace(now) > 2, qt.IsTrue)
 	// Announced again by a delayed announcement, it is the same process.
 	p.Remove("e0", now)
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -24,6 +24,17 @@
 	gapMargin = 1.5
 )
 
+// machines is what is known of the machines on which the servers of a service run.
+type machines struct {
+	// slowdownReportedAt is the latest time at which a server reported how long work takes at the moment.
+	slowdownReportedAt time.Time
+}
+
+// vary reports whether servers say that the speed of their machines varies.
+func (m *machines) vary(now time.Time) bool {
+	return m != nil && !m.slowdownReportedAt.IsZero() && now.Sub(m.slowdownReportedAt) < slowdownReportTTL
+}
+
 // processPace is what this gateway learned of the speed of a process. The parts are nil until there is a
 // sample.
 type processPace struct {
@@ -36,8 +47,8 @@
 	// heardAt is the last time that an event was received or a connection accepted. It does not end an outage,
 	// as the other servers of a data centre that fails may follow.
 	heardAt time.Time
-	// spread tells whether the engines of the service differ in speed; nil if that is unknown.
-	spread *paceSpread
+	// machines is what is known of the machines of the service; nil if that is nothing.
+	machines *machines
 	// pace is the pace of the engine as of paceAt.
 	pace   float64
 	paceAt time.Time
@@ -173,7 +184,7 @@
 	e.Usual = p.engines.Gap(s.engine, s.streams(now), e.Prefill, now)
 	longest := max(e.Usual, e.Longest)
 	plausible := scaled(longest, gapMargin)
-	reportsSlowdown := !p.slowdownReportedAt.IsZero() && now.Sub(p.slowdownReportedAt) < slowdownReportTTL
+	reportsSlowdown := p.machines.vary(now)
 	if !reportsSlowdown && longest < minSlowGap {
 		return 0, e
 	}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -118,11 +118,9 @@
 	lastLimitAt, lastPauseEnd time.Time
 	versions                  versionState
 	callCapacity              capacityCache
-	// engines is what is usual for the speed of the service's engines, and spread whether they differ in it.
-	engines pace.Engines
-	spread  paceSpread
-	// slowdownReportedAt is the latest time at which a server reported how long work takes at the moment.
-	slowdownReportedAt time.Time
+	// engines is what is usual for the speed of the service's engines, and machines what is known of where they run.
+	engines  pace.Engines
+	machines machines
 	// paceSamples are the samples of the pace of engines that other gateways have not received.
 	paceSamples pace.Pending
 }
@@ -204,7 +202,6 @@
 
 // candidates returns the selectable servers. It returns avoided servers only if there are no others.
 func (p *Pool) candidates(now time.Time, exclude []string) []*Server {
-	p.updatePaceSpread(now)
 	return p.preferHealthy(now, func(s *Server) bool { return p.isSelectable(s, now, exclude) })
 }
 
@@ -315,7 +312,7 @@
 		s.lastLoad, s.loadReportedAt, s.lastAliveAt = l, now, now
 		if l.Slowdown > 0 {
 			s.callPace().RecordFigure(l.Slowdown, now)
-			p.slowdownReportedAt = now
+			p.machines.slowdownReportedAt = now
 		}
 	}
 }
--- a/pkg/placement/sample.go
+++ b/pkg/placement/sample.go
@@ -39,7 +39,7 @@
 func (p *Pool) insert(s *Server) {
 	p.delete(p.servers[s.ID])
 	p.servers[s.ID] = s
-	s.spread = &p.spread
+	s.machines = &p.machines
 	p.all.add(s)
 	p.addVersion(s)
 	if s.DataCentre == p.dataCentre {
