--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -209,14 +209,15 @@
 	Prefill        bool
 }
 
-// PaceEstimate returns the pace of an engine, its source and the age of its last sample.
+// PaceEstimate returns the learned pace of an engine, which placements may not use, its source and the age of its last
+// sample.
 func (p *Pool) PaceEstimate(id string, now time.Time) (float64, pace.Source, time.Duration) {
 	s := p.servers[id]
 	if s == nil {
 		return 1, pace.SourceNone, 0
 	}
 	source, age := s.engine.Explain(now)
-	return s.relativePace(now), source, age
+	return s.engine.Pace(now), source, age
 }
 
 // IsAlive reports whether something was received from a process after a time.
@@ -254,7 +255,7 @@
 		if s.engine == nil {
 			continue
 		}
-		class, relative := PaceUsual, s.relativePace(now)
+		class, relative := PaceUsual, s.engine.Pace(now)
 		switch source, _ := s.engine.Explain(now); {
 		case source == pace.SourceNone:
 			class = PaceUnknown
