--- /dev/null
+++ b/review/rig-2/replica.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// replica is a stand-in of a backend server that behaves as the pages say.
+type replica struct {
+	r       *rig
+	id      string
+	service string
+	address string
+	zone    string
+	slots   int
+	born    int64
+	// answer, if set, answers requests in place of the usual answer.
+	answer func(w http.ResponseWriter, req *http.Request, body []byte)
+
+	mu     sync.Mutex
+	seq    int
+	state  string
+	ran    map[string]int
+	server *http.Server
+	cancel context.CancelFunc
+}
+
+// startReplica starts a replica at an address of its own.
+func (r *rig) startReplica(number int, id, service string) *replica {
+	b := &replica{
+		r: r, id: id, service: service, address: fmt.Sprintf("%s:%d", r.serverIP(number), serverPort), zone: zones[(number-1)%3],
+		slots: 6, born: time.Now().UnixMilli(), state: "ready", ran: map[string]int{},
+	}
+	b.listen()
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	r.onClose(b.stop)
+	go b.announce(ctx)
+	return b
+}
+
+func (b *replica) listen() {
+	listener, err := net.Listen("tcp", b.address)
+	if err != nil {
+		panic(err)
+	}
+	b.server = &http.Server{Handler: http.HandlerFunc(b.serve), IdleTimeout: 30 * time.Second}
+	go func() { _ = b.server.Serve(listener) }()
+}
+
+// stop ends the replica without a word.
+func (b *replica) stop() {
+	b.cancel()
+	_ = b.server.Close()
+}
+
+func (b *replica) serve(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == "/healthz" {
+		w.Header().Set("Instance-Id", b.id)
+		return
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	id := req.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	w.Header()["Date"] = nil
+	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != b.id {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	b.mu.Lock()
+	b.ran[id]++
+	times := b.ran[id]
+	b.mu.Unlock()
+	if times > 1 {
+		b.r.note("replica %s runs request %s once more", b.id, id)
+	}
+	w.Header().Set("Server-Stamp", b.id+"."+id)
+	w.Header().Set("Instance-Load", fmt.Sprintf("1,0,%d", b.slots))
+	if b.answer != nil {
+		b.answer(w, req, body)
+		return
+	}
+	_, _ = io.WriteString(w, "done "+id+" by "+b.id+"\n")
+}
+
+// message returns the body of the next call.
+func (b *replica) message() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seq++
+	data, err := json.Marshal(map[string]any{
+		"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": b.slots, "state": b.state,
+		"coldLeftMs": 0, "seq": b.seq, "born": b.born,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// call sends a call to one node after the other until one acknowledges it within a second.
+func (b *replica) call(path string) bool {
+	client := newHTTPClient(time.Second)
+	body := b.message()
+	for node := range 3 {
+		response, err := client.Post("http://"+b.r.control(1+(b.seq+node)%3)+path+b.id, "application/json", bytes.NewReader(body))
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode/100 == 2 {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *replica) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		b.call("/v1/Replicas.Heartbeat/")
+		select {
+		case <-ctx.Done():
+		case <-time.After(heartbeat):
+		}
+	}
+}
