--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/rig-2 ] && [ -x target/gp-gateway ] && [ -x target/gp-coordinator ] || { echo "build first"; exit 2; }
-exec target/review-2/rig-2 firststart review/7
+exec target/review-2/rig-2 deregister review/7
--- a/review/rig-2/processes.go
+++ b/review/rig-2/processes.go
@@ -36,6 +36,9 @@
 	catchUp     = 4 * time.Second
 )
 
+// killSignal ends a process at once.
+const killSignal = syscall.SIGKILL
+
 var zones = []string{"tanta", "mansoura", "zagazig"}
 
 // process is one of the project's own programs.
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -24,11 +24,16 @@
 	// answer, if set, answers requests in place of the usual answer.
 	answer func(w http.ResponseWriter, req *http.Request, body []byte)
 
+	// arrived, if set, is called with each request that arrives.
+	arrived func(req *http.Request)
+
 	mu     sync.Mutex
 	seq    int
 	state  string
 	ran    map[string]int
 	server *http.Server
+	// silent is closed when the heartbeats have ended.
+	silent chan struct{}
 	cancel context.CancelFunc
 }
 
@@ -36,13 +41,16 @@
 func (r *rig) startReplica(number int, id, service string) *replica {
 	b := &replica{
 		r: r, id: id, service: service, address: fmt.Sprintf("%s:%d", r.serverIP(number), serverPort), zone: zones[(number-1)%3],
-		slots: 6, born: time.Now().UnixMilli(), state: "ready", ran: map[string]int{},
+		slots: 6, born: time.Now().UnixMilli(), state: "ready", ran: map[string]int{}, silent: make(chan struct{}),
 	}
 	b.listen()
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	r.onClose(b.stop)
-	go b.announce(ctx)
+	go func() {
+		b.announce(ctx)
+		close(b.silent)
+	}()
 	return b
 }
 
@@ -70,6 +78,9 @@
 	if err != nil {
 		return
 	}
+	if b.arrived != nil {
+		b.arrived(req)
+	}
 	id := req.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	w.Header()["Date"] = nil
@@ -135,3 +146,10 @@
 		}
 	}
 }
+
+// deregister says that the replica is gone, and ends its heartbeats once that is acknowledged.
+func (b *replica) deregister() bool {
+	b.cancel()
+	<-b.silent
+	return b.call("/v1/Replicas.Deregister/")
+}
