--- a/review/rig-2/bigconfig.go
+++ b/review/rig-2/bigconfig.go
@@ -10,7 +10,7 @@
 
 const (
 	bigTenants    = 100
-	keysPerTenant = 1650
+	keysPerTenant = 1800
 )
 
 // randomKey returns a key like those of the pages: 20 letters and digits.
--- a/review/rig-2/deregister.go
+++ b/review/rig-2/deregister.go
@@ -10,7 +10,7 @@
 func init() { cases["deregister"] = playDeregister }
 
 // lingerTime is how long the leaving replica serves after its ack.
-const lingerTime = 10 * time.Second
+const lingerTime = 8 * time.Second
 
 // playDeregister checks that a deregistration which was acknowledged holds although the processes of the core, and one gateway,
 // are killed right after the ack.
