--- a/review/rig-2/firststart.go
+++ b/review/rig-2/firststart.go
@@ -8,7 +8,7 @@
 func init() { cases["firststart"] = playFirstStart }
 
 // killDelay is the time from the start of the processes to the loss of one of them.
-const killDelay = 150 * time.Millisecond
+const killDelay = 100 * time.Millisecond
 
 // playFirstStart checks that the first configuration is acknowledged although one machine of the core is lost for good just
 // after the first start, and an empty one comes in its place at another address.
