follow: coordinators are followed again after any silence

Cause: an address was forgotten 20 s after it was last heard of or listed. Addresses come from coordinators only, so in a silence of all the last source was forgotten too. Coordinators use the same client for each other: one that did not hear the others for 20 s never took their announcements again.

Ruled out: the coordinators answer a gateway that starts.

An address expires after 20 s in which others are heard that do not list it, so there is always a source left; the time of a silence does not count. While all are silent, forgotten addresses of the settings are tried too. New settings reach what a coordinator follows. The wait before the next attempt grows to 1 s and is random, as attempts no longer end after 20 s. The number of expected coordinators leaves out addresses that are only tried.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -104,7 +104,7 @@
 	dialer := rpc.NewDialer(nil, &rpc.Counters{})
 	g.t.Cleanup(func() { _ = dialer.Close() })
 	c := follow.NewClient("g", dialer, r, slog.New(slog.DiscardHandler))
-	c.Add(g.t.Context(), []string{seed})
+	c.SetSeeds(g.t.Context(), []string{seed})
 	go c.RunPlacements(g.t.Context())
 	go c.RunPromptReports(g.t.Context())
 	return r, c
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -103,7 +103,7 @@
 // directories converge.
 func (s *Service) followPeers(ctx context.Context) {
 	s.peerClient = follow.NewPeerClient(s.settings.Instance.ID, s.settings.PeerAddress, s.dialer, peerSink{s.hub}, s.log)
-	s.peerClient.Add(ctx, s.settings.PeerSeeds())
+	s.peerClient.SetSeeds(ctx, s.settings.PeerSeeds())
 }
 
 // peerSink receives the announcements that backend servers make to other coordinators.
@@ -152,8 +152,11 @@
 	}
 }
 
-// AddSeeds adds peer addresses of other coordinators.
-func (s *Service) AddSeeds(addresses []string) { s.group.addCoordinators(addresses) }
+// AddSeeds adds peer addresses of other coordinators, which are followed until ctx ends.
+func (s *Service) AddSeeds(ctx context.Context, addresses []string) {
+	s.group.addCoordinators(addresses)
+	s.peerClient.SetSeeds(ctx, addresses)
+}
 
 // Stop waits for open proposals and stops this member.
 func (s *Service) Stop(ctx context.Context) error {
--- a/pkg/follow/client.go
+++ b/pkg/follow/client.go
@@ -36,11 +36,6 @@
 	// firstEventTimeout bounds the wait for the first event, for which the coordinator
 	// may have to ask the leader.
 	firstEventTimeout = 2 * time.Second
-	// reconnectDelay is the wait before a failed stream is opened again.
-	reconnectDelay = 60 * time.Millisecond
-	// coordinatorTTL is how long a coordinator is followed that neither sends events nor is
-	// listed by the settings or another coordinator.
-	coordinatorTTL = 20 * time.Second
 )
 
 // errSilentCoordinator ends a stream on which no whole event arrived in time.
@@ -74,13 +69,12 @@
 	sink        Sink
 	log         *slog.Logger
 
-	// mu guards recovery, unconfirmed, offers, and coordinators and their states. The keys are peer
-	// addresses.
-	mu           sync.Mutex
-	coordinators map[string]*coordinatorState
-	recovery     recovery
-	unconfirmed  unconfirmedPublications
-	offers       publicationOffers
+	// mu guards roster, recovery, unconfirmed and offers.
+	mu          sync.Mutex
+	roster      roster
+	recovery    recovery
+	unconfirmed unconfirmedPublications
+	offers      publicationOffers
 
 	placements    chan *wire.Placement
 	promptReports chan *wire.PromptReport
@@ -88,20 +82,10 @@
 	usageChanged chan struct{}
 }
 
-// coordinatorState is the state of one followed coordinator.
-type coordinatorState struct {
-	// renewedAt is when its last event arrived or when the settings or another coordinator
-	// last listed its address, whichever is later. It expires coordinatorTTL after that.
-	renewedAt time.Time
-	// lastEventAt is when its last event arrived.
-	lastEventAt time.Time
-	connected   bool
-}
-
 // NewClient returns a client that follows no coordinator yet.
 func NewClient(instance string, dialer *rpc.Dialer, sink Sink, log *slog.Logger) *Client {
 	return &Client{
-		instance: instance, dialer: dialer, sink: sink, log: log, coordinators: map[string]*coordinatorState{},
+		instance: instance, dialer: dialer, sink: sink, log: log, roster: roster{coordinators: map[string]*coordinatorState{}},
 		offers:     publicationOffers{revisions: map[string]uint64{}},
 		placements: make(chan *wire.Placement, maxQueuedPlacements), promptReports: make(chan *wire.PromptReport, maxQueuedPromptReports),
 		usageChanged: make(chan struct{}, 1),
@@ -116,35 +100,40 @@
 	return c
 }
 
-// Add follows the coordinators at these peer addresses until ctx ends.
+// SetSeeds replaces the coordinators that the settings list, by their peer addresses, and follows them until ctx ends.
+func (c *Client) SetSeeds(ctx context.Context, addresses []string) {
+	c.mu.Lock()
+	c.roster.seeds = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == c.selfAddress })
+	c.mu.Unlock()
+	c.Add(ctx, addresses)
+}
+
+// Add follows the coordinators at these peer addresses, which a coordinator lists, until ctx ends.
 func (c *Client) Add(ctx context.Context, addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	for _, address := range addresses {
 		if address == c.selfAddress {
 			continue
 		}
-		if s, ok := c.coordinators[address]; ok {
-			s.renewedAt = time.Now()
-			continue
+		if s := c.roster.list(address, now); s != nil {
+			go c.maintainStream(ctx, address, s)
 		}
-		s := &coordinatorState{renewedAt: time.Now()}
-		c.coordinators[address] = s
-		go c.maintainStream(ctx, address, s)
 	}
 }
 
 // CountCoordinators returns the number of coordinators whose last event is not older than maxAge,
-// and the number of all followed coordinators.
-func (c *Client) CountCoordinators(now time.Time, maxAge time.Duration) (recent, followed int) {
+// and the number of those that are expected to exist.
+func (c *Client) CountCoordinators(now time.Time, maxAge time.Duration) (recent, expected int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.coordinators {
+	for _, s := range c.roster.coordinators {
 		if now.Sub(s.lastEventAt) <= maxAge {
 			recent++
 		}
 	}
-	return recent, len(c.coordinators)
+	return recent, c.roster.count(now)
 }
 
 // maintainStream keeps a stream to a coordinator open until ctx ends or the coordinator
@@ -153,16 +142,23 @@
 	for ctx.Err() == nil {
 		err := c.receiveStream(ctx, address, s)
 		c.dialer.Invalidate(address)
+		now := time.Now()
 		c.mu.Lock()
 		c.recovery.remove(address)
 		c.unconfirmed.remove(address)
 		delete(c.offers.revisions, address)
-		wasConnected, expired := s.connected, time.Since(s.renewedAt) > coordinatorTTL
-		s.connected = false
+		wasConnected, expired := s.connected, c.roster.isExpired(s, now)
+		c.roster.recordFailure(s, now)
 		if expired {
-			delete(c.coordinators, address)
+			delete(c.roster.coordinators, address)
 		}
+		addedSeeds := c.roster.addForgottenSeeds(now)
+		delay := s.reconnectDelay(now)
 		c.mu.Unlock()
+		for address, s := range addedSeeds {
+			c.log.Warn("all coordinators are silent; following one of the settings again", "coordinator", address)
+			go c.maintainStream(ctx, address, s)
+		}
 		if wasConnected && ctx.Err() == nil {
 			c.log.Warn("stream of a coordinator ended", "coordinator", address, "error", err)
 		}
@@ -172,7 +168,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(reconnectDelay):
+		case <-time.After(delay):
 		}
 	}
 }
@@ -217,8 +213,7 @@
 	if !s.connected {
 		c.log.Info("stream of a coordinator opened", "coordinator", address)
 	}
-	now := time.Now()
-	s.connected, s.renewedAt, s.lastEventAt = true, now, now
+	c.roster.recordEvent(s, time.Now())
 }
 
 // handleEvent passes the content of an event to the sink.
@@ -288,13 +283,14 @@
 		return c.unconfirmed.of(address), address
 	}
 	connected := len(c.connectedAddressesLocked())
-	if 2*connected > len(c.coordinators) {
+	expected := c.roster.count(now)
+	if 2*connected > expected {
 		return nil, ""
 	}
 	p, holder = c.unconfirmed.newest(now)
 	if p != nil {
 		c.log.Warn("most coordinators are out of reach; taking an unconfirmed publication", "revision", p.Revision,
-			"connected", connected, "known", len(c.coordinators))
+			"connected", connected, "expected", expected)
 	}
 	return p, holder
 }
@@ -364,13 +360,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	connected := c.connectedAddressesLocked()
-	slices.SortFunc(connected, func(a, b string) int { return c.coordinators[b].lastEventAt.Compare(c.coordinators[a].lastEventAt) })
+	slices.SortFunc(connected, func(a, b string) int {
+		return c.roster.coordinators[b].lastEventAt.Compare(c.roster.coordinators[a].lastEventAt)
+	})
 	return connected[:min(len(connected), maxPlacementTargets)]
 }
 
 // connectedAddressesLocked returns the addresses of the coordinators with an open stream in no order; c.mu is held.
 func (c *Client) connectedAddressesLocked() (connected []string) {
-	for address, s := range c.coordinators {
+	for address, s := range c.roster.coordinators {
 		if s.connected {
 			connected = append(connected, address)
 		}
--- a/pkg/follow/publications.go
+++ b/pkg/follow/publications.go
@@ -178,7 +178,7 @@
 		}
 		return 1
 	})
-	for address, s := range c.coordinators {
+	for address, s := range c.roster.coordinators {
 		if s.connected && c.isPreferredTo(address, holders[0]) {
 			return revision, holders, false
 		}
--- a/pkg/gateway/isolation.go
+++ b/pkg/gateway/isolation.go
@@ -12,13 +12,13 @@
 // coordinators or only the servers have failed, all gateways are affected alike and stay
 // ready.
 func (g *Gateway) updateIsolation(now time.Time) {
-	recent, followed := g.coordinators.CountCoordinators(now, coordinatorTimeout)
-	isolated := 2*recent < followed && g.hasUnreachableService(now)
+	recent, expected := g.coordinators.CountCoordinators(now, coordinatorTimeout)
+	isolated := 2*recent < expected && g.hasUnreachableService(now)
 	if g.isolated.Swap(isolated) != isolated {
 		g.mu.Lock()
 		g.isolatedSince = now
 		g.mu.Unlock()
-		g.log.Warn("isolation changed", "isolated", isolated, "coordinators_heard", recent, "coordinators_known", followed)
+		g.log.Warn("isolation changed", "isolated", isolated, "coordinators_heard", recent, "coordinators_known", expected)
 	}
 }
 
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -163,8 +163,8 @@
 	return nil
 }
 
-// AddSeeds follows the coordinators at further seed addresses.
-func (g *Gateway) AddSeeds(ctx context.Context, seeds []string) { g.coordinators.Add(ctx, seeds) }
+// AddSeeds follows the coordinators at these seed addresses, which replace those of the previous settings as a source.
+func (g *Gateway) AddSeeds(ctx context.Context, seeds []string) { g.coordinators.SetSeeds(ctx, seeds) }
 
 // listen starts the listeners for callers and for the load balancer's readiness checks.
 func (g *Gateway) listen(ctx context.Context) error {
