gateway: no final refusal while no coordinator is heard

Cause: the reply was given from a configuration that may be old. Evidence: TestFleetRefusesFinallyOnlyInTouch (real processes) times out on with 404 while all coordinators are dead.

Result: the test passes; tests of pkg/gateway pass.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -150,7 +150,7 @@
 		table, route = t, t.Match(r.Host, path)
 	}
 	if route == nil {
-		return nil, newReply(http.StatusNotFound, "no route matches the host and path")
+		return nil, g.refuseUnknown(http.StatusNotFound, "no route matches the host and path")
 	}
 	req = &callerRequest{
 		fields: fields, route: route, rank: route.Rank, method: r.Method, target: r.RequestURI, host: r.Host,
@@ -159,7 +159,7 @@
 	if !route.Public && table.RequiresKeys() {
 		organisation := table.OrganisationByKey(fields.Key)
 		if organisation == nil {
-			return nil, newReply(http.StatusUnauthorized, fmt.Sprintf("the key belongs to no organisation, route %q", route.Name))
+			return nil, g.refuseUnknown(http.StatusUnauthorized, fmt.Sprintf("the key belongs to no organisation, route %q", route.Name))
 		}
 		req.organisation = organisation.Name
 		if organisation.Rank != nil {
--- a/pkg/gateway/isolation.go
+++ b/pkg/gateway/isolation.go
@@ -54,3 +54,12 @@
 	return newRefusal("this gateway is cut off from all servers of the service",
 		placement.RetryElsewhereAfter(g.isolatedSince.Add(balancerDelay).Sub(now), req.deadline.Sub(now)))
 }
+
+// refuseUnknown returns the reply to a request that the configuration in force does not allow: one with a final status or,
+// while no coordinator is heard, a refusal that lets the caller come back. A change may have been accepted meanwhile.
+func (g *Gateway) refuseUnknown(status int, reason string) *reply {
+	if recent, expected := g.coordinators.CountCoordinators(time.Now(), coordinatorTimeout); recent == 0 && expected > 0 {
+		return newRefusal(reason+", and no coordinator is heard", configRetryAfter)
+	}
+	return newReply(status, reason)
+}
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -31,7 +31,7 @@
 	// maxServerWait bounds how long a request waits for a server to become available.
 	maxServerWait = 300 * time.Millisecond
 	// configRetryAfter is the Retry-After time of requests that were refused because
-	// there is no configuration: gateways receive one within that time after a start.
+	// there is no configuration, or an old one: gateways receive one within that time after a start.
 	configRetryAfter = 500 * time.Millisecond
 	// maxRefusals is the number of refusals by backend servers after which the gateway
 	// refuses a request.
