coordinator: the end of a server is on enough disks before it is acknowledged

Cause: a deregistration, and 'draining', were acknowledged from memory; the file of announcements is written every 0.5 s. All coordinators restored the server as ready, and it says nothing more after its acknowledgement.

Ruled out: the order of announcements (gateways that ran on sent nothing).

Change: such an announcement is acknowledged once tolerated_disks + 1 coordinators, or all of a smaller group, have synced it; else the server gets 503 and asks another coordinator. It takes effect at once, as before. Those that wait together share a write. The file stays when a coordinator asks for a slot.

--- a/pkg/coordinator/harness_test.go
+++ b/pkg/coordinator/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -38,7 +39,7 @@
 // testGroup is a group of coordinators in this process, each with its own loopback
 // address. Coordinators are numbered from 1.
 type testGroup struct {
-	t     *testing.T
+	t     testing.TB
 	port  int
 	seeds []string
 	// toleratedDisks is the setting of all coordinators.
@@ -54,6 +55,9 @@
 	linked *follow.Client
 	// fullDisks holds, by coordinator, whether its disk refuses what does not fit.
 	fullDisks [maxTestCoordinators + 1]atomic.Bool
+	// writeDelay is the time that each write of the soft state takes, in nanoseconds, and stateWrites the number
+	// of these writes by all coordinators.
+	writeDelay, stateWrites atomic.Int64
 }
 
 // maxTestCoordinators is the largest number of a coordinator.
@@ -76,11 +80,11 @@
 	return n, err
 }
 
-func newTestGroup(t *testing.T, size int) *testGroup { return newGrowingTestGroup(t, size, size, 1) }
+func newTestGroup(t testing.TB, size int) *testGroup { return newGrowingTestGroup(t, size, size, 1) }
 
 // newGrowingTestGroup starts coordinators for the first time, of which the first ones are the
 // seeds.
-func newGrowingTestGroup(t *testing.T, size, seeds, toleratedDisks int) *testGroup {
+func newGrowingTestGroup(t testing.TB, size, seeds, toleratedDisks int) *testGroup {
 	return startTestGroup(t, size, seeds, toleratedDisks, false)
 }
 
@@ -89,7 +93,7 @@
 	return startTestGroup(t, size, size, 1, true)
 }
 
-func startTestGroup(t *testing.T, size, seeds, toleratedDisks int, withoutRollouts bool) *testGroup {
+func startTestGroup(t testing.TB, size, seeds, toleratedDisks int, withoutRollouts bool) *testGroup {
 	g := &testGroup{
 		withoutRollouts: withoutRollouts,
 		t:               t, port: firstTestPort + rand.IntN(testPorts), toleratedDisks: toleratedDisks, coordinators: map[int]*Service{}, folders: map[int]string{}, dialers: map[int]*rpc.Dialer{},
@@ -135,6 +139,14 @@
 	service.openLog = func(folder string) (*wal.Log, consensus.StoredState, consensus.DiskID, error) {
 		return wal.OpenWith(folder, func(f *os.File) wal.File { return crampedFile{f, &g.fullDisks[i]} })
 	}
+	service.hub.writeFile = func(file string, data []byte) error {
+		g.stateWrites.Add(1)
+		time.Sleep(time.Duration(g.writeDelay.Load()))
+		if g.fullDisks[i].Load() {
+			return errors.Join(writeFileSynced(file, data[:len(data)/2]), syscall.ENOSPC)
+		}
+		return writeFileSynced(file, data)
+	}
 	qt.Assert(g.t, service.Start(context.Background()), qt.IsNil)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -30,6 +30,22 @@
 	updates int
 	// lastAnnouncedAt holds the time at which each server was last announced to gateways.
 	lastAnnouncedAt map[string]time.Time
+	// recorded holds, by ID, the last state of each server that was put on enough disks (see Withdraw).
+	recorded map[string]withdrawal
+	// lastWrite is the last attempt to write the state to the disk.
+	lastWrite stateWrite
+	// writeSoon asks for a write before the end of the interval.
+	writeSoon chan struct{}
+}
+
+// stateWrite is an attempt to write the state to the disk.
+type stateWrite struct {
+	// attempted is the number of updates in the state that was to be written, and stored the number in the
+	// latest state that is on the disk.
+	attempted, stored int
+	err               error
+	// next is closed at the end of the next attempt.
+	next chan struct{}
 }
 
 // recentPlacement is a placement and the time of its arrival. It is also stored in a file.
@@ -55,7 +71,9 @@
 }
 
 func newHub(serverTTL time.Duration) *hub {
-	return &hub{writeFile: writeFileSynced, servers: directory.New(serverTTL), subscribers: map[*subscriber]bool{}, lastAnnouncedAt: map[string]time.Time{}}
+	return &hub{writeFile: writeFileSynced, servers: directory.New(serverTTL), subscribers: map[*subscriber]bool{},
+		lastAnnouncedAt: map[string]time.Time{}, recorded: map[string]withdrawal{}, writeSoon: make(chan struct{}, 1),
+		lastWrite: stateWrite{next: make(chan struct{})}}
 }
 
 // announce applies an announcement that a backend server made to this coordinator.
@@ -223,6 +241,7 @@
 		for _, s := range h.servers.Expire(time.Now()) {
 			delete(h.lastAnnouncedAt, s.ID)
 		}
+		h.forgetRecorded()
 		for sub := range h.subscribers {
 			wake(sub.periodic)
 		}
--- a/pkg/coordinator/metrics.go
+++ b/pkg/coordinator/metrics.go
@@ -17,8 +17,8 @@
 
 // metrics are the instruments of a coordinator.
 type metrics struct {
-	publications, announcements, rolloutOrders, rolloutSteps metric.Int64Counter
-	publishDuration                                          metric.Float64Histogram
+	publications, announcements, withdrawals, rolloutOrders, rolloutSteps metric.Int64Counter
+	publishDuration, withdrawalDuration                                   metric.Float64Histogram
 }
 
 // RegisterMetrics registers the metrics of the coordinator. It is called before Start.
@@ -32,6 +32,7 @@
 	}
 	m.publications = counter("gp_coordinator_publications", "Publications by outcome.")
 	m.announcements = counter("gp_coordinator_announcements", "Announcements of backend servers by effect.")
+	m.withdrawals = counter("gp_coordinator_withdrawals", "Announcements of leaving and ended backend servers by whether they were recorded.")
 	m.rolloutOrders = counter("gp_coordinator_rollout_orders", "Orders of rollouts by outcome.")
 	m.rolloutSteps = counter("gp_coordinator_rollout_steps", "Proposed steps of rollouts by state, reason and outcome.")
 	_, err := meter.Float64ObservableGauge("gp_coordinator_rollout_share", metric.WithDescription("Share of the requests that go to the new version, by service, while a rollout is in progress."),
@@ -47,11 +48,14 @@
 			return nil
 		}))
 	errs = append(errs, err)
-	publishDuration, err := meter.Float64Histogram("gp_coordinator_publish_duration",
-		metric.WithDescription("Time until a publication was decided."), metric.WithUnit("s"),
-		metric.WithExplicitBucketBoundaries(.005, .01, .02, .05, .1, .2, .5, 1, 2, 4))
-	errs = append(errs, err)
-	m.publishDuration = publishDuration
+	histogram := func(name, description string) metric.Float64Histogram {
+		h, err := meter.Float64Histogram(name, metric.WithDescription(description), metric.WithUnit("s"),
+			metric.WithExplicitBucketBoundaries(.005, .01, .02, .05, .1, .2, .5, 1, 2, 4))
+		errs = append(errs, err)
+		return h
+	}
+	m.publishDuration = histogram("gp_coordinator_publish_duration", "Time until a publication was decided.")
+	m.withdrawalDuration = histogram("gp_coordinator_withdrawal_duration", "Time until the announcement of a leaving or ended backend server was on enough disks, or was not acknowledged.")
 	gauge := func(name, description string, value func(*control.Node) int64) {
 		_, err := meter.Int64ObservableGauge(name, metric.WithDescription(description),
 			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
@@ -111,3 +115,12 @@
 		m.announcements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("effect", effect.String())))
 	}
 }
+
+// recordWithdrawal counts an announcement of a leaving or ended backend server and records how long it took to put it on
+// the disks.
+func (m *metrics) recordWithdrawal(err error, duration time.Duration) {
+	if m != nil {
+		m.withdrawals.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("recorded", err == nil)))
+		m.withdrawalDuration.Record(context.Background(), duration.Seconds())
+	}
+}
--- a/pkg/coordinator/slotassignment.go
+++ b/pkg/coordinator/slotassignment.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -110,7 +111,7 @@
 }
 
 // clearFolder removes the data of a former slot. The assignment file is removed first,
-// because the other files are not used without it.
+// because the other files are not used without it. The soft state stays: it belongs to the coordinator, not to the slot.
 func clearFolder(folder string) error {
 	err := os.Remove(filepath.Join(folder, assignmentFile))
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
@@ -121,7 +122,7 @@
 		return eris.Wrap(err, "list the data folder")
 	}
 	for _, e := range entries {
-		if e.Name() == formerMemberFile {
+		if e.Name() == formerMemberFile || slices.Contains(softStateFiles[:], e.Name()) {
 			continue
 		}
 		if err := os.RemoveAll(filepath.Join(folder, e.Name())); err != nil {
--- a/pkg/coordinator/softstate.go
+++ b/pkg/coordinator/softstate.go
@@ -20,6 +20,9 @@
 	// written. It is below the interval between two announcements of an engine (1.2 s) and
 	// the prefill time of a prompt, which is about as long.
 	softStateInterval = 500 * time.Millisecond
+	// minWriteInterval is the minimum interval between two writes that something waits for. With 300 servers, a
+	// write encodes and syncs about 150 KB.
+	minWriteInterval = 40 * time.Millisecond
 )
 
 // softStateFiles store announcements and placements across process restarts and power
@@ -55,23 +58,33 @@
 }
 
 // persistState restores the state of the previous process and then writes changes until
-// ctx ends. It matters when all gateways and coordinators fail at once: callers reconnect
+// ctx ends, at once if awaitStored waits for them. It matters when all gateways and coordinators fail at once: callers reconnect
 // before all backend servers have announced themselves again, and would overload the few
-// that have, and gateways would send prompts that end engines to them again. If a file cannot be read or written, only this protection is lost.
+// that have, gateways would send prompts that end engines to them again, and servers that were acknowledged as leaving would get work.
+// If a file cannot be read or written, only this protection is lost.
 func (h *hub) persistState(ctx context.Context, folder string, log *slog.Logger) {
 	sequence, err := h.restore(folder, time.Now())
 	if err != nil {
 		log.Info("failed to restore earlier announcements", "error", err)
 	}
-	writtenUpdates, failed := 0, false
-	for sleepContext(ctx, softStateInterval) {
+	ticker := time.NewTicker(softStateInterval)
+	defer ticker.Stop()
+	failed := false
+	for sleepContext(ctx, minWriteInterval) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-h.writeSoon:
+		}
 		h.mu.Lock()
 		updates := h.updates
-		data, err := json.Marshal(softState{Sequence: sequence + 1, Servers: h.servers.Entries(), Placements: h.recentPlacements, Reports: h.recentReports})
-		h.mu.Unlock()
-		if updates == writtenUpdates {
+		if updates == h.lastWrite.stored {
+			h.mu.Unlock()
 			continue
 		}
+		data, err := json.Marshal(softState{Sequence: sequence + 1, Servers: h.servers.Entries(), Placements: h.recentPlacements, Reports: h.recentReports})
+		h.mu.Unlock()
 		if err == nil {
 			err = h.writeFile(filepath.Join(folder, softStateFiles[(sequence+1)%2]), data)
 		}
@@ -81,13 +94,52 @@
 		failed = err != nil
 		if !failed {
 			// After a failure the same file is written again, as only the other one is intact.
-			sequence, writtenUpdates = sequence+1, updates
+			sequence++
+		}
+		h.finishWrite(updates, err)
+	}
+}
+
+// finishWrite records the end of an attempt to write the state with a number of updates and wakes those that wait for it.
+func (h *hub) finishWrite(updates int, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastWrite.attempted, h.lastWrite.err = updates, err
+	if err == nil {
+		h.lastWrite.stored = updates
+	}
+	close(h.lastWrite.next)
+	h.lastWrite.next = make(chan struct{})
+}
+
+// awaitStored waits until all updates so far are on the disk. All that wait while a write is under way share the next one.
+// It returns the error of a write that failed.
+func (h *hub) awaitStored(ctx context.Context) error {
+	h.mu.Lock()
+	updates, write := h.updates, h.lastWrite
+	h.mu.Unlock()
+	for write.stored < updates {
+		wake(h.writeSoon)
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "wait for the state to be on the disk")
+		case <-write.next:
+		}
+		h.mu.Lock()
+		write = h.lastWrite
+		h.mu.Unlock()
+		if write.err != nil && write.attempted >= updates {
+			return eris.Wrap(write.err, "write the state to the disk")
 		}
 	}
+	return nil
 }
 
-// writeFileSynced replaces the content of a file and syncs it to disk.
+// writeFileSynced replaces the content of a file and syncs it to disk, and its folder if the file is new.
 func writeFileSynced(file string, data []byte) error {
+	if _, err := os.Stat(file); errors.Is(err, os.ErrNotExist) {
+		return writeDurably(filepath.Dir(file), filepath.Base(file), data)
+	}
 	f, err := os.Create(file)
 	if err != nil {
 		return err
