directory: leaving and ended servers are restored whatever the clock did

What callers could see: work sent to a server that was acknowledged as gone, after a restart of all processes during which the time of day of a coordinator had jumped. Found by reading, not seen with real processes.

Cause: stored entries were taken by their age alike. An end younger than 0 s or older than the validity of an announcement was left out, while another coordinator may restore an earlier 'ready'.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -229,12 +229,18 @@
 	return entries
 }
 
-// Restore applies announcements that another process received, except those that are invalid, expired or
-// lie in the future at now.
+// Restore applies announcements that another process received, except those that are invalid or expired. The time of day may
+// have jumped since, so that their age is not certain: ready servers are restored only if it is plausible at now, leaving and
+// ended ones within tombstoneTTL in either direction, as nobody may announce these states again.
 func (d *Directory) Restore(entries []Entry, now time.Time) {
 	for _, e := range entries {
-		if age := now.Sub(e.ReceivedAt); age >= 0 && age <= d.ttl && e.Server.Validate(now) == nil {
-			d.Apply(e.Server, e.ReceivedAt)
+		age, receivedAt := now.Sub(e.ReceivedAt), e.ReceivedAt
+		oldest, newest := d.ttl, time.Duration(0)
+		if e.Server.State != Ready {
+			oldest, newest, receivedAt = tombstoneTTL, -tombstoneTTL, now
+		}
+		if age >= newest && age <= oldest && e.Server.Validate(now) == nil {
+			d.Apply(e.Server, receivedAt)
 		}
 	}
 }
