gateway: engines that end without a trace count against prompts

Cause: an end was evidence only if the head of the response had arrived, less than 250 ms had passed since the first event, a connection was refused at that very moment, and the process was not one that had already been reported. A real process need not do any of these. No single end tells a harmful prompt from one that waited behind it, but several ends do.

Change: each run that breaks off before its prompt has proved sound is evidence once the process is known to have ended, by a refused connection within a second or by a later announcement. Ends that prove little by themselves make a suspicion at three moments, five for parts that had proved sound; many ends at once are one moment. Calls are judged and kept back like streams.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -560,3 +560,29 @@
 	g.eventually("the sound server", r.satisfies(func(r *recorder) bool { return r.servers["sound"].ID != "" }))
 	g.eventually("no odd server", r.satisfies(func(r *recorder) bool { return r.servers["odd"].ID == "" }))
 }
+
+// Guards against uncertain prompt reports that flood the gateways when many engines end at once, against certain ones
+// that are dropped with them, and against a second end of an engine that replaces the first one.
+func TestUncertainReportsAreBounded(t *testing.T) {
+	h, now := newHub(time.Minute), time.Now()
+	sub := h.subscribe(false)
+	dropped := 0
+	for i := range 200 {
+		dropped += h.addPromptReports([]*wire.PromptReport{{Parts: []string{"popular"}, Engine: fmt.Sprint("e", i), Uncertain: true}}, now)
+	}
+	qt.Assert(t, dropped, qt.Equals, 200-maxUncertainBurst)
+	qt.Assert(t, h.addPromptReports([]*wire.PromptReport{{Parts: []string{"bad"}, Engine: "certain"}}, now), qt.Equals, 0)
+	qt.Assert(t, sub.drainPromptReports(), qt.HasLen, maxUncertainBurst+1)
+	for i := range 3 {
+		report := &wire.PromptReport{Parts: []string{"bad"}, Engine: "again", Uncertain: true}
+		qt.Assert(t, h.addPromptReports([]*wire.PromptReport{report, report}, now.Add(time.Duration(10+3*i)*time.Second)), qt.Equals, 0)
+	}
+	ends := 0
+	late := h.subscribe(false)
+	for _, r := range late.drainPromptReports() {
+		if r.Engine == "again" && r.Uncertain {
+			ends++
+		}
+	}
+	qt.Assert(t, ends, qt.Equals, 3)
+}
--- a/pkg/coordinator/hub.go
+++ b/pkg/coordinator/hub.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/follow"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
@@ -24,8 +26,9 @@
 	subscribers map[*subscriber]bool
 	// recentPlacements are sent to gateways that connect.
 	recentPlacements []recentPlacement
-	// recentReports are sent to gateways that connect.
-	recentReports []recentReport
+	// recentReports are sent to gateways that connect. uncertainReports bounds the rate of uncertain ones.
+	recentReports    []recentReport
+	uncertainReports *rate.Limiter
 	// updates counts the received announcements, placements and prompt reports.
 	updates int
 	// lastAnnouncedAt holds the time at which each server was last announced to gateways.
@@ -73,7 +76,8 @@
 func newHub(serverTTL time.Duration) *hub {
 	return &hub{writeFile: writeFileSynced, servers: directory.New(serverTTL), subscribers: map[*subscriber]bool{},
 		lastAnnouncedAt: map[string]time.Time{}, recorded: map[string]withdrawal{}, writeSoon: make(chan struct{}, 1),
-		lastWrite: stateWrite{next: make(chan struct{})}}
+		uncertainReports: rate.NewLimiter(maxUncertainRate, maxUncertainBurst),
+		lastWrite:        stateWrite{next: make(chan struct{})}}
 }
 
 // announce applies an announcement that a backend server made to this coordinator.
--- a/pkg/coordinator/promptreports.go
+++ b/pkg/coordinator/promptreports.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
 	"github.com/geraniumpitch/geraniumpitch/pkg/wire"
 )
 
@@ -12,6 +13,11 @@
 	maxReports = 256
 	// reportTTL is how long prompt reports are kept for gateways that connect later.
 	reportTTL = 10 * time.Minute
+	// maxUncertainRate is the number of uncertain reports per second that are kept and forwarded, and
+	// maxUncertainBurst that at once. When many engines end at the same moment, most runs at them are reported; they
+	// count as one moment, however many there are.
+	maxUncertainRate  = 20
+	maxUncertainBurst = 40
 )
 
 // recentReport is a prompt report and the time of its event. It is also stored in a file.
@@ -24,26 +30,35 @@
 func (r recentReport) withAge(now time.Time) *wire.PromptReport {
 	return &wire.PromptReport{
 		Parts: r.Report.Parts, Engine: r.Report.Engine, StartedMs: r.Report.StartedMs, AgeMs: uint32(max(0, now.Sub(r.At).Milliseconds())),
+		Uncertain: r.Report.Uncertain, Repeated: r.Report.Repeated,
 	}
 }
 
 // replaces reports whether a report makes an earlier one superfluous: it repeats the end of an
-// engine, or it is a later proof that the same parts are sound.
-func replaces(report, earlier *wire.PromptReport) bool {
-	return report.Engine == earlier.Engine && report.StartedMs == earlier.StartedMs && slices.Equal(report.Parts, earlier.Parts)
+// engine, or it is a later proof that the same parts are sound. An engine may have ended twice before its new start is known.
+func (r recentReport) replaces(earlier recentReport) bool {
+	report := r.Report
+	return report.Engine == earlier.Report.Engine && report.StartedMs == earlier.Report.StartedMs && slices.Equal(report.Parts, earlier.Report.Parts) &&
+		(report.Engine == "" || quarantine.IsSameEnd(r.At, earlier.At) && (earlier.Report.Uncertain || !report.Uncertain))
 }
 
 // addPromptReports keeps prompt reports for gateways that connect later and forwards them to all
-// connected gateways.
-func (h *hub) addPromptReports(reports []*wire.PromptReport, now time.Time) {
+// connected gateways. It returns the number of those that it dropped.
+func (h *hub) addPromptReports(received []*wire.PromptReport, now time.Time) (dropped int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, report := range reports {
-		at := now.Add(-time.Duration(report.AgeMs) * time.Millisecond)
+	reports := make([]*wire.PromptReport, 0, len(received))
+	for _, report := range received {
+		if report.Uncertain && !h.uncertainReports.AllowN(now, 1) {
+			dropped++
+			continue
+		}
+		reports = append(reports, report)
+		added := recentReport{report, now.Add(-time.Duration(report.AgeMs) * time.Millisecond)}
 		h.recentReports = slices.DeleteFunc(h.recentReports, func(r recentReport) bool {
-			return now.Sub(r.At) > reportTTL || replaces(report, r.Report)
+			return now.Sub(r.At) > reportTTL || added.replaces(r)
 		})
-		h.recentReports = append(h.recentReports, recentReport{report, at})
+		h.recentReports = append(h.recentReports, added)
 		h.updates++
 	}
 	h.recentReports = slices.Delete(h.recentReports, 0, max(0, len(h.recentReports)-maxReports))
@@ -55,6 +70,7 @@
 		sub.promptReports = slices.Delete(sub.promptReports, 0, max(0, len(sub.promptReports)-maxReports))
 		wake(sub.changed)
 	}
+	return dropped
 }
 
 // drainPromptReports returns the queued prompt reports and empties the queue.
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -342,7 +342,9 @@
 
 // ReportPrompts implements wire.DRPCCoordinatorServer.
 func (r *rpcServer) ReportPrompts(_ context.Context, request *wire.ReportPromptsRequest) (*wire.ReportPromptsResponse, error) {
-	r.service.hub.addPromptReports(request.Reports, time.Now())
+	if dropped := r.service.hub.addPromptReports(request.Reports, time.Now()); dropped > 0 {
+		r.service.log.Info("dropped uncertain prompt reports: more arrive than are forwarded", "dropped", dropped, "received", len(request.Reports))
+	}
 	return &wire.ReportPromptsResponse{}, nil
 }
 
--- a/pkg/follow/promptreports.go
+++ b/pkg/follow/promptreports.go
@@ -24,7 +24,7 @@
 // the queue is full.
 func (c *Client) ReportPrompt(r quarantine.Report) {
 	select {
-	case c.promptReports <- &wire.PromptReport{Parts: r.Parts, Engine: r.Engine, StartedMs: r.StartedMS}:
+	case c.promptReports <- encodePromptReport(r):
 	default:
 		c.log.Warn("dropped a prompt report: too many wait", "engine", r.Engine, "parts", r.Parts)
 	}
@@ -80,6 +80,16 @@
 	c.log.Warn("no coordinator took prompt reports", "count", len(request.Reports))
 }
 
+func encodePromptReport(r quarantine.Report) *wire.PromptReport {
+	return &wire.PromptReport{
+		Parts: r.Parts, Engine: r.Engine, StartedMs: r.StartedMS, AgeMs: uint32(max(0, r.Age.Milliseconds())),
+		Uncertain: r.Uncertain, Repeated: r.Repeated,
+	}
+}
+
 func decodePromptReport(r *wire.PromptReport) quarantine.Report {
-	return quarantine.Report{Parts: r.Parts, Engine: r.Engine, StartedMS: r.StartedMs, Age: time.Duration(r.AgeMs) * time.Millisecond}
+	return quarantine.Report{
+		Parts: r.Parts, Engine: r.Engine, StartedMS: r.StartedMs, Age: time.Duration(r.AgeMs) * time.Millisecond,
+		Uncertain: r.Uncertain, Repeated: r.Repeated,
+	}
 }
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -75,6 +75,8 @@
 	triedServerIDs                             []string
 	// errorResult is the first error response, forwarded if no attempt succeeds.
 	errorResult *result
+	// ends counts the servers that ended under this call.
+	ends engineEnds
 }
 
 // execute makes attempts until one returns a response to forward.
@@ -190,6 +192,9 @@
 // startAttempt sends the call to the best server that has not been tried, if the retry budget allows
 // it.
 func (c *callState) startAttempt(purpose placement.RetryPurpose) *reply {
+	if admitted, retryAfter := c.g.admitParts(c.req.fields.SuspectParts()); !admitted {
+		return newRefusal(errQuarantined.Error(), retryAfter)
+	}
 	if !c.sends.begin(purpose) {
 		return newRefusal(errRetryBudget.Error(), c.g.retryAfter(c.req))
 	}
@@ -202,10 +207,28 @@
 	c.attempts++
 	c.possibleRuns++
 	c.inFlight++
-	go func() { c.results <- c.g.sendAttempt(c.ctx, c.req, server, send) }()
+	go func() {
+		res := c.g.sendAttempt(c.ctx, c.req, server, send)
+		c.recordPromptResult(server, res)
+		c.results <- res
+	}()
 	return nil
 }
 
+// recordPromptResult records what became of a server that had a prompt. How far it had got with the response is not known,
+// so that the evidence is uncertain.
+func (c *callState) recordPromptResult(server *placement.Server, res *result) {
+	parts := c.req.fields.SuspectParts()
+	if len(parts) == 0 || res.notSent || res.notRun || c.ctx.Err() != nil {
+		return
+	}
+	if res.err == nil {
+		c.g.recordSound(parts)
+		return
+	}
+	c.g.recordBrokenRun(c.ctx, server, res.err, brokenRun{requestID: c.req.fields.ID, parts: parts, uncertain: true, at: time.Now(), ends: &c.ends})
+}
+
 // retry starts another attempt and logs its cause.
 func (c *callState) retry(purpose placement.RetryPurpose, cause, detail string) *reply {
 	if errReply := c.startAttempt(purpose); errReply != nil {
@@ -394,6 +417,7 @@
 		return
 	}
 	now := time.Now()
+	g.recordReplacedProcess(s)
 	s.State = directory.Gone
 	g.servers.Apply(s, now)
 	g.pool(s.Service).RecordUnannouncedEnd(id, now)
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -57,6 +57,15 @@
 	PromptTokens, OutputTokens int
 }
 
+// SuspectParts returns the parts of the prompt that may be suspected of ending engines: those that other requests may have
+// too, or the only part.
+func (f *RequestFields) SuspectParts() []string {
+	if len(f.SharedParts) == 0 && f.SessionPart != "" {
+		return []string{f.SessionPart}
+	}
+	return f.SharedParts
+}
+
 // ServerFields holds the fields that the gateway sends to a backend server with a request.
 type ServerFields struct {
 	// ServerID is the identifier of the backend server that the request is meant for.
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -1,14 +1,10 @@
 package gateway
 
 import (
-	"errors"
-	"io"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/quarantine"
 )
 
@@ -16,7 +12,8 @@
 	// beginWindow is the time of writing within which the end of an engine is put down to the run:
 	// a harmful prompt ends its engine as it begins to answer, and the first events may arrive.
 	beginWindow = 250 * time.Millisecond
-	// soundAfter is the time of writing after which a run proves that its prompt is sound.
+	// soundAfter is the time of writing after which a run proves that its prompt is sound. If the engine ends between
+	// beginWindow and soundAfter, the run may have been the cause.
 	soundAfter = 500 * time.Millisecond
 )
 
@@ -37,7 +34,7 @@
 		return
 	}
 	for s, abort := range g.unstarted {
-		if g.quarantine.IsSuspected(s.req.fields.SharedParts) {
+		if g.quarantine.IsSuspected(s.req.fields.SuspectParts()) {
 			s.quarantined.Store(true)
 			abort()
 		}
@@ -63,16 +60,35 @@
 	g := s.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	admitted, retryAfter := g.quarantine.Admit(s.req.fields.SharedParts, time.Now())
+	admitted, retryAfter := g.admitPartsLocked(s.req.fields.SuspectParts())
 	if !admitted {
 		s.quarantineRetryAfter = retryAfter
-		g.metrics.countQuarantined()
 		return errQuarantined
 	}
 	g.unstarted[s] = abort
 	return nil
 }
 
+// admitParts reports whether a request with these prompt parts may be sent to a server and, if not, the time until one
+// may.
+func (g *Gateway) admitParts(parts []string) (admitted bool, retryAfter time.Duration) {
+	if len(parts) == 0 {
+		return true, 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admitPartsLocked(parts)
+}
+
+// admitPartsLocked implements admitParts; g.mu is held.
+func (g *Gateway) admitPartsLocked(parts []string) (admitted bool, retryAfter time.Duration) {
+	admitted, retryAfter = g.quarantine.Admit(parts, time.Now())
+	if !admitted {
+		g.metrics.countQuarantined()
+	}
+	return admitted, retryAfter
+}
+
 // recordStarted ends the watch for suspicions at the first event or the end of an attempt.
 func (s *streamState) recordStarted() {
 	s.g.mu.Lock()
@@ -80,39 +96,29 @@
 	delete(s.g.unstarted, s)
 }
 
-// recordEngineEnd reports an engine that ended as it began to answer this run. An engine that only
-// closed the connection still accepts new ones.
-func (s *streamState) recordEngineEnd(engine *placement.Server, err error) {
-	broken := errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-	if !broken || s.ctx.Err() != nil || !s.headReceived || s.writingTime() >= beginWindow || !s.g.client.Refuses(s.ctx, engine.Address) {
-		return
-	}
-	s.enginesEnded++
-	report := quarantine.Report{Parts: s.req.fields.SharedParts, Engine: engine.ID, StartedMS: engine.StartedMS}
-	s.g.log.Warn("engine ended as it began to answer", "request", s.req.fields.ID, "engine", engine.ID, "started_ms", engine.StartedMS,
-		"shared_parts", report.Parts, "engines_ended", s.enginesEnded)
-	if len(report.Parts) == 0 {
-		return
-	}
-	s.g.mu.Lock()
-	s.g.recordPromptReport(report)
-	s.g.mu.Unlock()
-	s.g.coordinators.ReportPrompt(report)
-}
-
 // recordWriting reports once that the prompt is sound, if engines ended under parts of it before.
 func (s *streamState) recordWriting(complete bool) {
 	if s.soundReported || s.firstEventAt.IsZero() || !complete && s.writingTime() < soundAfter {
 		return
 	}
 	s.soundReported = true
-	s.g.mu.Lock()
-	parts := s.g.quarantine.Unproven(s.req.fields.SharedParts, time.Now())
-	if len(parts) > 0 {
-		s.g.recordPromptReport(quarantine.Report{Parts: parts})
+	s.g.recordSound(s.req.fields.SuspectParts())
+}
+
+// recordSound records that the parts of a prompt are sound and, if engines ended under some of them, reports it.
+func (g *Gateway) recordSound(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	now := time.Now()
+	g.quarantine.RecordSound(parts, now)
+	unproven := g.quarantine.Unproven(parts, now)
+	if len(unproven) > 0 {
+		g.recordPromptReport(quarantine.Report{Parts: unproven})
 	}
-	s.g.mu.Unlock()
-	if len(parts) > 0 {
-		s.g.coordinators.ReportPrompt(quarantine.Report{Parts: parts})
+	g.mu.Unlock()
+	if len(unproven) > 0 {
+		g.coordinators.ReportPrompt(quarantine.Report{Parts: unproven})
 	}
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -81,6 +81,8 @@
 	rand            *mathrand.Rand
 	promptLocations placement.PromptLocations
 	quarantine      *quarantine.Tracker
+	// endWatches holds the engines that broke off runs lately.
+	endWatches      map[placement.Process]*endWatch
 	limitQueues     map[string]*placement.LimitQueue
 	admissionQueues map[string]*placement.AdmissionQueue
 	callControls    map[string]*callControl
@@ -116,7 +118,7 @@
 		g.rollouts = newRollouts()
 	}
 	g.requestsEnded, g.endRequests = context.WithCancel(context.Background())
-	g.quarantine = quarantine.NewTracker(g.rand)
+	g.quarantine, g.endWatches = quarantine.NewTracker(g.rand), map[placement.Process]*endWatch{}
 	g.coordinators = follow.NewClient(s.Instance.ID, dialer, g, log)
 	return g
 }
@@ -288,7 +290,11 @@
 			// Connections to the previous process at this address would be reset.
 			g.client.CloseIdle(s.Address)
 		}
+		if previous.ID != "" && previous.StartedMS < s.StartedMS {
+			g.recordReplacedProcess(previous)
+		}
 		if displaced != nil {
+			g.recordReplacedProcess(*displaced)
 			changed = g.pool(displaced.Service).Update(*displaced, now) || changed
 		}
 		s, _ = g.servers.Lookup(s.ID)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -88,8 +88,8 @@
 	// firstEventAt when it has sent an event.
 	headReceived bool
 	firstEventAt time.Time
-	// enginesEnded counts the engines that ended as they began to answer this stream.
-	enginesEnded int
+	// ends counts the engines that ended under this stream.
+	ends engineEnds
 	// quarantined is set when an attempt is aborted because the prompt is suspected, and
 	// quarantineRetryAfter when the prompt is not admitted.
 	quarantined          atomic.Bool
@@ -138,7 +138,7 @@
 		g.metrics.countResume(causeLabel(err))
 		g.log.Info("stream attempt ended, resuming", "request", req.fields.ID, "last_event", s.lastEventID, "cause", err.Error(),
 			"engine", s.engineID, "tries", s.attempts, "copy_at", s.copyHolderID(), "has_head", s.headReceived,
-			"writing_ms", s.writingTime().Milliseconds(), "shared_parts", req.fields.SharedParts)
+			"writing_ms", s.writingTime().Milliseconds(), "shared_parts", req.fields.SuspectParts())
 	}
 }
 
@@ -158,7 +158,7 @@
 	if s.possibleRuns == 0 {
 		return true
 	}
-	return s.enginesEnded < maxEnginesEnded && s.req.route.Retryable() && s.possibleRuns < s.req.route.MaxPossibleRuns
+	return s.ends.certain.Load() < maxEnginesEnded && s.req.route.Retryable() && s.possibleRuns < s.req.route.MaxPossibleRuns
 }
 
 // fail ends the stream without a further attempt. It breaks off a stream that has begun,
@@ -317,8 +317,11 @@
 		s.exclude(engine, true)
 		return errSilent
 	}
-	if notSent == nil && s.scheduleRetry(engine) {
-		return err
+	if notSent == nil {
+		s.recordEngineEnd(engine, err)
+		if s.scheduleRetry(engine) {
+			return err
+		}
 	}
 	s.exclude(engine, !errors.Is(err, upstream.ErrTooManyConnections))
 	return err
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -1,11 +1,16 @@
 // Package quarantine finds the parts of prompts under which engines end, and decides which
 // requests are kept from the engines because of them. It does no I/O: time is passed in.
 //
-// The evidence is a report of each engine that ended as it began to answer a request, with the
+// The evidence is a report of each engine that ended under a request before this had proved sound, with the
 // parts that the request shares with others, and of each run that went on writing. Several
-// requests begin at one engine, and a harmful part comes together with sound ones, so a part is
+// requests are at one engine, and a harmful part comes together with sound ones, so a part is
 // suspected only after several engines, and a request is kept back only if it has everything
 // that the reports have in common.
+//
+// An engine that ended as it began to answer the request is certain evidence. One that ended before the head of
+// the response, or some time after the first event, is uncertain: the request may just as well have waited
+// behind a harmful one. A part is suspected after minEndings engines with certain evidence, or when engines ended under it
+// at several moments. Engines that end at the same moment may do so for one other reason.
 package quarantine
 
 import (
@@ -21,6 +26,17 @@
 	// minEndings is the number of engine processes that must have ended under a part before it is
 	// suspected. Two may end at the same time for another reason.
 	minEndings = 3
+	// minMoments is the number of moments at which engines must have ended under a part before uncertain evidence
+	// makes it suspected, and minMomentsOfSoundPart the number for a part that had proved sound before: most
+	// prompts that wait at an engine have parts that are popular.
+	minMoments            = 3
+	minMomentsOfSoundPart = 5
+	// momentGap is the least time between two moments. An engine that ends under another attempt of the same
+	// request is a moment of its own.
+	momentGap = 300 * time.Millisecond
+	// minRestartTime is the least time between two ends of an engine that are taken for ends of two processes
+	// although no new start is known yet.
+	minRestartTime = time.Second
 	// evidenceTTL is how long an ended engine counts.
 	evidenceTTL = 10 * time.Minute
 	// maxEndings bounds the ended engine processes that are remembered, and maxRequestsPerEnding
@@ -32,8 +48,12 @@
 	// most.
 	baseHold         = time.Minute
 	maxHoldDoublings = 3
-	// soundInterval is the least time between two reports that a part is sound.
-	soundInterval = 2 * time.Second
+	// soundInterval is the least time between two reports that a part is sound, and minSoundInterval that if an engine
+	// ended under it since the last one.
+	soundInterval    = 2 * time.Second
+	minSoundInterval = 200 * time.Millisecond
+	// maxProvenParts bounds the parts of which it is remembered that runs at this gateway proved them sound.
+	maxProvenParts = 4096
 )
 
 // Report is the evidence of one run, as gateways exchange it.
@@ -45,6 +65,11 @@
 	// went on writing.
 	Engine    string
 	StartedMS int64
+	// Uncertain means that the run had not begun to write when the engine ended, or had been writing for a while
+	// without having proved sound.
+	Uncertain bool
+	// Repeated means that an engine had ended under an earlier attempt of the same request.
+	Repeated bool
 	// Age is the time since the event.
 	Age time.Duration
 }
@@ -59,15 +84,23 @@
 	Endings int
 }
 
+// IsSameEnd reports whether an end of an engine at one time and one of the same known process at another are the same:
+// an engine that starts again may end again before its new start is known.
+func IsSameEnd(at, otherAt time.Time) bool { return at.Sub(otherAt).Abs() < minRestartTime }
+
 // Tracker holds the evidence and the suspicions that follow from it. It is not safe for
 // concurrent use.
 type Tracker struct {
 	// endings are the ended engine processes, the oldest first.
 	endings []ending
 	// soundAt holds the last time at which a run with a part went on writing, for the parts in
-	// endings.
-	soundAt    map[string]time.Time
-	suspicions []suspicion
+	// endings, and soundBefore those of them that had proved sound at this gateway before the first of these.
+	soundAt     map[string]time.Time
+	soundBefore map[string]bool
+	// proven and formerlyProven hold when runs at this gateway last proved a part sound. formerlyProven is replaced by
+	// proven when that is full.
+	proven, formerlyProven map[string]time.Time
+	suspicions             []suspicion
 	// triedAt holds the last time at which a suspected request was let through, by the key of the
 	// suspicion.
 	triedAt map[string]time.Time
@@ -76,13 +109,18 @@
 	spread float64
 }
 
-// ending is an engine process that ended as it began to answer.
+// ending is an engine process that ended under requests.
 type ending struct {
 	engine    string
 	startedMS int64
 	at        time.Time
-	// requests holds the parts of each request that began on it.
-	requests [][]string
+	requests  []request
+}
+
+// request is a request under which an engine ended. Its fields are those of Report.
+type request struct {
+	parts               []string
+	uncertain, repeated bool
 }
 
 // suspicion is a set of parts that is held to end engines.
@@ -90,13 +128,18 @@
 	parts       []string
 	endings     int
 	lastEndedAt time.Time
+	// certain is the number of endings with certain evidence, and moments that of the moments of all.
+	certain, moments int
 }
 
 func (s suspicion) key() string { return strings.Join(s.parts, ",") }
 
 // NewTracker returns a tracker without evidence.
 func NewTracker(random *rand.Rand) *Tracker {
-	return &Tracker{soundAt: map[string]time.Time{}, triedAt: map[string]time.Time{}, spread: 1 + random.Float64()}
+	return &Tracker{
+		soundAt: map[string]time.Time{}, soundBefore: map[string]bool{}, proven: map[string]time.Time{}, triedAt: map[string]time.Time{},
+		spread: 1 + random.Float64(),
+	}
 }
 
 // Record adds a report and returns the suspicions that begin or end with it. A report that is
@@ -114,20 +157,69 @@
 	if len(r.Parts) == 0 {
 		return nil
 	}
-	i := slices.IndexFunc(t.endings, func(e ending) bool { return e.engine == r.Engine && e.startedMS == r.StartedMS })
+	i := slices.IndexFunc(t.endings, func(e ending) bool {
+		return e.engine == r.Engine && e.startedMS == r.StartedMS && IsSameEnd(at, e.at)
+	})
 	if i < 0 {
 		t.endings = append(t.endings, ending{engine: r.Engine, startedMS: r.StartedMS, at: at})
 		t.endings = slices.Delete(t.endings, 0, max(0, len(t.endings)-maxEndings))
 		i = len(t.endings) - 1
 	}
 	e := &t.endings[i]
-	if len(e.requests) >= maxRequestsPerEnding || slices.ContainsFunc(e.requests, func(p []string) bool { return slices.Equal(p, r.Parts) }) {
+	if !e.add(r) {
 		return nil
 	}
-	e.requests = append(e.requests, slices.Clone(r.Parts))
+	for _, part := range r.Parts {
+		provenAt := t.provenAt(part)
+		if provenAt.After(t.soundAt[part]) && provenAt.After(at) {
+			t.soundAt[part] = provenAt
+		}
+		if !provenAt.IsZero() && !provenAt.After(at) {
+			t.soundBefore[part] = true
+		}
+	}
 	return t.update(now)
 }
 
+// add adds the request of a report and reports whether that changes the evidence. Certain evidence replaces uncertain
+// evidence of a request with the same parts.
+func (e *ending) add(r Report) bool {
+	added := request{parts: slices.Clone(r.Parts), uncertain: r.Uncertain, repeated: r.Repeated}
+	i := slices.IndexFunc(e.requests, func(q request) bool { return slices.Equal(q.parts, r.Parts) })
+	switch {
+	case i >= 0:
+		known := e.requests[i]
+		added.uncertain, added.repeated = known.uncertain && r.Uncertain, known.repeated || r.Repeated
+		if added.uncertain == known.uncertain && added.repeated == known.repeated {
+			return false
+		}
+		e.requests[i] = added
+	case len(e.requests) >= maxRequestsPerEnding:
+		return false
+	default:
+		e.requests = append(e.requests, added)
+	}
+	return true
+}
+
+// RecordSound records that a run of this gateway proved the parts of its prompt sound.
+func (t *Tracker) RecordSound(parts []string, now time.Time) {
+	for _, part := range parts {
+		t.proven[part] = now
+	}
+	if len(t.proven) >= maxProvenParts/2 {
+		t.proven, t.formerlyProven = map[string]time.Time{}, t.proven
+	}
+}
+
+// provenAt returns when a run of this gateway last proved a part sound, the zero time if that is not known.
+func (t *Tracker) provenAt(part string) time.Time {
+	if at, ok := t.proven[part]; ok {
+		return at
+	}
+	return t.formerlyProven[part]
+}
+
 // Expire forgets old evidence and returns the suspicions that end.
 func (t *Tracker) Expire(now time.Time) []Change {
 	count := len(t.endings)
@@ -136,6 +228,7 @@
 		return nil
 	}
 	maps.DeleteFunc(t.soundAt, func(part string, _ time.Time) bool { return !t.hasEvidence(part) })
+	maps.DeleteFunc(t.soundBefore, func(part string, _ bool) bool { return !t.hasEvidence(part) })
 	return t.update(now)
 }
 
@@ -168,7 +261,13 @@
 func (t *Tracker) Unproven(parts []string, now time.Time) []string {
 	var unproven []string
 	for _, part := range parts {
-		if t.hasEvidence(part) && now.Sub(t.soundAt[part]) >= soundInterval {
+		soundAt := t.soundAt[part]
+		hasNewEvidence := slices.ContainsFunc(t.endings, func(e ending) bool { return e.at.After(soundAt) && e.has(part) })
+		interval := soundInterval
+		if hasNewEvidence {
+			interval = minSoundInterval
+		}
+		if t.hasEvidence(part) && now.Sub(soundAt) >= interval {
 			unproven = append(unproven, part)
 		}
 	}
@@ -186,9 +285,12 @@
 }
 
 func (t *Tracker) hasEvidence(part string) bool {
-	return slices.ContainsFunc(t.endings, func(e ending) bool {
-		return slices.ContainsFunc(e.requests, func(parts []string) bool { return slices.Contains(parts, part) })
-	})
+	return slices.ContainsFunc(t.endings, func(e ending) bool { return e.has(part) })
+}
+
+// has reports whether the engine ended under a request with a part.
+func (e *ending) has(part string) bool {
+	return slices.ContainsFunc(e.requests, func(q request) bool { return slices.Contains(q.parts, part) })
 }
 
 // update derives the suspicions from the evidence and returns what has changed.
@@ -226,7 +328,7 @@
 		suspicions = append(suspicions, s)
 		var remaining []ending
 		for _, e := range unexplained {
-			if !slices.ContainsFunc(e.requests, func(parts []string) bool { return containsAll(parts, s.parts) }) {
+			if !slices.ContainsFunc(e.requests, func(q request) bool { return containsAll(q.parts, s.parts) }) {
 				remaining = append(remaining, e)
 			}
 		}
@@ -241,10 +343,10 @@
 func (t *Tracker) strongestSuspicion(endings []ending) (strongest suspicion, ok bool) {
 	var candidates []suspicion
 	for part, count := range countEndings(endings) {
-		if count < minEndings {
+		if count < min(minEndings, minMoments) {
 			continue
 		}
-		if s := t.suspicionOf(part, endings); s.endings >= minEndings {
+		if s := t.suspicionOf(part, endings); t.isWellFounded(s, part) {
 			candidates = append(candidates, s)
 		}
 	}
@@ -263,13 +365,22 @@
 	return strongest, true
 }
 
+// isWellFounded reports whether the evidence for the suspicion of a part is sufficient.
+func (t *Tracker) isWellFounded(s suspicion, part string) bool {
+	needed := minMoments
+	if t.soundBefore[part] {
+		needed = minMomentsOfSoundPart
+	}
+	return s.certain >= minEndings || s.moments >= needed
+}
+
 // countEndings returns for each part the number of engines that ended under it.
 func countEndings(endings []ending) map[string]int {
 	counts := map[string]int{}
 	for _, e := range endings {
 		parts := map[string]bool{}
 		for _, request := range e.requests {
-			for _, part := range request {
+			for _, part := range request.parts {
 				parts[part] = true
 			}
 		}
@@ -285,29 +396,40 @@
 // since the first of these engines ended.
 func (t *Tracker) suspicionOf(part string, endings []ending) suspicion {
 	var s suspicion
-	var firstEndedAt time.Time
+	var under []ending
 	for _, e := range endings {
-		if !e.at.After(t.soundAt[part]) {
-			continue
+		if e.at.After(t.soundAt[part]) && e.has(part) {
+			under = append(under, e)
 		}
-		counted := false
-		for _, parts := range e.requests {
-			if !slices.Contains(parts, part) {
+	}
+	slices.SortStableFunc(under, func(a, b ending) int { return a.at.Compare(b.at) })
+	var momentAt time.Time
+	for _, e := range under {
+		certain, repeated := false, false
+		for _, q := range e.requests {
+			if !slices.Contains(q.parts, part) {
 				continue
 			}
-			if s.endings == 0 && !counted {
-				s.parts, firstEndedAt = slices.Clone(parts), e.at
+			if s.parts == nil {
+				s.parts = slices.Clone(q.parts)
 			} else {
-				s.parts = slices.DeleteFunc(s.parts, func(p string) bool { return !slices.Contains(parts, p) })
+				s.parts = slices.DeleteFunc(s.parts, func(p string) bool { return !slices.Contains(q.parts, p) })
 			}
-			counted = true
+			certain, repeated = certain || !q.uncertain, repeated || q.repeated
 		}
-		if counted {
-			s.endings++
-			s.lastEndedAt = e.at
+		s.endings++
+		s.lastEndedAt = e.at
+		if certain {
+			s.certain++
 		}
+		if repeated || s.moments == 0 || e.at.Sub(momentAt) >= momentGap {
+			s.moments, momentAt = s.moments+1, e.at
+		}
+	}
+	if len(under) > 0 {
+		firstEndedAt := under[0].at
+		s.parts = slices.DeleteFunc(s.parts, func(p string) bool { return p != part && t.soundAt[p].After(firstEndedAt) })
 	}
-	s.parts = slices.DeleteFunc(s.parts, func(p string) bool { return p != part && t.soundAt[p].After(firstEndedAt) })
 	slices.Sort(s.parts)
 	s.parts = slices.Compact(s.parts)
 	return s
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -112,3 +113,122 @@
 	qt.Assert(t, tracker.Unproven([]string{"first"}, now), qt.HasLen, 0)
 	qt.Assert(t, tracker.Unproven([]string{"first"}, now.Add(soundInterval)), qt.HasLen, 1)
 }
+
+// event is an engine that ends at a time under requests, each with the flags u (uncertain) and r (repeated) and its parts:
+// "u first bad", or a run that proved parts sound: "+first".
+type event struct {
+	at       time.Duration
+	engine   string
+	requests []string
+}
+
+// playEvents feeds events to a tracker whose gateway also has the sound runs.
+func playEvents(t *Tracker, start time.Time, events []event) {
+	for _, e := range events {
+		now := start.Add(e.at)
+		for _, r := range e.requests {
+			if parts, ok := strings.CutPrefix(r, "+"); ok {
+				t.RecordSound(strings.Fields(parts), now)
+				t.Record(Report{Parts: t.Unproven(strings.Fields(parts), now)}, now)
+				continue
+			}
+			flags, parts, _ := strings.Cut(r, " ")
+			t.Record(Report{
+				Parts: strings.Fields(parts), Engine: e.engine, StartedMS: 1, Uncertain: strings.Contains(flags, "u"), Repeated: strings.Contains(flags, "r"),
+			}, now)
+		}
+	}
+}
+
+// sameMoment returns engines that end at the same moment under the same requests.
+func sameMoment(at time.Duration, count int, requests ...string) (events []event) {
+	for i := range count {
+		events = append(events, event{at + time.Duration(i)*time.Millisecond, fmt.Sprint(at, "-", i), requests})
+	}
+	return events
+}
+
+// Guards against a harmful part that goes on ending engines because each end is uncertain: it may come before the head of
+// the response, or some time after the first event. And against sound requests that are kept back because they waited at
+// these engines, or because many engines ended at once for another reason.
+func TestUncertainEvidence(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		events                 []event
+		suspected, unsuspected string
+	}{
+		"two moments": {
+			[]event{{0, "a", []string{"u first bad"}}, {second, "b", []string{"u first bad"}}}, "", "first bad",
+		},
+		"three moments": {
+			[]event{{0, "a", []string{"u first bad"}}, {second, "b", []string{"u first bad"}}, {2 * second, "c", []string{"u other bad"}}}, "bad", "first; other",
+		},
+		"three attempts of one request": {
+			[]event{{0, "a", []string{"u first bad"}}, {second / 10, "b", []string{"ur first bad"}}, {second / 5, "c", []string{"ur first bad"}}}, "first bad", "first; bad",
+		},
+		"the same engine again before its new start is known": {
+			[]event{{0, "a", []string{"u first bad"}}, {2 * second, "a", []string{"u first bad"}}, {4 * second, "a", []string{"u first bad"}}}, "first bad", "first",
+		},
+		"several reports of one end": {
+			[]event{{0, "a", []string{"u first bad"}}, {second / 3, "a", []string{"u first bad x"}}, {2 * second / 3, "a", []string{"u bad y"}}}, "", "first bad",
+		},
+		"a hundred engines at once": {sameMoment(0, 100, "u first", "u first popular", "u other"), "", "first; popular; other; first popular"},
+		"a third of the engines every six seconds": {
+			slices.Concat(sameMoment(0, 30, "u first x", "u first y"), []event{{3 * second, "", []string{"+first"}}},
+				sameMoment(6*second, 30, "u first z", "u first y"), []event{{9 * second, "", []string{"+first y"}}},
+				sameMoment(12*second, 30, "u first x2", "u first y"), []event{{15 * second, "", []string{"+first"}}}, sameMoment(18*second, 30, "u first y")),
+			"", "first; first y; y; first x",
+		},
+		"requests that wait behind the harmful ones": {
+			[]event{
+				{0, "a", []string{"u first bad", "u first queued"}}, {second, "b", []string{"u first queued2", "u first bad"}}, {2 * second, "c", []string{"u first queued", "u first bad"}},
+				{3 * second, "d", []string{"u first bad", "u first queued"}},
+			}, "first bad; first bad x", "first; first queued; queued; first queued2",
+		},
+		"a popular part that was sound before": {
+			[]event{
+				{0, "", []string{"+popular"}}, {second, "a", []string{"u popular"}}, {2 * second, "b", []string{"u popular x"}}, {3 * second, "c", []string{"u popular"}},
+				{4 * second, "d", []string{"u popular"}},
+			}, "", "popular; popular x",
+		},
+		"a part that was sound before and is no longer": {
+			[]event{
+				{0, "", []string{"+bad"}}, {second, "a", []string{"u bad"}}, {2 * second, "b", []string{"u bad x"}}, {3 * second, "c", []string{"u bad"}},
+				{4 * second, "d", []string{"u bad"}}, {5 * second, "e", []string{"u bad"}},
+			}, "bad; bad x", "x",
+		},
+		"certain and uncertain": {
+			[]event{{0, "a", []string{"u first bad"}}, {second / 10, "b", []string{"c first bad"}}, {second / 5, "c", []string{"c first bad"}}, {second / 4, "d", []string{"c first bad"}}},
+			"first bad", "first",
+		},
+	} {
+		tracker := newTracker()
+		playEvents(tracker, time.Now(), c.events)
+		for _, parts := range strings.Split(c.suspected, "; ") {
+			qt.Check(t, c.suspected == "" || tracker.IsSuspected(strings.Fields(parts)), qt.IsTrue, qt.Commentf("%s: %s", name, parts))
+		}
+		for _, parts := range strings.Split(c.unsuspected, "; ") {
+			qt.Check(t, tracker.IsSuspected(strings.Fields(parts)), qt.IsFalse, qt.Commentf("%s: %s", name, parts))
+		}
+	}
+}
+
+// Guards against evidence that became known late and counts although a run proved the part sound meanwhile.
+func TestSoundRunsBeforeALateReport(t *testing.T) {
+	tracker, now := newTracker(), time.Now()
+	tracker.RecordSound([]string{"popular"}, now)
+	for i := range 6 {
+		tracker.Record(Report{Parts: []string{"popular"}, Engine: fmt.Sprint(i), Age: time.Duration(i+1) * time.Second}, now)
+	}
+	qt.Assert(t, tracker.IsSuspected([]string{"popular"}), qt.IsFalse)
+}
+
+// Guards against memory that grows with the prompts that are served.
+func TestProvenPartsAreBounded(t *testing.T) {
+	tracker, now := newTracker(), time.Now()
+	for i := range 10 * maxProvenParts {
+		tracker.RecordSound([]string{fmt.Sprint(i), "popular"}, now)
+	}
+	qt.Assert(t, len(tracker.proven)+len(tracker.formerlyProven) <= maxProvenParts, qt.IsTrue)
+	qt.Assert(t, tracker.provenAt("popular"), qt.Equals, now)
+}
