coordinator: the error of an unrecorded withdrawal keeps its identity

Cause: eris.Wrap with the text of ErrNotRecorded returned an error that is not ErrNotRecorded, found on reading the diff. Change: both errors are joined. Result: tests of withdrawals pass.

--- a/pkg/coordinator/withdrawals.go
+++ b/pkg/coordinator/withdrawals.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -76,10 +77,7 @@
 			return ErrNotRecorded
 		}
 	}
-	if lastErr == nil {
-		return ErrNotRecorded
-	}
-	return eris.Wrap(lastErr, ErrNotRecorded.Error())
+	return errors.Join(ErrNotRecorded, lastErr)
 }
 
 // RecordWithdrawal implements wire.DRPCCoordinatorServer.
