quarantine: all gateways share the trials of a suspected prompt

Cause: a rule for the whole service that each gateway kept for itself, within a fixed minute; the hold ended at eight minutes and the evidence at ten.

Change: turns spread over 10 s times the number of gateways, the hold grows eightfold with each failed trial, and the evidence counts until the next trials. Ends in one burst no longer lengthen the hold.

--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -82,7 +82,11 @@
 
 // admitPartsLocked implements admitParts; g.mu is held.
 func (g *Gateway) admitPartsLocked(parts []string) (admitted bool, retryAfter time.Duration) {
-	admitted, retryAfter = g.quarantine.Admit(parts, time.Now())
+	gateways := g.usage.Gateways()
+	if gateways == 0 {
+		gateways = assumedGateways
+	}
+	admitted, retryAfter = g.quarantine.Admit(parts, gateways, time.Now())
 	if !admitted {
 		g.metrics.countQuarantined()
 	}
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -37,17 +37,22 @@
 	// minRestartTime is the least time between two ends of an engine that are taken for ends of two processes
 	// although no new start is known yet.
 	minRestartTime = time.Second
-	// evidenceTTL is how long an ended engine counts.
+	// evidenceTTL is how long an ended engine counts. If a trial of a suspicion has ended an engine, its evidence counts
+	// until the next trials.
 	evidenceTTL = 10 * time.Minute
 	// maxEndings bounds the ended engine processes that are remembered, and maxRequestsPerEnding
 	// the requests that began on each.
 	maxEndings           = 128
 	maxRequestsPerEnding = 8
 	// baseHold is the time after the last ended engine for which a suspected request is kept back
-	// before one is tried again. It doubles with each further engine, maxHoldDoublings times at
-	// most.
-	baseHold         = time.Minute
-	maxHoldDoublings = 3
+	// before one is tried again. It grows by holdGrowth with each trial that ends an engine, up to maxHold, so that a part
+	// that goes on ending engines ends three more in nine hours.
+	baseHold   = time.Minute
+	holdGrowth = 8
+	maxHold    = 512 * baseHold
+	// trialInterval is the mean interval between the trials of all gateways. It exceeds the time until
+	// the others learn what became of one.
+	trialInterval = 10 * time.Second
 	// soundInterval is the least time between two reports that a part is sound, and minSoundInterval that if an engine
 	// ended under it since the last one.
 	soundInterval    = 2 * time.Second
@@ -104,8 +109,7 @@
 	// triedAt holds the last time at which a suspected request was let through, by the key of the
 	// suspicion.
 	triedAt map[string]time.Time
-	// spread lengthens the holds of this gateway by a factor from 1 to 2, so that not all gateways
-	// try a part at the same time.
+	// spread is from 0 to 1. It tells when within the time of trials that all gateways share this one has its turn.
 	spread float64
 }
 
@@ -130,15 +134,26 @@
 	lastEndedAt time.Time
 	// certain is the number of endings with certain evidence, and moments that of the moments of all.
 	certain, moments int
+	// failedTrials is the number of endings that came so long after the one before that a trial was due.
+	failedTrials int
 }
 
 func (s suspicion) key() string { return strings.Join(s.parts, ",") }
 
+// hold returns how long after the last ended engine no request is tried.
+func (s suspicion) hold() time.Duration {
+	hold := baseHold
+	for range s.failedTrials {
+		hold = min(hold*holdGrowth, maxHold)
+	}
+	return hold
+}
+
 // NewTracker returns a tracker without evidence.
 func NewTracker(random *rand.Rand) *Tracker {
 	return &Tracker{
 		soundAt: map[string]time.Time{}, soundBefore: map[string]bool{}, proven: map[string]time.Time{}, triedAt: map[string]time.Time{},
-		spread: 1 + random.Float64(),
+		spread: random.Float64(),
 	}
 }
 
@@ -223,7 +238,11 @@
 // Expire forgets old evidence and returns the suspicions that end.
 func (t *Tracker) Expire(now time.Time) []Change {
 	count := len(t.endings)
-	t.endings = slices.DeleteFunc(t.endings, func(e ending) bool { return now.Sub(e.at) > evidenceTTL })
+	t.endings = slices.DeleteFunc(t.endings, func(e ending) bool {
+		return now.Sub(e.at) > evidenceTTL && !slices.ContainsFunc(t.suspicions, func(s suspicion) bool {
+			return now.Sub(s.lastEndedAt) <= evidenceTTL+2*(s.hold()-baseHold) && e.supports(s)
+		})
+	})
 	if len(t.endings) == count {
 		return nil
 	}
@@ -236,9 +255,10 @@
 func (t *Tracker) IsSuspected(parts []string) bool { return t.find(parts) != nil }
 
 // Admit reports whether a request with these parts may be sent to an engine. A suspected request
-// may not, except for one at a time after a hold, which shows whether the suspicion still holds.
+// may not, except for one at a time after a hold, which shows whether the suspicion still holds. The given number of
+// gateways share the trials: each has its turn at a time of its own.
 // If it is not admitted, retryAfter is the time until the next such trial.
-func (t *Tracker) Admit(parts []string, now time.Time) (admitted bool, retryAfter time.Duration) {
+func (t *Tracker) Admit(parts []string, gateways int, now time.Time) (admitted bool, retryAfter time.Duration) {
 	s := t.find(parts)
 	if s == nil {
 		return true, 0
@@ -247,8 +267,9 @@
 	if triedAt := t.triedAt[s.key()]; triedAt.After(since) {
 		since = triedAt
 	}
-	hold := baseHold << min(maxHoldDoublings, s.endings-minEndings)
-	wait := time.Duration(float64(hold)*t.spread) - now.Sub(since)
+	hold := s.hold()
+	turns := max(hold, time.Duration(gateways)*trialInterval)
+	wait := hold + time.Duration(t.spread*float64(turns)) - now.Sub(since)
 	if wait > 0 {
 		return false, wait
 	}
@@ -293,6 +314,11 @@
 	return slices.ContainsFunc(e.requests, func(q request) bool { return slices.Contains(q.parts, part) })
 }
 
+// supports reports whether the engine ended under a request that a suspicion keeps back.
+func (e *ending) supports(s suspicion) bool {
+	return slices.ContainsFunc(e.requests, func(q request) bool { return containsAll(q.parts, s.parts) })
+}
+
 // update derives the suspicions from the evidence and returns what has changed.
 func (t *Tracker) update(now time.Time) []Change {
 	previous := t.suspicions
@@ -328,7 +354,7 @@
 		suspicions = append(suspicions, s)
 		var remaining []ending
 		for _, e := range unexplained {
-			if !slices.ContainsFunc(e.requests, func(q request) bool { return containsAll(q.parts, s.parts) }) {
+			if !e.supports(s) {
 				remaining = append(remaining, e)
 			}
 		}
@@ -417,6 +443,9 @@
 			}
 			certain, repeated = certain || !q.uncertain, repeated || q.repeated
 		}
+		if s.endings > 0 && e.at.Sub(s.lastEndedAt) >= baseHold {
+			s.failedTrials++
+		}
 		s.endings++
 		s.lastEndedAt = e.at
 		if certain {
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -67,18 +67,18 @@
 	tracker := newTracker()
 	now, changes := play(tracker, time.Now(), "bad", "bad", "bad")
 	qt.Assert(t, changes, qt.DeepEquals, []Change{{Parts: []string{"bad"}, Began: true, Endings: 3}})
-	admitted, retryAfter := tracker.Admit([]string{"bad"}, now)
+	admitted, retryAfter := tracker.Admit([]string{"bad"}, 1, now)
 	qt.Assert(t, admitted, qt.IsFalse)
 	qt.Assert(t, retryAfter >= baseHold && retryAfter <= 2*baseHold, qt.IsTrue)
 	now = now.Add(retryAfter)
-	admitted, _ = tracker.Admit([]string{"bad"}, now)
+	admitted, _ = tracker.Admit([]string{"bad"}, 1, now)
 	qt.Assert(t, admitted, qt.IsTrue)
-	admitted, _ = tracker.Admit([]string{"bad", "x"}, now.Add(time.Second))
+	admitted, _ = tracker.Admit([]string{"bad", "x"}, 1, now.Add(time.Second))
 	qt.Assert(t, admitted, qt.IsFalse)
 	// One more engine doubles the hold.
 	now, changes = play(tracker, now.Add(time.Second), "bad")
 	qt.Assert(t, changes, qt.HasLen, 0)
-	_, longer := tracker.Admit([]string{"bad"}, now)
+	_, longer := tracker.Admit([]string{"bad"}, 1, now)
 	qt.Assert(t, longer > retryAfter+baseHold/2, qt.IsTrue)
 	_, changes = play(tracker, now, "+bad")
 	qt.Assert(t, changes, qt.DeepEquals, []Change{{Parts: []string{"bad"}, Endings: 4}})
@@ -232,3 +232,50 @@
 	qt.Assert(t, len(tracker.proven)+len(tracker.formerlyProven) <= maxProvenParts, qt.IsTrue)
 	qt.Assert(t, tracker.provenAt("popular"), qt.Equals, now)
 }
+
+// Guards against trials that add up: all gateways together let three requests at most through to engines within hours,
+// whatever their number, and each gateway gets a request with the part every second.
+func TestTrialsOfAllGateways(t *testing.T) {
+	// reportTime is how long the others take to learn of an ended engine.
+	const reportTime = 2 * time.Second
+	for _, test := range []struct {
+		gateways int
+		length   time.Duration
+	}{{3, 8 * time.Hour}, {16, 4 * time.Hour}, {95, time.Hour}, {300, time.Hour}, {1000, 30 * time.Minute}} {
+		random := rand.New(rand.NewPCG(7, uint64(test.gateways)))
+		start := time.Now()
+		trackers := make([]*Tracker, test.gateways)
+		for i := range trackers {
+			trackers[i] = NewTracker(random)
+			for end := range 3 {
+				trackers[i].Record(Report{Parts: []string{"bad"}, Engine: fmt.Sprint(end)}, start)
+			}
+		}
+		type trial struct {
+			gateway int
+			at      time.Time
+		}
+		var unreported []trial
+		trials := 0
+		for now := start; now.Sub(start) < test.length; now = now.Add(time.Second) {
+			for len(unreported) > 0 && now.Sub(unreported[0].at) >= reportTime {
+				for i, tracker := range trackers {
+					if i != unreported[0].gateway {
+						tracker.Record(Report{Parts: []string{"bad"}, Engine: fmt.Sprint("trial of ", unreported[0].gateway), StartedMS: unreported[0].at.UnixMilli(), Age: reportTime}, now)
+					}
+				}
+				unreported = unreported[1:]
+			}
+			for i, tracker := range trackers {
+				tracker.Expire(now)
+				if admitted, _ := tracker.Admit([]string{"bad"}, test.gateways, now); admitted {
+					trials++
+					unreported = append(unreported, trial{i, now})
+					tracker.Record(Report{Parts: []string{"bad"}, Engine: fmt.Sprint("trial of ", i), StartedMS: now.UnixMilli()}, now)
+				}
+			}
+		}
+		t.Logf("%d gateways, %s: %d trials", test.gateways, test.length, trials)
+		qt.Check(t, trials >= 1 && trials <= 3, qt.IsTrue, qt.Commentf("%d gateways, %s: %d trials", test.gateways, test.length, trials))
+	}
+}
