quarantine: reports of engines that end at once are cheap

Change: without a suspicion, a report derives none unless the evidence against one of its own parts can suffice. Uncertain evidence against parts that were sound within 30 s is not sent to others, unless an earlier attempt met an end, too.

--- a/pkg/gateway/engineend.go
+++ b/pkg/gateway/engineend.go
@@ -178,6 +178,11 @@
 	if len(report.Parts) == 0 {
 		return
 	}
+	isCommon := g.quarantine.IsCommon(report.Parts, time.Now())
 	g.recordPromptReport(report)
+	// When many engines end at once, nearly all runs at them have common parts.
+	if report.Uncertain && !report.Repeated && isCommon {
+		return
+	}
 	g.coordinators.ReportPrompt(report)
 }
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -57,6 +57,8 @@
 	// ended under it since the last one.
 	soundInterval    = 2 * time.Second
 	minSoundInterval = 200 * time.Millisecond
+	// commonTime is the time after its last sound run for which a part is taken for common.
+	commonTime = 30 * time.Second
 	// maxProvenParts bounds the parts of which it is remembered that runs at this gateway proved them sound.
 	maxProvenParts = 4096
 )
@@ -163,10 +165,13 @@
 	at := now.Add(-r.Age)
 	if r.Engine == "" {
 		for _, part := range r.Parts {
-			if t.hasEvidence(part) && at.After(t.soundAt[part]) {
+			if at.After(t.soundAt[part]) && t.hasEvidence(part) {
 				t.soundAt[part] = at
 			}
 		}
+		if len(t.suspicions) == 0 {
+			return nil
+		}
 		return t.update(now)
 	}
 	if len(r.Parts) == 0 {
@@ -193,9 +198,50 @@
 			t.soundBefore[part] = true
 		}
 	}
+	if len(t.suspicions) == 0 && !slices.ContainsFunc(r.Parts, t.isSuspicious) {
+		return nil
+	}
 	return t.update(now)
 }
 
+// isSuspicious reports whether the evidence against a part alone makes it suspected. Most reports, as those of many engines that
+// end at once, make no part suspected, and all suspicions need not be derived again for them.
+func (t *Tracker) isSuspicious(part string) bool {
+	// An upper bound of the moments is enough to rule out most parts.
+	var count, certain, repeated int
+	var first, last time.Time
+	soundAt := t.soundAt[part]
+	for i := range t.endings {
+		e := &t.endings[i]
+		if !e.at.After(soundAt) {
+			continue
+		}
+		j := slices.IndexFunc(e.requests, func(q request) bool { return slices.Contains(q.parts, part) })
+		if j < 0 {
+			continue
+		}
+		if count++; count == 1 || e.at.Before(first) {
+			first = e.at
+		}
+		if e.at.After(last) {
+			last = e.at
+		}
+		for _, q := range e.requests[j:] {
+			if !q.uncertain {
+				certain++
+			}
+			if q.repeated {
+				repeated++
+			}
+		}
+	}
+	maxMoments := min(count, 1+repeated+int(last.Sub(first)/momentGap))
+	if certain < minEndings && maxMoments < minMoments {
+		return false
+	}
+	return t.isWellFounded(t.suspicionOf(part, t.endings), part)
+}
+
 // add adds the request of a report and reports whether that changes the evidence. Certain evidence replaces uncertain
 // evidence of a request with the same parts.
 func (e *ending) add(r Report) bool {
@@ -235,6 +281,12 @@
 	return t.formerlyProven[part]
 }
 
+// IsCommon reports whether runs at this gateway proved all parts sound not long ago, so that uncertain evidence against them is
+// likely that of requests which waited.
+func (t *Tracker) IsCommon(parts []string, now time.Time) bool {
+	return !slices.ContainsFunc(parts, func(part string) bool { return now.Sub(t.provenAt(part)) > commonTime })
+}
+
 // Expire forgets old evidence and returns the suspicions that end.
 func (t *Tracker) Expire(now time.Time) []Change {
 	count := len(t.endings)
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -279,3 +279,18 @@
 		qt.Check(t, trials >= 1 && trials <= 3, qt.IsTrue, qt.Commentf("%d gateways, %s: %d trials", test.gateways, test.length, trials))
 	}
 }
+
+// Measures the report of an engine that ended with many others under requests with common parts.
+func BenchmarkRecordEndOfMany(b *testing.B) {
+	tracker, now := newTracker(), time.Now()
+	for i := range 2 * maxEndings {
+		for j := range maxRequestsPerEnding {
+			tracker.Record(Report{Parts: []string{"popular", fmt.Sprint(i % 8), fmt.Sprint(i, j)}, Engine: fmt.Sprint(i), Uncertain: true}, now)
+		}
+	}
+	i := 0
+	for b.Loop() {
+		i++
+		tracker.Record(Report{Parts: []string{"popular", fmt.Sprint(i % 8)}, Engine: fmt.Sprint("e", i), Uncertain: true}, now)
+	}
+}
