gateway: fewer reports and probes for runs that prove nothing

And a run that its engine stopped on order, as it was relocated, was probed like one that broke off, up to five times.

Change: a part is reported sound only if an engine ended under it since the last report. The end of an engine is looked for after it is known whether the run was relocated. TestUnprovenParts demanded another report after an interval without a further end; it now demands none then, and one after a further end.

Result: tests of pkg/quarantine, and of pkg/gateway for prompts and relocations, pass.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -271,10 +271,10 @@
 		err = s.handleBrokenStream(ctx, engine, false, io.ErrUnexpectedEOF)
 	}
 	err = s.settleMove(response, err)
-	s.recordEngineEnd(engine, err)
 	if err != nil && !errors.Is(err, errCallerLeft) && !errors.Is(err, errVersionMoved) && activeRelocation != nil && watch.prefillDone && s.awaitRelocation(activeRelocation) {
 		err = errRelocated
 	}
+	s.recordEngineEnd(engine, err)
 	if err == nil {
 		response.Release()
 		s.recordWriting(true)
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -53,10 +53,8 @@
 	// trialInterval is the mean interval between the trials of all gateways. It exceeds the time until
 	// the others learn what became of one.
 	trialInterval = 10 * time.Second
-	// soundInterval is the least time between two reports that a part is sound, and minSoundInterval that if an engine
-	// ended under it since the last one.
-	soundInterval    = 2 * time.Second
-	minSoundInterval = 200 * time.Millisecond
+	// soundInterval is the least time between two reports that a part is sound.
+	soundInterval = 200 * time.Millisecond
 	// commonTime is the time after its last sound run for which a part is taken for common.
 	commonTime = 30 * time.Second
 	// maxProvenParts bounds the parts of which it is remembered that runs at this gateway proved them sound.
@@ -330,17 +328,12 @@
 }
 
 // Unproven returns those of the parts for which a report of a run that goes on writing is of use:
-// engines ended under them, and none was reported sound lately.
+// engines ended under them since they were last reported sound, and that was not just now.
 func (t *Tracker) Unproven(parts []string, now time.Time) []string {
 	var unproven []string
 	for _, part := range parts {
 		soundAt := t.soundAt[part]
-		hasNewEvidence := slices.ContainsFunc(t.endings, func(e ending) bool { return e.at.After(soundAt) && e.has(part) })
-		interval := soundInterval
-		if hasNewEvidence {
-			interval = minSoundInterval
-		}
-		if t.hasEvidence(part) && now.Sub(soundAt) >= interval {
+		if now.Sub(soundAt) >= soundInterval && slices.ContainsFunc(t.endings, func(e ending) bool { return e.at.After(soundAt) && e.has(part) }) {
 			unproven = append(unproven, part)
 		}
 	}
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -111,6 +111,11 @@
 	qt.Assert(t, tracker.Unproven([]string{"x", "first"}, now), qt.DeepEquals, []string{"first"})
 	now, _ = play(tracker, now, "+first x")
 	qt.Assert(t, tracker.Unproven([]string{"first"}, now), qt.HasLen, 0)
+	// Without a further end, another report would say nothing new.
+	qt.Assert(t, tracker.Unproven([]string{"first"}, now.Add(time.Minute)), qt.HasLen, 0)
+	tracker.Record(Report{Parts: []string{"first bad"}, Engine: "other"}, now.Add(time.Millisecond))
+	tracker.Record(Report{Parts: []string{"first"}, Engine: "other"}, now.Add(time.Millisecond))
+	qt.Assert(t, tracker.Unproven([]string{"first"}, now.Add(soundInterval/2)), qt.HasLen, 0)
 	qt.Assert(t, tracker.Unproven([]string{"first"}, now.Add(soundInterval)), qt.HasLen, 1)
 }
 
