coordinator: uncertain prompt reports go with the periodic event

Cause, by the figures: each report woke all gateways for an event of three coordinators, and withdrawals wrote the whole state of announcements up to 25 times a second.

Writes that something waits for start 100 ms apart, not 40.

TestFleetKeepsDeadlyPromptsFromEngines: 3 engines ended in five forms, 6 in the sixth. Tests of reports, stored state and withdrawals pass.

--- a/pkg/coordinator/promptreports.go
+++ b/pkg/coordinator/promptreports.go
@@ -42,6 +42,12 @@
 		(report.Engine == "" || quarantine.IsSameEnd(r.At, earlier.At) && (earlier.Report.Uncertain || !report.Uncertain))
 }
 
+// isUrgent reports whether gateways get a report at once. Uncertain evidence and sound runs, of which there are many when engines
+// end at once, go with the next periodic event.
+func isUrgent(report *wire.PromptReport) bool {
+	return report.Engine != "" && (!report.Uncertain || report.Repeated)
+}
+
 // addPromptReports keeps prompt reports for gateways that connect later and forwards them to all
 // connected gateways. It returns the number of those that it dropped.
 func (h *hub) addPromptReports(received []*wire.PromptReport, now time.Time) (dropped int) {
@@ -68,7 +74,9 @@
 		}
 		sub.promptReports = append(sub.promptReports, reports...)
 		sub.promptReports = slices.Delete(sub.promptReports, 0, max(0, len(sub.promptReports)-maxReports))
-		wake(sub.changed)
+		if slices.ContainsFunc(reports, isUrgent) {
+			wake(sub.changed)
+		}
 	}
 	return dropped
 }
--- a/pkg/coordinator/softstate.go
+++ b/pkg/coordinator/softstate.go
@@ -22,7 +22,7 @@
 	softStateInterval = 500 * time.Millisecond
 	// minWriteInterval is the minimum interval between two writes that something waits for. With 300 servers, a
 	// write encodes and syncs about 150 KB.
-	minWriteInterval = 40 * time.Millisecond
+	minWriteInterval = 100 * time.Millisecond
 )
 
 // softStateFiles store announcements and placements across process restarts and power
