coordinator: prompt reports that tell nothing any more are not kept

Change: uncertain evidence is dropped once all its parts have proved sound, reports of sound runs that add nothing are limited to 16, and uncertain ones to 64.

Result: TestReportsWithoutEvidenceAreNotKept; tests of reports and TestFleetKeepsDeadlyPromptsFromEngines pass.

--- a/pkg/coordinator/follow_test.go
+++ b/pkg/coordinator/follow_test.go
@@ -586,3 +586,40 @@
 	}
 	qt.Assert(t, ends, qt.Equals, 3)
 }
+
+// Guards against reports that tell nothing any more and are sent to each gateway that connects, and against the loss of those that
+// do: many engines end at once under prompts that prove sound later, and some under a harmful one.
+func TestReportsWithoutEvidenceAreNotKept(t *testing.T) {
+	h, now := newHub(time.Minute), time.Now()
+	add := func(after time.Duration, r *wire.PromptReport) {
+		h.addPromptReports([]*wire.PromptReport{r}, now.Add(after))
+	}
+	for i := range 100 {
+		add(time.Duration(i)*100*time.Millisecond, &wire.PromptReport{Parts: []string{"popular", fmt.Sprint("subject", i)}, Engine: fmt.Sprint("e", i), Uncertain: true})
+	}
+	for i := range 4 {
+		add(10*time.Second+time.Duration(i)*time.Second, &wire.PromptReport{Parts: []string{"popular", "bad"}, Engine: fmt.Sprint("f", i), Uncertain: true})
+		add(10*time.Second+time.Duration(i)*time.Second, &wire.PromptReport{Parts: []string{"popular", "worse"}, Engine: fmt.Sprint("f", i)})
+	}
+	for i := range 100 {
+		add(15*time.Second, &wire.PromptReport{Parts: []string{"popular", fmt.Sprint("subject", i)}})
+	}
+	counts := map[string]int{}
+	for _, r := range h.subscribe(false).drainPromptReports() {
+		switch {
+		case r.Engine == "":
+			counts["sound"]++
+		case r.Uncertain && slices.Contains(r.Parts, "bad"):
+			counts["bad"]++
+		case slices.Contains(r.Parts, "worse"):
+			counts["worse"]++
+		default:
+			counts["other"]++
+		}
+	}
+	qt.Assert(t, counts["bad"], qt.Equals, 4)
+	qt.Assert(t, counts["worse"], qt.Equals, 4)
+	qt.Assert(t, counts["other"], qt.Equals, 0)
+	// One of them proves the popular part sound, for which ends are kept.
+	qt.Assert(t, counts["sound"], qt.Equals, maxBareSoundReports+1)
+}
--- a/pkg/coordinator/promptreports.go
+++ b/pkg/coordinator/promptreports.go
@@ -18,6 +18,10 @@
 	// count as one moment, however many there are.
 	maxUncertainRate  = 20
 	maxUncertainBurst = 40
+	// maxUncertainReports limits the uncertain ones of the recent reports, and maxBareSoundReports the reports of sound runs
+	// that add nothing to what is kept. All are sent to each gateway that connects.
+	maxUncertainReports = 64
+	maxBareSoundReports = 16
 )
 
 // recentReport is a prompt report and the time of its event. It is also stored in a file.
@@ -67,7 +71,7 @@
 		h.recentReports = append(h.recentReports, added)
 		h.updates++
 	}
-	h.recentReports = slices.Delete(h.recentReports, 0, max(0, len(h.recentReports)-maxReports))
+	h.recentReports = pruneReports(h.recentReports)
 	for sub := range h.subscribers {
 		if sub.isCoordinator {
 			continue
@@ -81,6 +85,58 @@
 	return dropped
 }
 
+// pruneReports returns the reports, in the order of their arrival, that tell something to a gateway which connects later. Uncertain
+// evidence tells nothing once all its parts have proved sound.
+func pruneReports(reports []recentReport) []recentReport {
+	soundAt := map[string]time.Time{}
+	for _, r := range reports {
+		for _, part := range r.Report.Parts {
+			if r.Report.Engine == "" && r.At.After(soundAt[part]) {
+				soundAt[part] = r.At
+			}
+		}
+	}
+	reports = slices.DeleteFunc(reports, func(r recentReport) bool {
+		return r.Report.Uncertain && !slices.ContainsFunc(r.Report.Parts, func(part string) bool { return !soundAt[part].After(r.At) })
+	})
+	firstEndAt, latestSound := map[string]time.Time{}, map[string]*wire.PromptReport{}
+	for _, r := range reports {
+		for _, part := range r.Report.Parts {
+			if first, ok := firstEndAt[part]; r.Report.Engine != "" && (!ok || r.At.Before(first)) {
+				firstEndAt[part] = r.At
+			}
+			if r.Report.Engine == "" && r.At.Equal(soundAt[part]) {
+				latestSound[part] = r.Report
+			}
+		}
+	}
+	reports = dropOldest(reports, maxUncertainReports, func(r recentReport) bool { return r.Report.Uncertain })
+	reports = dropOldest(reports, maxBareSoundReports, func(r recentReport) bool {
+		return r.Report.Engine == "" && !slices.ContainsFunc(r.Report.Parts, func(part string) bool {
+			first, ok := firstEndAt[part]
+			return ok && first.Before(r.At) && latestSound[part] == r.Report
+		})
+	})
+	return slices.Delete(reports, 0, max(0, len(reports)-maxReports))
+}
+
+// dropOldest removes the oldest of the reports that are of a kind until at most limit of them are left.
+func dropOldest(reports []recentReport, limit int, isOfKind func(recentReport) bool) []recentReport {
+	excess := -limit
+	for _, r := range reports {
+		if isOfKind(r) {
+			excess++
+		}
+	}
+	return slices.DeleteFunc(reports, func(r recentReport) bool {
+		if excess <= 0 || !isOfKind(r) {
+			return false
+		}
+		excess--
+		return true
+	})
+}
+
 // drainPromptReports returns the queued prompt reports and empties the queue.
 func (sub *subscriber) drainPromptReports() []*wire.PromptReport {
 	sub.hub.mu.Lock()
