--- a/pkg/coordinator/softstate.go
+++ b/pkg/coordinator/softstate.go
@@ -20,8 +20,8 @@
 	// written. It is below the interval between two announcements of an engine (1.2 s) and
 	// the prefill time of a prompt, which is about as long.
 	softStateInterval = 500 * time.Millisecond
-	// minWriteInterval is the minimum interval between two writes that something waits for. With 300 servers, a
-	// write encodes and syncs about 150 KB.
+	// minWriteInterval is the minimum interval between two writes that something waits for, as each
+	// encodes and syncs the state of all servers.
 	minWriteInterval = 100 * time.Millisecond
 )
 
--- a/pkg/follow/roster.go
+++ b/pkg/follow/roster.go
@@ -11,8 +11,8 @@
 	coordinatorTTL = 20 * time.Second
 	// silenceTimeout is the time without an event of any coordinator after which all are taken for silent.
 	silenceTimeout = streamTimeout
-	// minReconnectDelay and maxReconnectDelay bound the wait before a failed stream is opened again. At 1,000
-	// gateways, a coordinator that is back gets about 1,300 connections within the first second.
+	// minReconnectDelay and maxReconnectDelay bound the wait before a failed stream is opened again. The
+	// longer one spreads the connections of all gateways to a coordinator that is back.
 	minReconnectDelay = 60 * time.Millisecond
 	maxReconnectDelay = time.Second
 	// reconnectDelayShare is the share of the time since the last event of a coordinator that the next wait takes.
