membudget: holders that become slow make room for those that wait already

What callers saw: a body that needs room was refused with 503 after 0.5 s, while another, whose caller had stopped in between, kept its bytes.

Cause: holders are compared with the one that needs room when it asks, and again only when bytes return. A holder that has just made progress is not evicted then, whatever it does during the wait.

Evidence: TestHolderThatBecomesSlowMakesRoom failed before: refused after 10 s, with a holder that did nothing for as long.

Change: an account that waits compares again after 40 ms, with pauses that double: at 40, 120 and 280 ms of the 500 ms that a body waits.

--- a/pkg/membudget/budget.go
+++ b/pkg/membudget/budget.go
@@ -24,6 +24,9 @@
 	// freshTime is added to the time without progress when holders are compared, so that the size decides among
 	// those that have just made some.
 	freshTime = 20 * time.Millisecond
+	// firstRetry is the time after which an account that waits for room looks again for holders that have become
+	// slow meanwhile. Each further pause is twice as long.
+	firstRetry = 2 * freshTime
 )
 
 // Budget is a number of bytes that accounts share. A nil Budget has no limit.
@@ -97,6 +100,9 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	pause := firstRetry
+	retry := time.NewTimer(pause)
+	defer retry.Stop()
 	defer func() {
 		b.mu.Lock()
 		b.waiting--
@@ -109,6 +115,10 @@
 		select {
 		case <-freed:
 			freed, err = a.tryGrow(n, false)
+		case <-retry.C:
+			freed, err = a.tryGrow(n, false)
+			pause *= 2
+			retry.Reset(pause)
 		case <-timer.C:
 			return err
 		case <-ctx.Done():
--- a/pkg/membudget/budget_test.go
+++ b/pkg/membudget/budget_test.go
@@ -95,6 +95,19 @@
 	}
 }
 
+// Guards against a holder that stops while a larger account waits for room, and is compared with it only once, when it
+// had just made progress.
+func TestHolderThatBecomesSlowMakesRoom(t *testing.T) {
+	b := New(1 << 20)
+	var holder *Account
+	holder = b.NewAccount(func() { go holder.Close() })
+	large := b.NewAccount(nil)
+	qt.Assert(t, large.Grow(background, 100<<10, 0), qt.IsNil)
+	qt.Assert(t, holder.Grow(background, 300<<10, 0), qt.IsNil)
+	qt.Assert(t, large.Grow(background, 600<<10, 10*time.Second), qt.IsNil)
+	qt.Assert(t, holder.Evicted(), qt.IsTrue)
+}
+
 // Guards against bytes that are counted twice, or never returned, in any order of calls: the budget counts what its
 // accounts hold, and never more than its limit.
 func TestBudgetCountsWhatAccountsHold(t *testing.T) {
