usage: the retry budget is not granted again after a restart of all

What callers saw: nothing that was reported; servers could get more repeats within a window than the budget allows (BUDGET).

Cause: retries are counted in the memory of gateways and of the coordinator. If both start again within a window, nobody remembers them, and the whole budget was granted once more.

Change: gateways report their uptime. While a coordinator has run for less than a window, it grants half of the reserve (0.09) in place of 0.82, in proportion to the gateways that have run for less as well. A gateway without totals keeps to that share in the first window of its process.

The check that a budget is of use is not made for the new cases, in which little is granted by design.

--- a/pkg/follow/usage.go
+++ b/pkg/follow/usage.go
@@ -19,6 +19,8 @@
 	usageTimeout = 300 * time.Millisecond
 	// maxUsageTargets bounds the coordinators that are asked in one interval.
 	maxUsageTargets = 2
+	// maxReportedUptime bounds the uptime in a report; only that of processes which have just started matters.
+	maxReportedUptime = time.Hour
 )
 
 // UsageReporter is a gateway that exchanges its usage of the services.
@@ -96,7 +98,7 @@
 func encodeUsageReport(instance string, report usage.Report) *wire.UsageReport {
 	request := &wire.UsageReport{
 		Instance: instance, Incarnation: report.Incarnation, RetryRatio: report.RetryRatio, RetrySlack: report.RetrySlack,
-		Gateways: uint32(report.Gateways),
+		Gateways: uint32(report.Gateways), UptimeMs: uint32(min(report.Uptime, maxReportedUptime).Milliseconds()),
 	}
 	for name, s := range report.Services {
 		request.Services = append(request.Services, encodeServiceUsage(name, s))
@@ -142,6 +144,7 @@
 	return usage.Report{
 		Incarnation: r.Incarnation, Services: decodeServices(r.Services), Limits: decodeLimits(r.Limits),
 		RetryRatio: r.RetryRatio, RetrySlack: r.RetrySlack, Gateways: int(r.Gateways), Organisations: decodeOrganisations(r.Organisations),
+		Uptime: time.Duration(r.UptimeMs) * time.Millisecond,
 	}
 }
 
--- a/pkg/gateway/retry.go
+++ b/pkg/gateway/retry.go
@@ -126,7 +126,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	report := usage.Report{
-		Incarnation: g.incarnation, Services: usage.Services{}, Gateways: g.usage.Gateways(),
+		Incarnation: g.incarnation, Services: usage.Services{}, Gateways: g.usage.Gateways(), Uptime: g.usage.Uptime(now),
 		RetryRatio: g.settings.RetryRatio, RetrySlack: g.settings.RetrySlack,
 	}
 	for service, b := range g.budgets {
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -110,6 +110,7 @@
 		servers: directory.New(serverTTL(s)), pools: map[string]*placement.Pool{},
 		budgets: map[string]*placement.RetryBudget{}, rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
 		serversChanged: make(chan struct{}), usageUpdated: make(chan struct{}), configured: make(chan struct{}), unstarted: map[*streamState]func(){},
+		usage:       usage.View{StartedAt: time.Now()},
 		incarnation: mathrand.Uint64(), limitQueues: map[string]*placement.LimitQueue{}, durations: map[string]*placement.DurationHistory{}, admissionQueues: map[string]*placement.AdmissionQueue{},
 		callControls: map[string]*callControl{}, streamControls: map[string]*streamControl{},
 		callerConns: callerConns{conns: map[net.Conn]bool{}}, guard: newGuard(s),
--- a/pkg/placement/budget.go
+++ b/pkg/placement/budget.go
@@ -150,6 +150,10 @@
 	left := share*(b.RetryRatio*common.Total.Requests+b.RetrySlack*common.Coverage) - common.Total.Retries
 	ceiling, age, isGranted := b.View.Ceiling(b.Service, now)
 	isGranted = isGranted && age <= b.Window
+	if !ok && b.View.Uptime(now) < b.Window {
+		// The coordinators may have started again as well, and nobody remembers the retries of the previous process.
+		share = min(share, usage.LostHistoryShare)
+	}
 	allowed := true
 	switch {
 	case ok && isGranted && common.Age <= usage.TotalsTTL:
--- a/pkg/usage/share.go
+++ b/pkg/usage/share.go
@@ -20,6 +20,9 @@
 // View is what one gateway knows of the usage by all of them. The zero value knows nothing. It is not
 // safe for concurrent use.
 type View struct {
+	// StartedAt is when the process of the gateway started; the zero value means long ago.
+	StartedAt time.Time
+
 	totals     Totals
 	reported   Report
 	receivedAt time.Time
@@ -50,6 +53,9 @@
 	return ceiling, now.Sub(v.ceilingsAt), ok
 }
 
+// Uptime returns how long the process of the gateway has run.
+func (v *View) Uptime(now time.Time) time.Duration { return now.Sub(v.StartedAt) }
+
 // LowerCeiling gives back half of the retries that this gateway may still send, given those that it has
 // sent, and returns the ceiling. It is called for each report: what is given back, another gateway may
 // need, and the rest lasts until the response.
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -50,6 +50,8 @@
 	RetryRatio, RetrySlack float64
 	// Gateways is the largest number of gateways that this one has seen recently.
 	Gateways int
+	// Uptime is how long the process of the gateway has run.
+	Uptime time.Duration
 }
 
 // Limit is what is known of the limit that a backend server names for all gateways together.
@@ -91,6 +93,10 @@
 	// MaxBudgetShare is the share of a retry budget that is granted. What is left covers arrivals that fall
 	// into another window than their sends, and gateways that change the coordinator.
 	MaxBudgetShare = 0.82
+	// LostHistoryShare is the share that is granted instead while nobody knows the retries within the window, as
+	// gateways and the coordinator have started again. It is half of what MaxBudgetShare leaves, so that it stays within the
+	// budget together with the retries from before.
+	LostHistoryShare = (1 - MaxBudgetShare) / 2
 	// grantFactor scales the part of a gateway, by its demand, of the budget that nobody holds. More than
 	// 1 leaves less in reserve for gateways that need more than their part.
 	grantFactor = 2
@@ -140,9 +146,10 @@
 	totals.Ceilings = map[string]float64{}
 	granted := Services{}
 	coverage := float64(totals.Reporting) / float64(max(totals.Connected, r.Gateways))
+	budgetShare := t.budgetShare(now)
 	for name, own := range r.Services {
 		all := totals.Services[name]
-		budget := MaxBudgetShare * (r.RetryRatio*all.Requests + r.RetrySlack*coverage)
+		budget := budgetShare * (r.RetryRatio*all.Requests + r.RetrySlack*coverage)
 		available := budget - (all.committed() - own.committed()) - own.Retries
 		// Half of the parts follow the demand. A gateway without any may get requests before its next
 		// exchange.
@@ -164,6 +171,22 @@
 	return totals
 }
 
+// budgetShare returns the share of a retry budget that is granted. It is smaller while there may be retries within the
+// window that neither the coordinator nor a gateway remembers: those of gateways that have started again since.
+func (t *Table) budgetShare(now time.Time) float64 {
+	if now.Sub(t.startedAt) >= endedTTL || len(t.reports) == 0 {
+		return MaxBudgetShare
+	}
+	restarted := 0
+	for _, r := range t.reports {
+		if r.Uptime+now.Sub(r.receivedAt) < endedTTL {
+			restarted++
+		}
+	}
+	lost := float64(restarted) / float64(len(t.reports))
+	return lost*LostHistoryShare + (1-lost)*MaxBudgetShare
+}
+
 // Totals adds up the reports; connected is the number of gateways that the coordinator knows.
 func (t *Table) Totals(now time.Time, connected int) Totals {
 	totals := Totals{Services: Services{}, Settled: now.Sub(t.startedAt) >= settleTime}
