usage: the first start of a deployment forgets no retries

Cause: a coordinator that has just started held the retry budget back also when the deployment starts for the first time, and nothing was sent before.

Change: a coordinator that finds first_start set and its data folder empty grants the whole budget from the start.

TestGrantsAfterAStart, TestOnlyTheFirstStartHasNoHistory.

--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -84,6 +84,9 @@
 		cancel()
 		return eris.Wrap(err, "register the exchange of paces")
 	}
+	if s.settings.FirstStart && isEmptyFolder(s.settings.DataFolder) {
+		s.usage.table.SetFirst()
+	}
 	if err := s.server.Listen(ctx, s.settings.PeerAddress); err != nil {
 		cancel()
 		return err
--- a/pkg/coordinator/usage.go
+++ b/pkg/coordinator/usage.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"sync"
 	"time"
 
@@ -24,6 +26,12 @@
 	return u.table.Exchange(instance, report, connected, now)
 }
 
+// isEmptyFolder reports whether a folder has no content or does not exist.
+func isEmptyFolder(folder string) bool {
+	content, err := os.ReadDir(folder)
+	return len(content) == 0 && (err == nil || errors.Is(err, os.ErrNotExist))
+}
+
 // ExchangeUsage implements wire.DRPCCoordinatorServer.
 func (r *rpcServer) ExchangeUsage(_ context.Context, request *wire.UsageReport) (*wire.UsageTotals, error) {
 	totals := r.service.usage.exchange(request.Instance, follow.DecodeUsageReport(request), r.service.hub.gatewayCount(), time.Now())
--- a/pkg/coordinator/usage_test.go
+++ b/pkg/coordinator/usage_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -68,3 +70,13 @@
 	g.eventually("totals of three gateways from another coordinator", complete)
 	qt.Assert(t, time.Since(startedAt) < 5*time.Second, qt.IsTrue)
 }
+
+// Guards against a coordinator that takes the start of its process for the first start of the deployment.
+func TestOnlyTheFirstStartHasNoHistory(t *testing.T) {
+	folder := t.TempDir()
+	qt.Check(t, isEmptyFolder(filepath.Join(folder, "new")), qt.IsTrue)
+	qt.Check(t, isEmptyFolder(folder), qt.IsTrue)
+	qt.Assert(t, os.WriteFile(filepath.Join(folder, "soft-state-0.json"), nil, 0o600), qt.IsNil)
+	qt.Check(t, isEmptyFolder(folder), qt.IsFalse)
+	qt.Check(t, isEmptyFolder(filepath.Join(folder, "soft-state-0.json")), qt.IsFalse)
+}
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -13,6 +13,23 @@
 // settledTable returns a table that has run long enough to know its gateways.
 func settledTable() *Table { return NewTable(start.Add(-time.Minute)) }
 
+// Guards against a budget that is granted again after a restart of all, and against one that is kept back although nothing was
+// sent before.
+func TestGrantsAfterAStart(t *testing.T) {
+	const slack = 100
+	granted := func(table *Table, uptime time.Duration) float64 {
+		r := Report{Services: Services{"s": {Demand: 1, Wanted: slack}}, RetrySlack: slack, Uptime: uptime}
+		return table.Exchange("g", r, 1, start).Ceilings["s"]
+	}
+	restarted := func() *Table { return NewTable(start.Add(-settleTime)) }
+	first := restarted()
+	first.SetFirst()
+	qt.Check(t, granted(settledTable(), time.Second) > slack/2, qt.IsTrue)
+	qt.Check(t, granted(restarted(), time.Minute) > slack/2, qt.IsTrue)
+	qt.Check(t, granted(first, time.Second) > slack/2, qt.IsTrue)
+	qt.Check(t, granted(restarted(), time.Second) <= LostHistoryShare*slack, qt.IsTrue)
+}
+
 // Guards against shares that add up to more than the whole, and against idle gateways that hold a
 // share which others need.
 func TestSharesFollowDemand(t *testing.T) {
