control: a test waits for elections and for the end of listeners

Cause, by a trace: after the leader was stopped, 20 proposals were answered "unknown: connection reset by peer" within 5 ms, each forwarded to that leader; no election can end in that time. Changes have no clear answer meanwhile, which is allowed. In the two other failures the address of the stopped instance was still in use as it started again: the listener is closed after Stop has returned.

Change: a change is proposed again for 10 s, every 20 ms, in place of 20 times without a wait; an instance starts once its addresses are free, as in the tests of pkg/coordinator.

What the test checks of versions is unchanged.

--- a/pkg/control/loopback_test.go
+++ b/pkg/control/loopback_test.go
@@ -79,6 +79,13 @@
 		}
 		return l.stores[i], l.stores[i].read(), l.disks[i], nil
 	}
+	// The listeners of a former process may still be open when Stop returns.
+	for _, address := range []string{l.settings[i].PeerAddress, l.settings[i].OperatorAddress} {
+		eventually(l.t, address+" is free", func() bool {
+			listener, err := net.Listen("tcp", address)
+			return err == nil && listener.Close() == nil
+		})
+	}
 	l.services[i] = New(l.settings[i], rpc.NewDialer(nil, counters), rpc.NewServer(nil, counters, log), metrics, open)
 	l.kernels[i], l.cancels[i] = kernel.New(log), cancel
 	qt.Assert(l.t, l.kernels[i].Register(l.services[i]), qt.IsNil)
@@ -95,11 +102,19 @@
 	l.services[i] = nil
 }
 
-// change proposes a change at an instance, up to 20 times until it is accepted,
-// and returns the new version.
+const (
+	// changeTimeout is the time within which a change is accepted although leaders change, and changePause the wait between
+	// two proposals of it.
+	changeTimeout = 10 * time.Second
+	changePause   = 20 * time.Millisecond
+)
+
+// change proposes a change at an instance until it is accepted, as an operator does while there is no leader, and
+// returns the new version.
 func (l *loopback) change(i int, c document.Change) uint64 {
-	for range 20 {
-		result := l.services[i].Propose(context.Background(), &c)
+	var result Result
+	for deadline := time.Now().Add(changeTimeout); time.Now().Before(deadline); time.Sleep(changePause) {
+		result = l.services[i].Propose(context.Background(), &c)
 		if result.Outcome == Accepted {
 			return result.Version
 		}
@@ -107,7 +122,7 @@
 			l.t.Fatalf("%+v", result)
 		}
 	}
-	l.t.Fatal("no change was accepted")
+	l.t.Fatalf("no change was accepted within %s: %+v", changeTimeout, result)
 	return 0
 }
 
