gateway: a test server takes an order that comes again

TestStoppedRunWithoutALengthIsNotComplete passed, but its server closed a channel twice when an order came again, and net/http logged the panic. The order now ends the run once; what is checked is unchanged.

--- a/pkg/gateway/relocate_test.go
+++ b/pkg/gateway/relocate_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -143,11 +144,13 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			ordered := make(chan struct{})
+			// An order whose response is lost comes again.
+			endRun := sync.OnceFunc(func() { close(ordered) })
 			f, busy, free := newBusyEngineFixture(t, nil)
 			busy.withLock(func() {
 				busy.copyHandler = func(w http.ResponseWriter, r *http.Request) {
 					if r.URL.Path == "/copy/stop" {
-						close(ordered)
+						endRun()
 						test.onStop(w, r)
 						return
 					}
