gateway, coordinator: AddSeeds is SetSeeds

Since addresses of the settings are a source of their own, the method replaces them. No change of behaviour; it builds, and the tests named Seeds and Relocate in pkg/gateway pass.

--- a/cmd/gp-coordinator/main.go
+++ b/cmd/gp-coordinator/main.go
@@ -73,7 +73,7 @@
 			log.Error("the new settings are invalid, keeping the previous ones", "error", err)
 			return
 		}
-		coordinatorService.AddSeeds(ctx, reloaded.PeerSeeds())
+		coordinatorService.SetSeeds(ctx, reloaded.PeerSeeds())
 	}
 	return instance.Run(ctx, k, file, reload, nil, stopTimeout)
 }
--- a/cmd/gp-gateway/main.go
+++ b/cmd/gp-gateway/main.go
@@ -66,7 +66,7 @@
 			log.Error("the new settings are invalid, keeping the previous ones", "error", err)
 			return
 		}
-		gatewayService.AddSeeds(ctx, reloaded.PeerSeeds())
+		gatewayService.SetSeeds(ctx, reloaded.PeerSeeds())
 	}
 	return instance.Run(ctx, k, file, reload, nil, time.Duration(s.GracePeriodS*float64(time.Second)))
 }
--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -155,8 +155,9 @@
 	}
 }
 
-// AddSeeds adds peer addresses of other coordinators, which are followed until ctx ends.
-func (s *Service) AddSeeds(ctx context.Context, addresses []string) {
+// SetSeeds follows the coordinators at these peer addresses, which replace those of the previous settings as a source, until
+// ctx ends.
+func (s *Service) SetSeeds(ctx context.Context, addresses []string) {
 	s.group.addCoordinators(addresses)
 	s.peerClient.SetSeeds(ctx, addresses)
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -148,7 +148,7 @@
 func (g *Gateway) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	g.AddSeeds(ctx, g.settings.PeerSeeds())
+	g.SetSeeds(ctx, g.settings.PeerSeeds())
 	if err := g.listen(ctx); err != nil {
 		cancel()
 		return err
@@ -166,8 +166,9 @@
 	return nil
 }
 
-// AddSeeds follows the coordinators at these seed addresses, which replace those of the previous settings as a source.
-func (g *Gateway) AddSeeds(ctx context.Context, seeds []string) { g.coordinators.SetSeeds(ctx, seeds) }
+// SetSeeds follows the coordinators at these seed addresses, which replace those of the previous settings as a source,
+// until ctx ends.
+func (g *Gateway) SetSeeds(ctx context.Context, seeds []string) { g.coordinators.SetSeeds(ctx, seeds) }
 
 // listen starts the listeners for callers and for the load balancer's readiness checks.
 func (g *Gateway) listen(ctx context.Context) error {
