--- a/pkg/coordinator/service.go
+++ b/pkg/coordinator/service.go
@@ -85,7 +85,7 @@
 		return eris.Wrap(err, "register the exchange of paces")
 	}
 	if s.settings.FirstStart && isEmptyFolder(s.settings.DataFolder) {
-		s.usage.table.SetFirst()
+		s.usage.table.SetNoHistory()
 	}
 	if err := s.server.Listen(ctx, s.settings.PeerAddress); err != nil {
 		cancel()
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -112,9 +112,9 @@
 // Table holds the latest report of each gateway at a coordinator. It is not safe for concurrent use.
 type Table struct {
 	startedAt time.Time
-	// isFirst means that no gateway sent anything before the table was created.
-	isFirst bool
-	reports map[string]timedReport
+	// noHistory means that no gateway sent anything before the table was created.
+	noHistory bool
+	reports   map[string]timedReport
 	// ended holds the last reports of processes that ended.
 	ended            []timedReport
 	organisationSums organisationSums
@@ -128,8 +128,8 @@
 // NewTable returns the empty table of a coordinator that starts at now.
 func NewTable(now time.Time) *Table { return &Table{startedAt: now, reports: map[string]timedReport{}} }
 
-// SetFirst records that no gateway sent anything before the table was created, as the deployment starts for the first time.
-func (t *Table) SetFirst() { t.isFirst = true }
+// SetNoHistory records that no gateway sent anything before the table was created, as the deployment starts for the first time.
+func (t *Table) SetNoHistory() { t.noHistory = true }
 
 // Record stores the report of a gateway in place of its previous one.
 func (t *Table) Record(instance string, r Report, now time.Time) {
@@ -179,7 +179,7 @@
 // budgetShare returns the share of a retry budget that is granted. It is smaller while there may be retries within the
 // window that neither the coordinator nor a gateway remembers: those of gateways that have started again since.
 func (t *Table) budgetShare(now time.Time) float64 {
-	if t.isFirst || now.Sub(t.startedAt) >= endedTTL || len(t.reports) == 0 {
+	if t.noHistory || now.Sub(t.startedAt) >= endedTTL || len(t.reports) == 0 {
 		return MaxBudgetShare
 	}
 	restarted := 0
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -23,7 +23,7 @@
 	}
 	restarted := func() *Table { return NewTable(start.Add(-settleTime)) }
 	first := restarted()
-	first.SetFirst()
+	first.SetNoHistory()
 	qt.Check(t, granted(settledTable(), time.Second) > slack/2, qt.IsTrue)
 	qt.Check(t, granted(restarted(), time.Minute) > slack/2, qt.IsTrue)
 	qt.Check(t, granted(first, time.Second) > slack/2, qt.IsTrue)
