upstream, entry: a response with a malformed status line is no answer

What callers saw: a server in trouble sent the status 000 (also 099, +20, -00), and behind its head a whole 200: callers of gateways got that 200 as the answer, on routes of all kinds. Without it, the call waited until its deadline and ended with 504. An unrequested 101 was skipped in the same way. Status lines of another version (0.9, 2.0), or with a control character, gave an answer. Callers of entry instances got a response with the status 0, 20, 99 or 101.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads for a status, any version "HTTP/x.y", and does not look at the reason. The gateway skipped everything below 200 as informational; net/http's transport skips 100 to 199 and hands out the rest as an answer.

Change: pkg/httpstrict checks the status line of each response, informational ones included: a code of 100 or more, no 101, a version 1.x, no control character. Codes from 600 to 999 are served as before, as server errors (RFC 9110, section 15).

--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -1,4 +1,4 @@
-// Package testnet provides loopback addresses for tests.
+// Package testnet provides loopback addresses and servers for tests.
 package testnet
 
 import (
@@ -27,3 +27,27 @@
 	}
 	return listener.Addr().String()
 }
+
+// Serve calls handle for each connection to a new listener, and closes the connection afterwards. It returns the
+// address of the listener, which is closed at the end of the test.
+func Serve(tb testing.TB, handle func(net.Conn)) string {
+	tb.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				handle(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/pkg/entry/client.go
+++ b/pkg/entry/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/geraniumpitch/geraniumpitch/pkg/httpstrict"
 	"github.com/geraniumpitch/geraniumpitch/pkg/once"
 )
 
@@ -49,10 +50,10 @@
 type serviceClient struct {
 	// keepAlive reuses connections; net/http may resend a request when an idle
 	// connection turns out to be closed.
-	keepAlive *http.Transport
+	keepAlive http.RoundTripper
 	// singleUse opens one connection per request, so net/http never resends the
 	// request. It is used for calls that are not idempotent.
-	singleUse *http.Transport
+	singleUse http.RoundTripper
 }
 
 // errResponseTooLarge is the error of a response whose body exceeds maxResponseBytes.
@@ -63,13 +64,13 @@
 func newServiceClient(source net.Addr) serviceClient {
 	dialer := &net.Dialer{Timeout: backendDialTimeout, LocalAddr: source}
 	return serviceClient{
-		keepAlive: &http.Transport{
+		keepAlive: httpstrict.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerBackend,
 			IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
-		},
-		singleUse: &http.Transport{
+		}),
+		singleUse: httpstrict.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
-		},
+		}),
 	}
 }
 
--- /dev/null
+++ b/pkg/entry/malformed_test.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
+	"github.com/geraniumpitch/geraniumpitch/pkg/httpstrict"
+)
+
+// Guards against a malformed response that is passed on to the caller, or stored under a one-time key, as the answer.
+func TestMalformedResponses(t *testing.T) {
+	for name, response := range map[string]string{
+		"status 000":                "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\ndone",
+		"status 099":                "HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\ndone",
+		"status +20":                "HTTP/1.1 +20 OK\r\nContent-Length: 4\r\n\r\ndone",
+		"status 000 and an answer":  "HTTP/1.1 000\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+		"other protocol":            "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n",
+		"version of another syntax": "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+	} {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, idempotent %t", name, idempotent), func(t *testing.T) {
+				address := testnet.Serve(t, func(c net.Conn) {
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+						_, _ = io.WriteString(c, response)
+					}
+				})
+				answer, err := newServiceClient(nil).do(t.Context(), address, backendRequest{method: "GET", path: "/", header: http.Header{}}, idempotent)
+				qt.Assert(t, err, qt.ErrorIs, httpstrict.ErrMalformed, qt.Commentf("answer %d %q", answer.Status, answer.Body))
+				var notSent *notSentError
+				qt.Assert(t, errors.As(err, &notSent), qt.IsFalse)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/httpstrict/response.go
@@ -0,0 +1,50 @@
+// Package httpstrict reads the responses of HTTP/1.1 servers. It rejects responses that net/http accepts although they
+// are malformed: a client that guesses their meaning passes on something else than the server sent.
+package httpstrict
+
+import (
+	"bufio"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrMalformed is the cause of the error for a response that violates the syntax of HTTP/1.1. Its request may have run,
+// and its connection must not be used again.
+var ErrMalformed = eris.New("malformed HTTP response")
+
+// ReadResponse reads a response like http.ReadResponse. It returns ErrMalformed if the head is malformed.
+func ReadResponse(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(r, request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+func checkHead(r *http.Response) error {
+	return checkStatusLine(r)
+}
+
+// checkStatusLine checks what http.ReadResponse does not: RFC 9112, section 4, and RFC 9110, sections 15 and 15.2.2.
+// Status codes above 599 are valid here: they count as server errors.
+func checkStatusLine(r *http.Response) error {
+	switch {
+	case r.StatusCode < http.StatusContinue:
+		return eris.Wrapf(ErrMalformed, "status %q", r.Status)
+	case r.StatusCode == http.StatusSwitchingProtocols:
+		return eris.Wrapf(ErrMalformed, "status %q without a request to upgrade", r.Status)
+	// HTTP/2 is negotiated by TLS, and has no status line.
+	case r.ProtoMajor != 1 && r.TLS == nil:
+		return eris.Wrapf(ErrMalformed, "version %q", r.Proto)
+	}
+	for _, c := range []byte(r.Status) {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return eris.Wrapf(ErrMalformed, "control character in the status line %q", r.Status)
+		}
+	}
+	return nil
+}
