httpstrict: a response with a blank in the name of a field is no answer

What callers saw: a server in trouble sent a head in which the name of a field held a blank ("X Sum: 5", "Content-Length : 5"). Callers of gateways got the 200, with that line dropped; where the line was the length, a longer body as the whole answer. Entry instances passed the line on as a header. The same in informational responses, in responses to other requests that are skipped, in the responses to copy requests, and in trailers.

Cause: textproto.ReadMIMEHeader rejects all bytes that are not allowed in a name but the blank, and keeps the name as it is, so that nothing finds the field. net/http drops such fields when it writes them.

A tab, a control byte, DEL, no name and no colon were held (502) and are in the test.

Change: httpstrict checks the names in heads, informational ones too, and of trailers when the body ends; all clients of the product use it: gateways, entry instances, engines, fleetstatus, gpctl with its roll-outs, announcements of stand-ins, gp-load. The check of a token is that of golang.org/x/net/http/httpguts, which the module graph had already.

Why it works: after http.ReadResponse a malformed name can only be one with a blank, and it is still in the map as it was sent. A stream whose trailer is malformed keeps the events that its caller has and goes on elsewhere, or is broken off. Trailers that were announced and did not arrive are not checked, folded values and all characters of a token are served as before (TestUnusualHeadsAreForwarded, TestWellFormedResponses).

--- a/cmd/gp-load/run.go
+++ b/cmd/gp-load/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/document"
+	"github.com/geraniumpitch/geraniumpitch/pkg/httpstrict"
 )
 
 // Kinds of requests. In the report, "order" is an at-most-once call with a one-time key, and
@@ -32,10 +33,10 @@
 func newSender(o options) *sender {
 	return &sender{
 		options: o, recorder: newRecorder(),
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: httpstrict.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: 64, DisableCompression: true,
-		}},
+		})},
 	}
 }
 
--- a/cmd/gpctl/client.go
+++ b/cmd/gpctl/client.go
@@ -14,6 +14,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/control"
+	"github.com/geraniumpitch/geraniumpitch/pkg/httpstrict"
 )
 
 const (
@@ -29,9 +30,11 @@
 type client struct {
 	addresses []string
 	key       string
-	http      http.Client
 }
 
+// httpClient sends the requests of all commands.
+var httpClient = &http.Client{Transport: httpstrict.NewDefaultTransport()}
+
 // refusedError is an error response that a retry would not change.
 type refusedError struct {
 	status   int
@@ -114,7 +117,7 @@
 		return nil, false, err
 	}
 	request.Header.Set("Authorization", "Bearer "+c.key)
-	response, err := c.http.Do(request)
+	response, err := httpClient.Do(request)
 	if err != nil {
 		var opErr *net.OpError
 		return nil, !(errors.As(err, &opErr) && opErr.Op == "dial"), err
--- a/cmd/gpctl/client_test.go
+++ b/cmd/gpctl/client_test.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -34,6 +38,16 @@
 	return server.URL, requests
 }
 
+// startMalformedServer starts a server whose response to every request has a malformed field name.
+func startMalformedServer(t *testing.T, body string) (address string) {
+	return "http://" + testnet.Serve(t, func(c net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+}
+
 const (
 	notRunBody   = `{"error":{"outcome":"not_run","code":"unavailable","message":"no leader"}}`
 	unknownBody  = `{"error":{"outcome":"unknown","code":"unknown","message":"no answer"}}`
@@ -49,6 +63,7 @@
 	undecided, _ := startServer(t, 504, unknownBody)
 	conflicting, _ := startServer(t, 409, conflictBody)
 	nonJSON, _ := startServer(t, 502, "bad gateway")
+	malformed := startMalformedServer(t, `{"outcome":"accepted"}`)
 	unreachable := "http://" + testnet.UnusedAddress(t)
 	cases := []struct {
 		name      string
@@ -61,6 +76,8 @@
 		{"unknown outcome, then no leader", "PUT", []string{undecided, withoutLeader}, exitOutcomeUnknown},
 		{"dropped response, then no leader", "PUT", []string{dropping, withoutLeader}, exitOutcomeUnknown},
 		{"response without JSON", "PUT", []string{nonJSON}, exitOutcomeUnknown},
+		{"malformed response", "PUT", []string{malformed}, exitOutcomeUnknown},
+		{"malformed response to a read", "GET", []string{malformed}, exitUnavailable},
 		{"dropped response to a read", "GET", []string{dropping}, exitUnavailable},
 		{"dropped response, then conflict", "PUT", []string{dropping, conflicting, accepting}, exitRefused},
 	}
--- a/cmd/gpctl/rollout.go
+++ b/cmd/gpctl/rollout.go
@@ -148,7 +148,7 @@
 	ctx, cancel := context.WithTimeout(ctx, *timeoutFlag)
 	defer cancel()
 	reply, err := callCoordinators(ctx, addresses, func(ctx context.Context, address string) (platform.RolloutReply, error) {
-		return platform.OrderRollout(ctx, http.DefaultClient, address, c.flags.service, c.version, c.duration)
+		return platform.OrderRollout(ctx, httpClient, address, c.flags.service, c.version, c.duration)
 	})
 	status := rolloutResult(reply, err, true)
 	if status == subcommands.ExitSuccess {
@@ -175,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(ctx, *timeoutFlag)
 	defer cancel()
 	reply, err := callCoordinators(ctx, addresses, func(ctx context.Context, address string) (platform.RolloutReply, error) {
-		return platform.ReadRolloutState(ctx, http.DefaultClient, address, c.flags.service)
+		return platform.ReadRolloutState(ctx, httpClient, address, c.flags.service)
 	})
 	status := rolloutResult(reply, err, false)
 	if status == subcommands.ExitSuccess {
--- a/cmd/gpctl/rollout_test.go
+++ b/cmd/gpctl/rollout_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"testing"
 	"time"
 
@@ -22,6 +21,7 @@
 	conflicting, _ := startServer(t, 409, `{"message":"another one is in progress"}`)
 	dropping, _ := startServer(t, 0, "")
 	nonJSON, _ := startServer(t, 502, "bad gateway")
+	malformed := startMalformedServer(t, `{"state":"complete","to":"v2"}`)
 	unreachable := "http://" + testnet.UnusedAddress(t)
 	for _, tt := range []struct {
 		name      string
@@ -34,6 +34,8 @@
 		{"unreachable", []string{unreachable}, true, exitUnavailable},
 		{"no leader", []string{unavailable}, true, exitOutcomeUnknown},
 		{"dropped response", []string{dropping}, true, exitOutcomeUnknown},
+		{"malformed response", []string{malformed}, true, exitOutcomeUnknown},
+		{"malformed response to a read", []string{malformed}, false, exitUnavailable},
 		{"read at the next coordinator", []string{nonJSON, reading}, false, subcommands.ExitSuccess},
 		{"read without a leader", []string{unavailable}, false, exitUnavailable},
 	} {
@@ -44,9 +46,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		reply, err := callCoordinators(ctx, tt.addresses, func(ctx context.Context, address string) (platform.RolloutReply, error) {
 			if tt.order {
-				return platform.OrderRollout(ctx, http.DefaultClient, address, "app", "v2", time.Second)
+				return platform.OrderRollout(ctx, httpClient, address, "app", "v2", time.Second)
 			}
-			return platform.ReadRolloutState(ctx, http.DefaultClient, address, "app")
+			return platform.ReadRolloutState(ctx, httpClient, address, "app")
 		})
 		cancel()
 		qt.Check(t, rolloutResult(reply, err, tt.order), qt.Equals, tt.want, qt.Commentf("%s: %v", tt.name, err))
--- a/cmd/gpctl/where.go
+++ b/cmd/gpctl/where.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "where")
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := httpClient.Do(request)
 	if err != nil {
 		return nil, eris.Wrap(err, "where")
 	}
--- a/cmd/gpctl/where_test.go
+++ b/cmd/gpctl/where_test.go
@@ -44,6 +44,8 @@
 	qt.Check(t, strings.Fields(lines[4]), qt.DeepEquals, []string{"e2", "a", "2.00", "0", "0", "false", "1.00", "none", "-", "-", "20ms", "avoided"})
 	_, status = run("-gateway", gateway.URL, "-route", "none")
 	qt.Check(t, status, qt.Equals, subcommands.ExitFailure)
+	_, status = run("-gateway", startMalformedServer(t, `{"route":"chat"}`), "-route", "chat")
+	qt.Check(t, status, qt.Equals, subcommands.ExitFailure)
 	_, status = run("-route", "chat")
 	qt.Check(t, status, qt.Equals, subcommands.ExitUsageError)
 }
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/httpstrict"
 )
 
 const (
@@ -17,8 +19,8 @@
 // NewClient returns an HTTP client to be shared by the clients of all engines. Its
 // connections use the local address source, unless it is nil.
 func NewClient(source net.Addr) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httpstrict.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, LocalAddr: source}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerEngine, MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	})}
 }
--- a/pkg/fleetstatus/status.go
+++ b/pkg/fleetstatus/status.go
@@ -15,6 +15,8 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 	"github.com/rotisserie/eris"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/httpstrict"
 )
 
 // ProcessStatus is the state of a gateway or coordinator.
@@ -46,6 +48,9 @@
 // roleNames are the names of the values of gp_coordinator_role.
 var roleNames = []string{"learner", "follower", "candidate", "leader"}
 
+// client reads the metrics of all processes.
+var client = &http.Client{Transport: httpstrict.NewDefaultTransport()}
+
 // maxMetricsBytes bounds the metrics of one process, whose usual size is about 20 kB.
 const maxMetricsBytes = 4 << 20
 
@@ -73,7 +78,7 @@
 	if err != nil {
 		return ProcessStatus{}, eris.Wrap(err, "read metrics")
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return ProcessStatus{}, err
 	}
--- a/pkg/fleetstatus/status_test.go
+++ b/pkg/fleetstatus/status_test.go
@@ -1,14 +1,18 @@
 package fleetstatus
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/internal/testnet"
 )
 
 const (
@@ -44,19 +48,24 @@
 	leader := serveMetrics(t, coordinatorMetrics)
 	unrelated := serveMetrics(t, "# TYPE go_goroutines gauge\ngo_goroutines 3\n")
 	malformed := serveMetrics(t, "{{{")
+	blankInName := testnet.Serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX Sum: 5\r\n\r\n"+gatewayMetrics, 7)
+		}
+	}) + "/metrics"
 	got := Collect(context.Background(), []string{current, leader})
 	qt.Assert(t, got[0], qt.DeepEquals, ProcessStatus{Address: current, Kind: "gateway", Revision: 7, Ready: true, ActivePeers: 3, Servers: 27})
 	qt.Assert(t, got[1], qt.DeepEquals, ProcessStatus{Address: leader, Kind: "coordinator", Revision: 7, Role: "leader", ActivePeers: 6})
 	qt.Assert(t, Faults(got), qt.HasLen, 0)
-	got = Collect(context.Background(), []string{behind, leader, unrelated, malformed, "127.0.0.1:1/metrics"})
+	got = Collect(context.Background(), []string{behind, leader, unrelated, malformed, blankInName, "127.0.0.1:1/metrics"})
 	faults := strings.Join(Faults(got), "\n")
 	qt.Assert(t, faults, qt.Contains, behind+" has revision 6, the newest is 7")
-	for _, address := range []string{unrelated, malformed, "127.0.0.1:1/metrics"} {
+	for _, address := range []string{unrelated, malformed, blankInName, "127.0.0.1:1/metrics"} {
 		qt.Assert(t, faults, qt.Contains, address+" does not answer")
 	}
 	got[1].Role = "follower"
 	qt.Assert(t, strings.Join(Faults(got), "\n"), qt.Contains, "0 coordinators are leaders, expected 1")
 	var out strings.Builder
 	qt.Assert(t, Write(&out, got), qt.IsNil)
-	qt.Assert(t, strings.Count(out.String(), "\n! "), qt.Equals, 5, qt.Commentf("%s", out.String()))
+	qt.Assert(t, strings.Count(out.String(), "\n! "), qt.Equals, 6, qt.Commentf("%s", out.String()))
 }
--- a/pkg/gateway/malformedresponse_test.go
+++ b/pkg/gateway/malformedresponse_test.go
@@ -5,12 +5,16 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/geraniumpitch/geraniumpitch/pkg/httpstrict"
+	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 )
 
 // syncBuffer is a buffer for logs that several goroutines write.
@@ -38,15 +42,24 @@
 
 const malformedBody = "id: 1\ndata: broken\n\n"
 
-// checkNotForwarded checks on routes of all kinds that a malformed response reaches no caller, that its request counts
-// as one that may have run, that its connection is closed, and that a log line has the cause.
-func checkNotForwarded(t *testing.T, cases []malformedCase, cause string) {
+// malformedRoute is a route on which a malformed response is tested. With repeated, a request that may have run is sent
+// once more.
+type malformedRoute struct {
+	path, service string
+	repeated      bool
+}
+
+var (
+	callRoutes   = []malformedRoute{{"/once/x", "app", false}, {"/safe/x", "app", true}}
+	streamRoutes = []malformedRoute{{"/stream/x", "pool", true}, {"/fixed/x", "pool", false}}
+	allRoutes    = slices.Concat(callRoutes, streamRoutes)
+)
+
+// checkNotForwarded checks that a malformed response reaches no caller, that its request counts as one that may have run,
+// that its connection is closed, and that a log line has the cause.
+func checkNotForwarded(t *testing.T, routes []malformedRoute, cases []malformedCase, cause string) {
 	for _, c := range cases {
-		for _, tt := range []struct {
-			path, service string
-			// repeated means that a request that may have run is sent once more.
-			repeated bool
-		}{{"/once/x", "app", false}, {"/safe/x", "app", true}, {"/stream/x", "pool", true}, {"/fixed/x", "pool", false}} {
+		for _, tt := range routes {
 			t.Run(c.name+" "+tt.path, func(t *testing.T) {
 				f := newFixture(t)
 				var log syncBuffer
@@ -91,7 +104,7 @@
 		return status + "\r\nX-Id: %id\r\nContent-Type: text/event-stream\r\nContent-Length: 20\r\n\r\n"
 	}
 	answer := head("HTTP/1.1 200 OK") + malformedBody
-	checkNotForwarded(t, []malformedCase{
+	checkNotForwarded(t, allRoutes, []malformedCase{
 		{"000", head("HTTP/1.1 000 OK") + malformedBody},
 		{"000 without a reason", head("HTTP/1.1 000") + malformedBody},
 		{"000 and nothing else", "HTTP/1.1 000\r\n\r\n"},
@@ -109,7 +122,7 @@
 }
 
 // Guards against a response that is well-formed, though unusual, and is rejected.
-func TestUnusualStatusLinesAreForwarded(t *testing.T) {
+func TestUnusualHeadsAreForwarded(t *testing.T) {
 	for name, response := range map[string]string{
 		"no reason":       "HTTP/1.1 200\r\nX-Id: %id\r\nContent-Length: 4\r\n\r\ndone",
 		"empty reason":    "HTTP/1.1 200 \r\nX-Id: %id\r\nContent-Length: 4\r\n\r\ndone",
@@ -117,6 +130,10 @@
 		"two blanks":      "HTTP/1.1  200 OK\r\nX-Id: %id\r\nContent-Length: 4\r\n\r\ndone",
 		"version 1.0":     "HTTP/1.0 200 OK\r\nX-Id: %id\r\nContent-Length: 4\r\n\r\ndone",
 		"informational":   "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: %id\r\nContent-Length: 4\r\n\r\ndone",
+		"trailer":         "HTTP/1.1 200 OK\r\nX-Id: %id\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum, bad name\r\n\r\n4\r\ndone\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"folded value":    "HTTP/1.1 200 OK\r\nX-Id: %id\r\nX-Long: a\r\n b\r\nContent-Length: 4\r\n\r\ndone",
+		"all of a token":  "HTTP/1.1 200 OK\r\nX-Id: %id\r\n!#$%&'*+-.^_`|~09az: x\r\nContent-Length: 4\r\n\r\ndone",
+		"odd values":      "HTTP/1.1 200 OK\r\nX-Id: %id\r\nX-A:\r\nX-B:   \tx : \"\\ö \r\nContent-Length: 4\r\n\r\ndone",
 		"line feeds only": "HTTP/1.1 200 OK\nX-Id: %id\nContent-Length: 4\n\ndone",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -132,3 +149,88 @@
 		})
 	}
 }
+
+// Guards against a field that is dropped or decides nothing as its name is malformed: the caller would get a response that
+// the server did not send, with a body that is longer than the server said.
+func TestMalformedFieldNameIsNotForwarded(t *testing.T) {
+	head := func(fields string) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: %id\r\nContent-Type: text/event-stream\r\n" + fields + "\r\n"
+	}
+	whole := head("Content-Length: 20\r\n") + malformedBody
+	checkNotForwarded(t, allRoutes, []malformedCase{
+		{"blank inside", head("Content-Length: 20\r\nX Sum: 5\r\n") + malformedBody},
+		{"blank before the colon", head("Content-Length: 20\r\nX-Sum : 5\r\n") + malformedBody},
+		{"length with a blank before the colon", head("Content-Length : 5\r\nContent-Length: 20\r\n") + malformedBody},
+		{"blank in an informational response", "HTTP/1.1 103 Early Hints\r\nX Sum: 5\r\n\r\n" + whole},
+		{"blank in a response to another request", "HTTP/1.1 200 OK\r\nX-Id: other\r\nX Sum: 5\r\nContent-Length: 0\r\n\r\n" + whole},
+		{"blank in a trailer to another request", "HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Sum: 5\r\n\r\n" + whole},
+	}, "malformed HTTP response")
+	// net/http rejects these itself.
+	checkNotForwarded(t, allRoutes, []malformedCase{
+		{"tab", head("Content-Length: 20\r\nX\tSum: 5\r\n") + malformedBody},
+		{"NUL", head("Content-Length: 20\r\nX\x00Sum: 5\r\n") + malformedBody},
+		{"DEL", head("Content-Length: 20\r\nX\x7fSum: 5\r\n") + malformedBody},
+		{"no name", head("Content-Length: 20\r\n: 5\r\n") + malformedBody},
+		{"no colon", head("Content-Length: 20\r\nX-Sum\r\n") + malformedBody},
+		{"control byte in a value", head("Content-Length: 20\r\nX-Sum: \x015\r\n") + malformedBody},
+	}, "malformed MIME header")
+}
+
+// Guards against a body in chunks that looks complete although a trailer behind it is malformed.
+func TestMalformedTrailer(t *testing.T) {
+	const firstEvent = "id: 1\ndata: token 1\n\n"
+	head := "HTTP/1.1 200 OK\r\nX-Id: %id\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct{ trailer, cause string }{
+		{"X Sum: 5", "malformed HTTP response"}, {"Content-Length : 5", "malformed HTTP response"}, {"X\x01Sum: 5", "malformed MIME header"},
+	} {
+		checkNotForwarded(t, callRoutes, []malformedCase{
+			{c.trailer, head + "14\r\n" + malformedBody + "\r\n0\r\n" + c.trailer + "\r\n\r\n"},
+		}, c.cause)
+		for _, tt := range streamRoutes {
+			t.Run(c.trailer+" "+tt.path, func(t *testing.T) {
+				f := newFixture(t)
+				f.publish(1, testConfig())
+				var runs atomic.Int64
+				f.addRawServer(tt.service, "s", "local", func(conn net.Conn, r *http.Request) bool {
+					if runs.Add(1) > 1 {
+						_, _ = io.WriteString(conn, rawResponse(r, "200 OK", expectedEvents(2), "Content-Type: text/event-stream"))
+						return true
+					}
+					_, _ = io.WriteString(conn, strings.ReplaceAll(head, "%id", r.Header.Get("X-Id"))+"15\r\n"+firstEvent+"\r\n0\r\n"+c.trailer+"\r\n\r\n")
+					return true
+				})
+				got := f.send("POST", tt.path, map[string]string{"X-Patience": "1500"})
+				qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+				if tt.repeated {
+					// The stream goes on after the event that the caller has.
+					qt.Assert(t, got.err, qt.IsNil)
+					qt.Assert(t, got.body, qt.Equals, expectedEvents(1))
+					qt.Assert(t, runs.Load(), qt.Equals, int64(2))
+				} else {
+					qt.Assert(t, got.err, qt.IsNotNil, qt.Commentf("the stream looks complete: %q", got.body))
+					qt.Assert(t, got.body, qt.Equals, firstEvent)
+					qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+				}
+			})
+		}
+	}
+}
+
+// Guards against the response to a copy request that passes for a handle although it is malformed.
+func TestMalformedCopyResponse(t *testing.T) {
+	f := newFixture(t)
+	config := testConfig()
+	f.publish(1, config)
+	f.addRawServer("pool", "e", "local", func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length : 5\r\nContent-Length: 6\r\n\r\nhandle")
+		return true
+	})
+	f.mu.Lock()
+	known, ok := f.servers.Lookup("e")
+	f.mu.Unlock()
+	qt.Assert(t, ok, qt.IsTrue)
+	s := &streamState{g: f.Gateway, req: &callerRequest{service: &config.Services[1]}}
+	server := &placement.Server{Server: known}
+	handle, _, err := s.sendCopyRequest(t.Context(), server, server, false)
+	qt.Assert(t, err, qt.ErrorIs, httpstrict.ErrMalformed, qt.Commentf("handle %q", handle))
+}
--- a/pkg/httpstrict/response.go
+++ b/pkg/httpstrict/response.go
@@ -4,16 +4,20 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net/http"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is the cause of the error for a response that violates the syntax of HTTP/1.1. Its request may have run,
 // and its connection must not be used again.
 var ErrMalformed = eris.New("malformed HTTP response")
 
-// ReadResponse reads a response like http.ReadResponse. It returns ErrMalformed if the head is malformed.
+// ReadResponse reads a response like http.ReadResponse. It returns ErrMalformed if the head is malformed, and the body
+// does if a trailer is.
 func ReadResponse(r *bufio.Reader, request *http.Request) (*http.Response, error) {
 	response, err := http.ReadResponse(r, request)
 	if err != nil {
@@ -22,11 +26,15 @@
 	if err := checkHead(response); err != nil {
 		return nil, err
 	}
+	response.Body = &body{ReadCloser: response.Body, response: response}
 	return response, nil
 }
 
 func checkHead(r *http.Response) error {
-	return checkStatusLine(r)
+	if err := checkStatusLine(r); err != nil {
+		return err
+	}
+	return checkFieldNames(r.Header)
 }
 
 // checkStatusLine checks what http.ReadResponse does not: RFC 9112, section 4, and RFC 9110, sections 15 and 15.2.2.
@@ -48,3 +56,31 @@
 	}
 	return nil
 }
+
+// checkFieldNames checks that the names of header or trailer fields are tokens: RFC 9110, section 5.1. net/http accepts
+// blanks in them. Names without a value are trailers that were announced and have not arrived.
+func checkFieldNames[H ~map[string][]string](fields H) error {
+	for name, values := range fields {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return eris.Wrapf(ErrMalformed, "field name %q", name)
+		}
+	}
+	return nil
+}
+
+// body is a response body that ends with ErrMalformed if a trailer behind it is malformed.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if malformed := checkFieldNames(b.response.Trailer); malformed != nil {
+			return n, malformed
+		}
+	}
+	return n, err
+}
--- a/pkg/httpstrict/transport.go
+++ b/pkg/httpstrict/transport.go
@@ -1,9 +1,11 @@
 package httpstrict
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 )
 
@@ -25,7 +27,8 @@
 func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var conn atomic.Pointer[net.Conn]
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		GotConn:        func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return checkFieldNames(fields) },
 	})
 	response, err := t.base.RoundTrip(request.WithContext(ctx))
 	if err != nil {
@@ -37,8 +40,26 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	if response.Body != http.NoBody {
+		response.Body = &transportBody{body: body{ReadCloser: response.Body, response: response}, conn: *conn.Load()}
+	}
 	return response, nil
 }
 
+// transportBody closes the connection, which may be in the pool already, if a trailer is malformed.
+type transportBody struct {
+	body
+	conn net.Conn
+}
+
+// Read implements io.Reader.
+func (b *transportBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if errors.Is(err, ErrMalformed) {
+		_ = b.conn.Close()
+	}
+	return n, err
+}
+
 // CloseIdleConnections closes the idle connections, for http.Client.CloseIdleConnections.
 func (t transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/pkg/httpstrict/transport_test.go
+++ b/pkg/httpstrict/transport_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+// Guards against a field that is dropped or decides nothing as its name is malformed.
+func TestMalformedFieldName(t *testing.T) {
+	for _, field := range []string{"X Sum: 5", "X-Sum : 5", "Content-Length : 5"} {
+		t.Run(field, func(t *testing.T) {
+			checkRejected(t, "HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 4\r\n\r\ndone")
+			checkRejected(t, "HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 0\r\n\r\n")
+			checkRejected(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+			checkRejected(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n"+field+"\r\n\r\n")
+		})
+	}
+}
+
 // Guards against a well-formed response that is rejected.
 func TestWellFormedResponses(t *testing.T) {
 	for name, response := range map[string]string{
@@ -83,6 +95,7 @@
 		"largest status":       "HTTP/1.1 999 Denied\r\nContent-Length: 4\r\n\r\ndone",
 		"chunks":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
 		"chunks and a trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"unusual trailers":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum, bad name\r\n\r\n4\r\ndone\r\n0\r\nX-Other: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			url, _ := newRawServer(t, response)
--- a/pkg/standin/announce.go
+++ b/pkg/standin/announce.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/geraniumpitch/geraniumpitch/pkg/engine"
+	"github.com/geraniumpitch/geraniumpitch/pkg/httpstrict"
 	"github.com/rotisserie/eris"
 )
 
@@ -62,7 +63,7 @@
 }
 
 func (a Announcer) sendUntilDone(ctx context.Context, log *slog.Logger) {
-	client := &http.Client{Timeout: announceTimeout}
+	client := &http.Client{Transport: httpstrict.NewDefaultTransport(), Timeout: announceTimeout}
 	incarnation := uint64(time.Now().UnixNano())
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
