httpstrict: a reset that the writer of a request was told of does not end the body in order

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer; a stream ended as complete.

Cause: the kernel reports a reset to the first system call that asks, and only once. If that is the write of the request, the read that follows returns 0 bytes, which is io.EOF, and a body without a length is complete there.

Change: Conn, over which all clients read, returns the error of the write in place of io.EOF if a write failed because the connection was lost. It ends a write that is still waiting first, so that it neither waits for the server nor misses a write that is about to return its error.

Why it works: a read returns 0 bytes without a FIN only after the error was handed to another call, and the only other call on the connection is the write, whose result is known when the lock is free.

Not changed: net/http gives up with an error when it cannot write, whether a response has arrived or not, so that entry instances may still answer 502 to an upload whose early response ended in order before a reset.

--- a/internal/testnet/testnet.go
+++ b/internal/testnet/testnet.go
@@ -2,10 +2,12 @@
 package testnet
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 )
 
@@ -51,3 +53,19 @@
 	}()
 	return listener.Addr().String()
 }
+
+// AwaitUnread waits until a connection has bytes that have not been read, and leaves them there. The kernel resets a
+// connection that is closed with unread bytes.
+func AwaitUnread(c syscall.Conn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var peekErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(peekErr, syscall.EAGAIN)
+	})
+	return errors.Join(err, peekErr)
+}
--- a/pkg/entry/malformed_test.go
+++ b/pkg/entry/malformed_test.go
@@ -43,3 +43,19 @@
 		}
 	}
 }
+
+// Guards against a part of a body that is passed on as the answer, as the connection was reset while a long request was
+// written.
+func TestResetDuringAnUpload(t *testing.T) {
+	address := testnet.Serve(t, func(c net.Conn) {
+		if _, err := io.ReadFull(c, make([]byte, 64<<10)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart of a body")
+			_ = testnet.AwaitUnread(c.(*net.TCPConn))
+		}
+	})
+	client := newServiceClient(nil)
+	for i := range 300 {
+		answer, err := client.do(t.Context(), address, backendRequest{method: "POST", path: "/", header: http.Header{}, body: make([]byte, 6<<20)}, i%2 == 0)
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("call %d: answer %d %q", i, answer.Status, answer.Body))
+	}
+}
--- /dev/null
+++ b/pkg/httpstrict/conn.go
@@ -0,0 +1,72 @@
+package httpstrict
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Conn is a connection to an HTTP/1.1 server on which a reset never looks like the end of a body. The kernel reports a
+// reset only once; if the write of the request gets the error, the read that follows returns io.EOF.
+type Conn struct {
+	net.Conn
+
+	// writing is held during a write.
+	writing sync.Mutex
+	// writeErr is the first error of a write; writing guards it.
+	writeErr error
+}
+
+// NewConn returns a connection over conn.
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
+// Write implements io.Writer.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements io.Reader. When the server has ended its side of the connection, no more is written: the request has
+// its response then. If the connection was lost before that, Read returns the error of the write.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if lost := c.lostWhileWriting(); lost != nil {
+			return n, lost
+		}
+	}
+	return n, err
+}
+
+// lostWhileWriting returns the error of a write that failed because the connection was lost, nil if there is none.
+func (c *Conn) lostWhileWriting() error {
+	// A write that waits for the server returns at once; one that was told of a reset is about to.
+	_ = c.SetWriteDeadline(time.Now())
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	err := c.writeErr
+	// After the server has ended its side, a reset is a broken pipe.
+	if err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, eris.New("the connection has no file descriptor")
+}
--- a/pkg/httpstrict/transport.go
+++ b/pkg/httpstrict/transport.go
@@ -1,6 +1,7 @@
 package httpstrict
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -12,15 +13,27 @@
 // transport is an http.RoundTripper that rejects malformed responses.
 type transport struct{ base *http.Transport }
 
-// NewTransport returns a round tripper that sends requests over base. It returns ErrMalformed for malformed responses,
-// and closes their connections.
+// NewTransport returns a round tripper that sends requests over base, with connections of type Conn. It returns
+// ErrMalformed for malformed responses, and closes their connections.
 func NewTransport(base *http.Transport) http.RoundTripper {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base = base.Clone()
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
 	return transport{base: base}
 }
 
 // NewDefaultTransport returns a round tripper with the settings of http.DefaultTransport, and connections of its own.
 func NewDefaultTransport() http.RoundTripper {
-	return NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+	return NewTransport(http.DefaultTransport.(*http.Transport))
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -122,7 +122,7 @@
 
 // conn is a connection to a backend server.
 type conn struct {
-	net.Conn
+	*httpstrict.Conn
 	// limit bounds what reader reads.
 	limit  *readLimit
 	reader *bufio.Reader
@@ -144,8 +144,9 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	limit := &readLimit{conn: raw, remaining: noLimit}
-	return &conn{Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+	strict := httpstrict.NewConn(raw)
+	limit := &readLimit{conn: strict, remaining: noLimit}
+	return &conn{Conn: strict, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // noLimit is the value of readLimit.remaining without a bound.
@@ -565,11 +566,7 @@
 // reusable reports whether an idle connection is open and has no unread bytes, which
 // would be read as the response to the next request.
 func reusable(cn *conn) bool {
-	sc, ok := cn.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := cn.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -207,6 +207,22 @@
 	}
 }
 
+// Guards against a response without a length that looks complete, as the connection was reset before a short request was
+// written.
+func TestAnswerWithoutLengthBeforeTheRequest(t *testing.T) {
+	s := newScriptedServer(t, func(_ int, c net.Conn, _ *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart of it")
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	complete := 0
+	for range 300 {
+		if _, err := exchange(NewClient(nil), s.address(), "1"); err == nil {
+			complete++
+		}
+	}
+	qt.Assert(t, complete, qt.Equals, 0, qt.Commentf("of 300"))
+}
+
 // Guards against requests on an idle connection that the server has closed: they would
 // fail without showing whether they have run.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
