gateway: a second response with a malformed head is found in a body without a length

What callers saw: a faulty server wrote another response behind one that only the end of the connection ends. Where the second head was malformed, the caller got both as one complete answer.

Cause: hasSecondResponse looked at a second head only if net/http could parse all of it.

Evidence: TestMalformedSecondResponseInAnUnframedBody on the code before, 18 of 22 cases complete with 200: a control byte in a name or value, a line without a colon, a malformed length, two lengths, statuses like 50 and 5o3, a malformed head that stops. A blank in a name and the status 000 were held, as net/http accepts them, and are in the test.

Change: if a head that begins with a status line cannot be parsed, its well-formed fields are asked whether they name the request, as those of a head that can be parsed are. The search is bounded to 4 KiB of a head. A text about HTTP is served as before: it does not name a request (TestUnframedBodyAboutHTTPIsForwarded). Streams were not concerned: a line that begins with "HTTP/1." ends them.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -6,9 +6,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxEventBytes bounds the size of one event of a stream.
@@ -98,9 +100,38 @@
 		}
 		rest = rest[i:]
 		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(rest)), nil)
-		if errors.Is(err, io.ErrUnexpectedEOF) || err == nil && isResponse(response.Header) {
+		switch {
+		case errors.Is(err, io.ErrUnexpectedEOF):
+			return true
+		case err == nil && isResponse(response.Header):
+			return true
+		case err != nil && statusLine.Match(rest) && isResponse(wellFormedFields(rest)):
 			return true
 		}
 		rest = rest[len(responsePrefix):]
 	}
 }
+
+// statusLine matches the beginning of a status line, also of one whose status is malformed.
+var statusLine = regexp.MustCompile(`^HTTP/1\.\d +[-+]?\d`)
+
+// maxSearchedHeadBytes bounds the part of a malformed head that is searched, as a body may have many.
+const maxSearchedHeadBytes = 4 << 10
+
+// wellFormedFields returns the fields of a malformed head that are well-formed.
+func wellFormedFields(head []byte) http.Header {
+	fields := http.Header{}
+	head = head[:min(len(head), maxSearchedHeadBytes)]
+	_, head, _ = bytes.Cut(head, []byte("\n"))
+	for line := range bytes.Lines(head) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			break
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if ok && httpguts.ValidHeaderFieldName(string(name)) {
+			fields.Add(string(name), string(bytes.TrimSpace(value)))
+		}
+	}
+	return fields
+}
--- a/pkg/gateway/malformedresponse_test.go
+++ b/pkg/gateway/malformedresponse_test.go
@@ -216,6 +216,64 @@
 	}
 }
 
+// Guards against a second response that is not found in a body without a length, as its head is malformed.
+func TestMalformedSecondResponseInAnUnframedBody(t *testing.T) {
+	const rest = "X-Not-Run: 1\r\nContent-Length: 15\r\n\r\nrefused earlier"
+	for name, second := range map[string]string{
+		"control byte in a name":     "HTTP/1.1 503 Service Unavailable\r\nX\x01Sum: 5\r\nX-Id: %id\r\n" + rest,
+		"control byte in a value":    "HTTP/1.1 503 Service Unavailable\r\nX-Id: %id\r\nX-Sum: \x01\r\n" + rest,
+		"blank in a name":            "HTTP/1.1 503 Service Unavailable\r\nX Sum: 5\r\nX-Id: %id\r\n" + rest,
+		"line without a colon":       "HTTP/1.1 503 Service Unavailable\r\nX-Id: %id\r\nX-Sum\r\n" + rest,
+		"status 000":                 "HTTP/1.1 000\r\nX-Id: %id\r\n" + rest,
+		"status of two digits":       "HTTP/1.1 50 Service Unavailable\r\nX-Id: %id\r\n" + rest,
+		"status with a letter":       "HTTP/1.1 5o3 Service Unavailable\r\nX-Id: %id\r\n" + rest,
+		"malformed length":           "HTTP/1.1 503 Service Unavailable\r\nX-Id: %id\r\nContent-Length: x\r\n" + rest,
+		"two lengths":                "HTTP/1.1 503 Service Unavailable\r\nX-Id: %id\r\nContent-Length: 3\r\n" + rest,
+		"head that stops":            "HTTP/1.1 503 Service Unavailable\r\nX\x01Sum: 5\r\nX-Id: %id\r\n",
+		"lines that end in LF alone": "HTTP/1.1 503 Service Unavailable\nX\x01Sum: 5\nX-Id: %id\n\nrefused earlier",
+	} {
+		for _, path := range []string{"/once/x", "/safe/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				f := newFixture(t)
+				f.publish(1, testConfig())
+				f.addRawServer("app", "faulty", "local", func(c net.Conn, r *http.Request) bool {
+					head := "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\n\r\n"
+					_, _ = io.WriteString(c, head+"done"+strings.ReplaceAll(second, "%id", r.Header.Get("X-Id")))
+					return false
+				})
+				got := f.send("POST", path, map[string]string{"X-Patience": "600"})
+				qt.Assert(t, got.status, qt.Equals, http.StatusBadGateway, qt.Commentf("the caller received %q", got.body))
+			})
+		}
+	}
+}
+
+// Guards against a body without a length that is rejected as it is about HTTP.
+func TestUnframedBodyAboutHTTPIsForwarded(t *testing.T) {
+	for _, body := range []string{
+		"see HTTP/1.1 for details\n\n", "HTTP/1.1", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", "HTTP/1.1 000\r\nX Sum: 5\r\n\r\n",
+		"HTTP/1.1 503 is sent when\nno server is ready\n", "HTTP/1.1 names a request by\nX-Id: q7\n\n", "HTTP/1.1 200 OK\r\nX\x01Sum: 5\r\n\r\nX-Id: q7\r\n",
+	} {
+		t.Run(body, func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, testConfig())
+			f.addRawServer("app", "text", "local", func(c net.Conn, r *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n\r\n"+body)
+				return false
+			})
+			got := f.send("POST", "/once/x", nil)
+			qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+			qt.Assert(t, got.body, qt.Equals, body)
+		})
+	}
+}
+
+// Guards against a search whose time grows with the square of a body that is full of status lines.
+func TestSearchOfAMalformedHeadIsBounded(t *testing.T) {
+	head := []byte("HTTP/1.1 200: x\n" + strings.Repeat("X-A: 1\n", maxBufferedResponseBytes))
+	qt.Assert(t, len(wellFormedFields(head)["X-A"]) <= maxSearchedHeadBytes/len("X-A: 1\n"), qt.IsTrue)
+}
+
 // Guards against the response to a copy request that passes for a handle although it is malformed.
 func TestMalformedCopyResponse(t *testing.T) {
 	f := newFixture(t)
