httpstrict: a Transfer-Encoding in a response of HTTP/1.0 is malformed

What callers saw: a server that sent chunks under HTTP/1.0 had their sizes delivered as a part of the body; with a length beside them, a cut piece of that as a whole answer.

Cause: net/http ignores a Transfer-Encoding below HTTP/1.1 and removes it from the head, so that the framing is taken for the body. Found while looking for what else it accepts of versions; RFC 9112, section 6.1, calls such a message faulty.

Change: the head of a response of HTTP/1.0 is recorded as it arrives, and rejected if it has that field. Other versions are not recorded beyond their first bytes. Responses of HTTP/1.0 with a length, or that end with their connection, are served as before.

--- a/pkg/entry/malformed_test.go
+++ b/pkg/entry/malformed_test.go
@@ -26,6 +26,7 @@
 		"blank in a name":           "HTTP/1.1 200 OK\r\nX Sum: 5\r\nContent-Length: 4\r\n\r\ndone",
 		"blank before the colon":    "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 4\r\n\r\ndone",
 		"blank in a trailer":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX Sum: 5\r\n\r\n",
+		"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
 		"version of another syntax": "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\ndone",
 	} {
 		for _, idempotent := range []bool{true, false} {
--- a/pkg/gateway/malformedresponse_test.go
+++ b/pkg/gateway/malformedresponse_test.go
@@ -129,6 +129,7 @@
 		"long reason":     "HTTP/1.1 200 Alles\tklar, schön\r\nX-Id: %id\r\nContent-Length: 4\r\n\r\ndone",
 		"two blanks":      "HTTP/1.1  200 OK\r\nX-Id: %id\r\nContent-Length: 4\r\n\r\ndone",
 		"version 1.0":     "HTTP/1.0 200 OK\r\nX-Id: %id\r\nContent-Length: 4\r\n\r\ndone",
+		"1.0, no length":  "HTTP/1.0 200 OK\r\nX-Id: %id\r\nX-Transfer-Encoding: chunked\r\nConnection: close\r\n\r\ndone",
 		"informational":   "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: %id\r\nContent-Length: 4\r\n\r\ndone",
 		"trailer":         "HTTP/1.1 200 OK\r\nX-Id: %id\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum, bad name\r\n\r\n4\r\ndone\r\n0\r\nX-Sum: 1\r\n\r\n",
 		"folded value":    "HTTP/1.1 200 OK\r\nX-Id: %id\r\nX-Long: a\r\n b\r\nContent-Length: 4\r\n\r\ndone",
@@ -141,7 +142,7 @@
 			f.publish(1, testConfig())
 			f.addRawServer("app", "unusual", "local", func(c net.Conn, r *http.Request) bool {
 				_, _ = io.WriteString(c, strings.ReplaceAll(response, "%id", r.Header.Get("X-Id")))
-				return true
+				return !strings.Contains(response, "Connection: close")
 			})
 			got := f.send("POST", "/once/x", nil)
 			qt.Assert(t, got.status, qt.Equals, http.StatusOK)
@@ -176,6 +177,19 @@
 	}, "malformed MIME header")
 }
 
+// Guards against the chunks of a body that are forwarded as the body, as net/http does not decode them in HTTP/1.0.
+func TestTransferEncodingInHTTP10IsNotForwarded(t *testing.T) {
+	const body = "14\r\n" + malformedBody + "\r\n0\r\n\r\n"
+	head := "HTTP/1.0 200 OK\r\nX-Id: %id\r\nContent-Type: text/event-stream\r\nConnection: keep-alive\r\n"
+	checkNotForwarded(t, allRoutes, []malformedCase{
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n" + body},
+		{"chunks and a length", head + "Content-Length: 20\r\nTransfer-Encoding: chunked\r\n\r\n" + body},
+		{"lower case", head + "transfer-encoding:chunked\r\n\r\n" + body},
+		{"behind an informational response", "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n" + body},
+		{"behind a response to another request", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n" + body},
+	}, "malformed HTTP response")
+}
+
 // Guards against a body in chunks that looks complete although a trailer behind it is malformed.
 func TestMalformedTrailer(t *testing.T) {
 	const firstEvent = "id: 1\ndata: token 1\n\n"
--- a/pkg/httpstrict/conn.go
+++ b/pkg/httpstrict/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,9 @@
 	writing sync.Mutex
 	// writeErr is the first error of a write; writing guards it.
 	writeErr error
+
+	// head records the response that is being read, nil if none is.
+	head atomic.Pointer[headRecorder]
 }
 
 // NewConn returns a connection over conn.
@@ -41,6 +45,9 @@
 // its response then. If the connection was lost before that, Read returns the error of the write.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if head := c.head.Load(); head != nil {
+		head.record(p[:n])
+	}
 	if errors.Is(err, io.EOF) {
 		if lost := c.lostWhileWriting(); lost != nil {
 			return n, lost
@@ -63,6 +70,14 @@
 	return err
 }
 
+// recordHead records the response that is read next, whose beginning has been read already.
+func (c *Conn) recordHead(beginning []byte) *headRecorder {
+	head := &headRecorder{}
+	head.record(beginning)
+	c.head.Store(head)
+	return head
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if sc, ok := c.Conn.(syscall.Conn); ok {
--- a/pkg/httpstrict/response.go
+++ b/pkg/httpstrict/response.go
@@ -16,24 +16,30 @@
 // and its connection must not be used again.
 var ErrMalformed = eris.New("malformed HTTP response")
 
-// ReadResponse reads a response like http.ReadResponse. It returns ErrMalformed if the head is malformed, and the body
-// does if a trailer is.
-func ReadResponse(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+// ReadResponse reads a response from conn through r, like http.ReadResponse. It returns ErrMalformed if the head is
+// malformed, and the body does if a trailer is.
+func ReadResponse(conn *Conn, r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	buffered, _ := r.Peek(r.Buffered()) // Peeking at what is buffered does not fail.
+	head := conn.recordHead(buffered)
 	response, err := http.ReadResponse(r, request)
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(response); err != nil {
+	if err := checkHead(response, head.stop()); err != nil {
 		return nil, err
 	}
 	response.Body = &body{ReadCloser: response.Body, response: response}
 	return response, nil
 }
 
-func checkHead(r *http.Response) error {
+// checkHead checks a response. http10Head is the beginning of one of HTTP/1.0 as it was sent.
+func checkHead(r *http.Response, http10Head []byte) error {
 	if err := checkStatusLine(r); err != nil {
 		return err
 	}
+	if err := checkNoTransferEncoding(http10Head); err != nil {
+		return err
+	}
 	return checkFieldNames(r.Header)
 }
 
--- a/pkg/httpstrict/transport.go
+++ b/pkg/httpstrict/transport.go
@@ -36,29 +36,46 @@
 	return NewTransport(http.DefaultTransport.(*http.Transport))
 }
 
+// exchange is the connection that carries a request and its response.
+type exchange struct {
+	net.Conn
+	// head is nil if the connection is not of type Conn, as with TLS.
+	head *headRecorder
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var conn atomic.Pointer[net.Conn]
+	var latest atomic.Pointer[exchange]
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			e := &exchange{Conn: info.Conn}
+			if conn, ok := info.Conn.(*Conn); ok {
+				e.head = conn.recordHead(nil)
+			}
+			latest.Store(e)
+		},
 		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return checkFieldNames(fields) },
 	})
 	response, err := t.base.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(response); err != nil {
+	e := latest.Load()
+	if err := checkHead(response, e.head.stop()); err != nil {
 		// The connection of a response without a body is in the pool already.
-		_ = (*conn.Load()).Close()
+		_ = e.Close()
 		_ = response.Body.Close()
 		return nil, err
 	}
 	if response.Body != http.NoBody {
-		response.Body = &transportBody{body: body{ReadCloser: response.Body, response: response}, conn: *conn.Load()}
+		response.Body = &transportBody{body: body{ReadCloser: response.Body, response: response}, conn: e.Conn}
 	}
 	return response, nil
 }
 
+// CloseIdleConnections closes the idle connections, for http.Client.CloseIdleConnections.
+func (t transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
 // transportBody closes the connection, which may be in the pool already, if a trailer is malformed.
 type transportBody struct {
 	body
@@ -73,6 +90,3 @@
 	}
 	return n, err
 }
-
-// CloseIdleConnections closes the idle connections, for http.Client.CloseIdleConnections.
-func (t transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/pkg/httpstrict/transport_test.go
+++ b/pkg/httpstrict/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,9 @@
 			}
 			_, _ = io.Copy(io.Discard, request.Body)
 			_, _ = io.WriteString(c, response)
+			if strings.Contains(response, "Connection: close") {
+				return
+			}
 		}
 	})
 	return "http://" + address, closed
@@ -84,6 +88,31 @@
 	}
 }
 
+// Guards against the chunks of a body that are taken for the body, as net/http does not decode them in HTTP/1.0.
+func TestTransferEncodingInHTTP10(t *testing.T) {
+	for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: chunked\r\nContent-Length: 4"} {
+		for _, before := range []string{"", "X-Long: " + strings.Repeat("x", 10<<10) + "\r\n"} {
+			checkRejected(t, "HTTP/1.0 200 OK\r\n"+before+field+"\r\n\r\n4\r\ndone\r\n0\r\n\r\n")
+		}
+	}
+}
+
+// Guards against a head that is not recorded as it arrives in parts, and against one that is recorded without need.
+func TestHeadRecorder(t *testing.T) {
+	var h headRecorder
+	for _, part := range []string{"HTT", "P/1.", "", "0 200 OK\r\nX-A", ": 1\r\n"} {
+		h.record([]byte(part))
+	}
+	qt.Assert(t, string(h.stop()), qt.Equals, "HTTP/1.0 200 OK\r\nX-A: 1\r\n")
+	for _, parts := range [][]string{{"HTTP/1.1 200 OK\r\n"}, {"HTTP/1.", "1 200 OK\r\n", "HTTP/1.0"}, {"\r\n"}} {
+		h = headRecorder{}
+		for _, part := range parts {
+			h.record([]byte(part))
+		}
+		qt.Assert(t, h.stop(), qt.HasLen, 0)
+	}
+}
+
 // Guards against a well-formed response that is rejected.
 func TestWellFormedResponses(t *testing.T) {
 	for name, response := range map[string]string{
@@ -91,6 +120,7 @@
 		"no reason":            "HTTP/1.1 200\r\nContent-Length: 4\r\n\r\ndone",
 		"other reason":         "HTTP/1.1 200 Alles\tklar, schön\r\nContent-Length: 4\r\n\r\ndone",
 		"version 1.0":          "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+		"1.0 without a length": "HTTP/1.0 200 OK\r\nX-Transfer-Encoding: chunked\r\nConnection: close\r\n\r\ndone",
 		"informational":        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone",
 		"largest status":       "HTTP/1.1 999 Denied\r\nContent-Length: 4\r\n\r\ndone",
 		"chunks":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -251,7 +251,7 @@
 func (r *Response) readResponseHead(request *Request) error {
 	for range maxUnmatchedResponses + 1 {
 		r.conn.limit.remaining = maxHeadBytes
-		response, err := httpstrict.ReadResponse(r.conn.reader, &http.Request{Method: request.Method})
+		response, err := httpstrict.ReadResponse(r.conn.Conn, r.conn.reader, &http.Request{Method: request.Method})
 		r.conn.limit.remaining = noLimit
 		if err != nil {
 			return eris.Wrapf(err, "read the head of the response from %s", r.address)
