entry, generation: a log line says why a response was refused

What operators saw: a call whose server sent a malformed response, or broke off, ended with 502 and "outcome unknown", and nothing said why; the same for attempts at engines that may have begun.

Cause: the error of an attempt was dropped once its kind was known.

Change: entry instances log the error of a call that was sent and has no complete response, unless its caller or its time has ended; generations the error of an attempt whose engine may have begun. Beside it, a recorded head is released when it has been checked.

--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -207,13 +207,17 @@
 }
 
 func newTestAPI(t testing.TB) *testAPI {
+	t.Helper()
+	return newLoggingTestAPI(t, slog.New(slog.DiscardHandler))
+}
+
+func newLoggingTestAPI(t testing.TB, log *slog.Logger) *testAPI {
 	t.Helper()
 	api := &testAPI{
 		config: &configwatch.SettableSource{}, runner: &fakeRunner{streams: map[string]generation.Request{}, closed: make(chan struct{}, 1)},
 		slots: &fakeSlots{}, backends: &fakeBackends{}, once: &fakeOnce{verdict: once.Verdict{Outcome: once.Claimed}},
 	}
 	api.config.Set(testDocument())
-	log := slog.New(slog.DiscardHandler)
 	entrySettings := settings.DefaultEntry()
 	entrySettings.MaxBodyBytes, entrySettings.PeerAddress = 4096, "127.0.0.1:1"
 	service, err := New(Dependencies{
--- a/pkg/entry/malformed_test.go
+++ b/pkg/entry/malformed_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -60,3 +63,24 @@
 		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("call %d: answer %d %q", i, answer.Status, answer.Body))
 	}
 }
+
+// Guards against a malformed response that reaches the caller of an API, or that is refused without a log line.
+func TestMalformedResponseIsLogged(t *testing.T) {
+	for _, call := range []string{"POST /v1/services/desk/orders", "PUT /v1/services/desk/stock/7"} {
+		var log bytes.Buffer
+		api := newLoggingTestAPI(t, slog.New(slog.NewJSONHandler(&log, nil)))
+		api.slots.addresses = append(api.slots.addresses, testnet.Serve(t, func(c net.Conn) {
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\ndone")
+			}
+		}))
+		method, path, _ := strings.Cut(call, " ")
+		response, text := api.send(t, method, path, `{"item":7}`, fillKey, "Idempotency-Key: k")
+		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusBadGateway)
+		qt.Assert(t, text, qt.Contains, `"outcome":"unknown"`)
+		qt.Assert(t, api.once.completed, qt.HasLen, 0)
+		api.server.Close()
+		qt.Assert(t, log.String(), qt.Contains, `status \"000 OK\": malformed HTTP response`)
+	}
+}
--- a/pkg/entry/services.go
+++ b/pkg/entry/services.go
@@ -211,6 +211,9 @@
 	*tried = append(*tried, backendID)
 	startedAt := time.Now()
 	answer, err := s.serviceClient.do(ctx, address, call.request, idempotent)
+	if err != nil && !provablyNotRun(err) && ctx.Err() == nil {
+		s.Log.Warn("no complete response from a backend server", "service", call.service, "backend", backendID, "error", err)
+	}
 	result := attemptResult{answer: answer, notRun: err == nil && reportsNotRun(answer)}
 	lease.Release(broker.Usage{Outcome: usageOutcome(ctx, result, err), Tokens: 1, TimeToFirstToken: time.Since(startedAt)})
 	return result, err
--- a/pkg/generation/attempt.go
+++ b/pkg/generation/attempt.go
@@ -220,6 +220,7 @@
 		g.releaseLease(broker.Failed)
 	}
 	if errors.As(err, &e) && e.Reason == engine.MayHaveRun {
+		g.service.log.Warn("no response from an engine that may have begun", "stream", g.stream.ID(), "backend", id, "error", err)
 		g.markAdmitted()
 		g.cancelEngineStream()
 	}
--- a/pkg/httpstrict/head.go
+++ b/pkg/httpstrict/head.go
@@ -41,8 +41,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.stopped = true
-	return h.recorded
+	recorded := h.recorded
+	h.stopped, h.recorded = true, nil
+	return recorded
 }
 
 // checkNoTransferEncoding checks the head of a response of HTTP/1.0, which has no transfer codings: RFC 9112, section 6.1.
