--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -115,7 +115,7 @@
 // statusLine matches the beginning of a status line, also of one whose status is malformed.
 var statusLine = regexp.MustCompile(`^HTTP/1\.\d +[-+]?\d`)
 
-// maxSearchedHeadBytes bounds the part of a malformed head that is searched, as a body may have many.
+// maxSearchedHeadBytes bounds the part of a malformed head that is searched: a body may hold many such heads.
 const maxSearchedHeadBytes = 4 << 10
 
 // wellFormedFields returns the fields of a malformed head that are well-formed.
--- a/pkg/httpstrict/conn.go
+++ b/pkg/httpstrict/conn.go
@@ -23,7 +23,7 @@
 	// writeErr is the first error of a write; writing guards it.
 	writeErr error
 
-	// head records the response that is being read, nil if none is.
+	// head records the beginning of the latest response, nil before the first.
 	head atomic.Pointer[headRecorder]
 }
 
@@ -41,8 +41,8 @@
 	return n, err
 }
 
-// Read implements io.Reader. When the server has ended its side of the connection, no more is written: the request has
-// its response then. If the connection was lost before that, Read returns the error of the write.
+// Read implements io.Reader. When the server has ended its side of the connection, it also ends a write in progress:
+// nothing can follow the response. If the connection was lost before, Read returns the error of the write.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if head := c.head.Load(); head != nil {
@@ -58,12 +58,12 @@
 
 // lostWhileWriting returns the error of a write that failed because the connection was lost, nil if there is none.
 func (c *Conn) lostWhileWriting() error {
-	// A write that waits for the server returns at once; one that was told of a reset is about to.
+	// The deadline ends a write that waits for the server. One that was told of a reset returns its error all the same.
 	_ = c.SetWriteDeadline(time.Now())
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	err := c.writeErr
-	// After the server has ended its side, a reset is a broken pipe.
+	// A reset after the server has ended its side of the connection is reported as EPIPE.
 	if err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
