--- a/review/rig-3/server.go
+++ b/review/rig-3/server.go
@@ -94,3 +94,9 @@
 	time.Sleep(s.Work())
 	_, _ = fmt.Fprintf(w, "%s %s %s %d\n", id, r.Method, r.URL.RequestURI(), len(body))
 }
+
+// Announce sends heartbeats of a replica until the program ends.
+func (r *Rig) Announce(id, service, address, zone string) {
+	s := &Server{rig: r, ID: id, Service: service, Addr: address, zone: zone, born: time.Now().UnixMilli(), stop: make(chan struct{})}
+	s.announce()
+}
