--- a/review/rig-3/cut.go
+++ b/review/rig-3/cut.go
@@ -31,7 +31,7 @@
 	// runs holds the replicas that ran each request, failed those requests that a replica answered with 500.
 	runs   map[string][]string
 	failed map[string]bool
-	// answers counts those of the faulty replica, extra those after which it sent extra bytes.
+	// answers counts those of the faulty replica while the disruption lasts, extra those after which it sent extra bytes.
 	answers, extra int
 }
 
@@ -107,8 +107,11 @@
 func (c *CutReplicas) beginning(id, previous, requestID string, status int) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.rig.InSpell() {
+		return ""
+	}
 	c.answers++
-	if !Trouble() || status != c.Next || !strings.HasPrefix(previous, fmt.Sprintf("HTTP/1.1 %d ", c.Spoiled)) || c.answers < answersPerCut*(c.extra+1) {
+	if status != c.Next || !strings.HasPrefix(previous, fmt.Sprintf("HTTP/1.1 %d ", c.Spoiled)) || c.answers < answersPerCut*(c.extra+1) {
 		return ""
 	}
 	c.extra++
--- a/review/rig-3/engine.go
+++ b/review/rig-3/engine.go
@@ -63,7 +63,7 @@
 	// copies holds the copies of memory that this engine keeps, by the value of Kv-From.
 	copies  map[string]*memory
 	nextKey int
-	// Answers counts the answers, Extra those that were sent twice.
+	// Answers counts the answers while the disruption lasts, Extra those that were sent twice.
 	Answers, Extra int
 }
 
@@ -175,19 +175,26 @@
 	text := []byte(fmt.Sprintf("HTTP/1.1 %d X\r\n%sServer-Stamp: %s.%d\r\nContent-Length: %d\r\n\r\n%s", status, header, e.ID, time.Now().UnixNano(), len(body), body))
 	_, err := c.Write(text)
 	e.of.mu.Lock()
-	e.Answers++
+	e.countAnswer()
 	e.of.mu.Unlock()
 	c.previous, c.kind, c.answeredAt = text, kind, time.Now()
 	return err == nil
 }
 
+// countAnswer counts an answer if the disruption lasts. The lock is held.
+func (e *Engine) countAnswer() {
+	if e.of.rig.InSpell() {
+		e.Answers++
+	}
+}
+
 // maybeRepeat sends the previous answer of a channel once more, if the engine is faulty.
 func (e *Engine) maybeRepeat(c *channel, next string) {
 	if c.previous == nil || e.of.Faulty == nil {
 		return
 	}
 	e.of.mu.Lock()
-	repeat := e.of.Faulty(e, c.kind, next, time.Since(c.answeredAt))
+	repeat := e.of.rig.InSpell() && e.of.Faulty(e, c.kind, next, time.Since(c.answeredAt))
 	if repeat {
 		e.Extra++
 	}
@@ -335,7 +342,7 @@
 	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	e.of.mu.Lock()
-	e.Answers++
+	e.countAnswer()
 	e.of.mu.Unlock()
 	c.previous, c.streamHead = nil, head
 	return err == nil
@@ -345,7 +352,7 @@
 func (e *Engine) refuses(c *channel, id string) bool {
 	e.of.mu.Lock()
 	refuses := e.of.Refuse != nil && e.of.Refuse(e)
-	cut := refuses && c.streamHead != "" && e.of.Cut != nil && e.of.Cut(e)
+	cut := refuses && e.of.rig.InSpell() && c.streamHead != "" && e.of.Cut != nil && e.of.Cut(e)
 	if cut {
 		e.Extra++
 	}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -3,8 +3,15 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
+// spell and calm are the length of one disruption, the for_s of the sheet, and the pause before the next one.
+const spell, calm = 5 * time.Second, time.Second
+
+// InSpell reports whether a disruption lasts at present.
+func (r *Rig) InSpell() bool { return Trouble() && time.Since(r.began)%(spell+calm) < spell }
+
 // Trouble reports whether the case is to run with its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
