gateway: log the handle of a run's copy

The log lines of copies did not name the handle that decides whose memory a run gets, so that a response taken for that to another request could not be told from a handle mixed up inside the gateway. Change: handle in 'requested a copy of a run', also when a refresh changes it, and copy_handle in 'stream attempt ended, resuming'.

--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -174,8 +174,8 @@
 	}
 	handle, status, err := s.sendCopyRequest(ctx, engine, holder, false)
 	succeeded := err == nil && status == http.StatusOK
-	if !succeeded || !available {
-		s.logCopyRequest(engine, holder, status, err)
+	if !succeeded || !available || handle != current.handle {
+		s.logCopyRequest(engine, holder, handle, status, err)
 	}
 	switch {
 	case err != nil && available:
@@ -221,7 +221,7 @@
 }
 
 // logCopyRequest logs and counts the outcome of a copy request.
-func (s *streamState) logCopyRequest(engine, holder *placement.Server, status int, err error) {
+func (s *streamState) logCopyRequest(engine, holder *placement.Server, handle string, status int, err error) {
 	cause, outcome := "", "made"
 	if err != nil {
 		cause = err.Error()
@@ -231,5 +231,5 @@
 	}
 	s.g.metrics.countCopyRequest(outcome)
 	s.g.log.Info("requested a copy of a run", "request", s.req.fields.ID, "engine", engine.ID, "holder", holder.ID,
-		"status", status, "error", cause)
+		"handle", handle, "status", status, "error", cause)
 }
--- a/pkg/gateway/relocate.go
+++ b/pkg/gateway/relocate.go
@@ -63,7 +63,7 @@
 // copy, the engine keeps the memory and the run is resumed there.
 func (s *streamState) stopAndCopy(ctx context.Context, engine, target *placement.Server) (c *runCopy, mayHaveStopped bool) {
 	handle, status, err := s.sendCopyRequest(ctx, engine, target, true)
-	s.logCopyRequest(engine, target, status, err)
+	s.logCopyRequest(engine, target, handle, status, err)
 	var notSent *upstream.NotSentError
 	switch {
 	case errors.As(err, &notSent), status >= http.StatusBadRequest && status < http.StatusInternalServerError:
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -136,8 +136,9 @@
 			return errReply
 		}
 		g.metrics.countResume(causeLabel(err))
+		copyHolderID, copyHandle := s.describeCopy()
 		g.log.Info("stream attempt ended, resuming", "request", req.fields.ID, "last_event", s.lastEventID, "cause", err.Error(),
-			"engine", s.engineID, "tries", s.attempts, "copy_at", s.copyHolderID(), "has_head", s.headReceived,
+			"engine", s.engineID, "tries", s.attempts, "copy_at", copyHolderID, "copy_handle", copyHandle, "has_head", s.headReceived,
 			"writing_ms", s.writingTime().Milliseconds(), "shared_parts", req.fields.SuspectParts())
 	}
 }
--- a/pkg/gateway/streamplan.go
+++ b/pkg/gateway/streamplan.go
@@ -91,12 +91,13 @@
 	return &chosen, nil
 }
 
-// copyHolderID returns the identifier of the engine that may hold a copy, for logs.
-func (s *streamState) copyHolderID() string {
+// describeCopy returns the identifier of the engine that may hold a copy and the handle of the copy, for logs. Both are empty
+// if there is no copy.
+func (s *streamState) describeCopy() (holderID, handle string) {
 	if c := s.latestCopy.get(); c != nil {
-		return c.holder.ID
+		return c.holder.ID, c.handle
 	}
-	return ""
+	return "", ""
 }
 
 // queuePriority returns the priority of the run in the queues of engines, lower first.
