gateway: a run never goes on from the memory of another request

Cause: copy and release requests of the gateway had no identifier, and upstream took the first response on a kept connection for theirs. A late second response to an earlier copy request gave the run the handle of another run's copy, and the engine that holds this copy goes on from it. Change: the gateway gives these requests an identifier and the name of the engine (another server that has taken the address must not run them), and a response that names another request is skipped. Engines need not name them: such a response is accepted only if the request is the first one of its connection, and further ones use connections on which the engine has named one. Otherwise it is no answer: the run goes on without that copy. Why it works: a connection without earlier requests has no late responses to them, and on the others only the identifier decides.

--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -35,8 +37,8 @@
 	// requested means that maintainCopy requested the copy, which stays until it is used,
 	// released or expires. The copy of a relocation is used at once and not marked.
 	requested bool
-	// sourceVersion is the version of the engine that made a requested copy.
-	sourceVersion string
+	// sourceID and sourceVersion are the identifier and the version of the engine that made a requested copy.
+	sourceID, sourceVersion string
 }
 
 // latestCopy holds the copy from which a run can be resumed.
@@ -147,10 +149,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		request := g.protocol.ReleaseRequest(c.handle)
-		response, err := g.client.Do(ctx, c.sourceAddress, g.connectionLimit(service), &upstream.Request{
-			Method: request.Method, Target: request.Target, Host: c.sourceAddress, Header: request.Header, Body: request.Body,
-		})
+		response, err := g.sendEngineRequest(ctx, service, c.sourceID, c.sourceAddress, g.protocol.ReleaseRequest(c.handle))
 		if err != nil {
 			g.log.Info("failed to release a copy, it will expire", "holder", c.holder.ID, "error", err)
 			return
@@ -185,7 +184,9 @@
 		s.recordCopyRefusal(holder)
 		return nil
 	}
-	return &runCopy{holder: *holder, sourceAddress: engine.Address, handle: handle, requested: true, sourceVersion: engine.Version}
+	return &runCopy{
+		holder: *holder, sourceAddress: engine.Address, handle: handle, requested: true, sourceID: engine.ID, sourceVersion: engine.Version,
+	}
 }
 
 // recordCopyRefusal excludes an engine from further copies for some time.
@@ -203,9 +204,7 @@
 	ctx, cancel := context.WithTimeout(ctx, copyRequestTimeout)
 	defer cancel()
 	request := s.g.protocol.CopyRequest(s.req.fields.ID, holder.Address, stopRun)
-	response, err := s.g.client.Do(ctx, engine.Address, s.g.connectionLimit(s.req.service), &upstream.Request{
-		Method: request.Method, Target: request.Target, Host: engine.Address, Header: request.Header, Body: request.Body,
-	})
+	response, err := s.g.sendEngineRequest(ctx, s.req.service, engine.ID, engine.Address, request)
 	if err != nil {
 		return "", 0, err
 	}
@@ -220,6 +219,20 @@
 	return handle, response.StatusCode, err
 }
 
+// sendEngineRequest sends a request of the gateway itself to an engine, which need not name it in its response. The
+// request also names the engine, as another server may have taken its address.
+func (g *Gateway) sendEngineRequest(
+	ctx context.Context, service *routing.Service, engineID, address string, request EngineRequest,
+) (*upstream.Response, error) {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	g.protocol.IdentifyEngineRequest(request.Header, id, engineID)
+	return g.client.Do(ctx, address, g.connectionLimit(service), &upstream.Request{
+		ID: id, Method: request.Method, Target: request.Target, Host: address, Header: request.Header, Body: request.Body,
+		Matches:      func(h http.Header) bool { return g.protocol.ParseResponse(0, h).RequestID == id },
+		Unidentified: func(h http.Header) bool { return !g.namesRequest(h) },
+	})
+}
+
 // logCopyRequest logs and counts the outcome of a copy request.
 func (s *streamState) logCopyRequest(engine, holder *placement.Server, handle string, status int, err error) {
 	cause, outcome := "", "made"
--- a/pkg/gateway/faultyserver_test.go
+++ b/pkg/gateway/faultyserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -17,9 +18,9 @@
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 )
 
-// addRawServer starts and announces a server that writes its responses byte by byte: respond is called
-// for each request of a connection, which is closed when it returns false.
-func (f *fixture) addRawServer(service, id, dataCentre string, respond func(c net.Conn, r *http.Request) bool) {
+// addRawServer starts and announces a server that writes its responses byte by byte, and returns its address: respond is
+// called for each request of a connection, with the whole body, until it returns false. Then the connection is closed.
+func (f *fixture) addRawServer(service, id, dataCentre string, respond func(c net.Conn, r *http.Request) bool) (address string) {
 	f.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(f.t, err, qt.IsNil)
@@ -38,7 +39,8 @@
 					if err != nil {
 						return
 					}
-					_, _ = io.Copy(io.Discard, r.Body)
+					body, _ := io.ReadAll(r.Body)
+					r.Body = io.NopCloser(bytes.NewReader(body))
 					if !respond(c, r) {
 						return
 					}
@@ -50,6 +52,7 @@
 		ID: id, Service: service, Address: listener.Addr().String(), DataCentre: dataCentre, StartedMS: 1, Sequence: 1,
 		State: directory.Ready, Slots: 6,
 	}})
+	return listener.Addr().String()
 }
 
 // rawResponse returns the bytes of a response to a request.
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -74,6 +74,11 @@
 	return EngineRequest{Method: "DELETE", Target: "/copy/" + handle, Header: http.Header{}}
 }
 
+func (testProtocol) IdentifyEngineRequest(h http.Header, requestID, engineID string) {
+	h.Set("X-Id", requestID)
+	h.Set("X-Instance", engineID)
+}
+
 func (testProtocol) ParseCopyHandle(body []byte) (string, error) { return string(body), nil }
 
 func (testProtocol) ParseConfig(content []byte) (*routing.Config, error) {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -24,6 +24,9 @@
 	CopyRequest(runID, destination string, stopRun bool) EngineRequest
 	// ReleaseRequest returns the request to free a copy, for the engine that made it.
 	ReleaseRequest(handle string) EngineRequest
+	// IdentifyEngineRequest sets the headers with the identifier of a request of the gateway itself and with the engine
+	// that it is meant for.
+	IdentifyEngineRequest(h http.Header, requestID, engineID string)
 	// ParseCopyHandle reads the handle of the copy from the response to a copy request.
 	ParseCopyHandle(body []byte) (handle string, err error)
 	// ParseConfig parses the content of a publication.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -79,7 +79,10 @@
 // Is implements the interface that errors.Is uses.
 func (tooManyBytesError) Is(target error) bool { return target == ErrTooManyConnections }
 
-var errUnmatchedResponse = eris.New("the connection carries responses to other requests")
+var (
+	errUnmatchedResponse    = eris.New("the connection carries responses to other requests")
+	errUnidentifiedResponse = eris.New("the response names no request and the connection has carried others")
+)
 
 // Request is a request to a backend server.
 type Request struct {
@@ -100,6 +103,11 @@
 	// Matches reports whether a response with the given headers belongs to this request.
 	// If it is nil, every response does.
 	Matches func(http.Header) bool
+	// Unidentified is set for a request whose ID servers may leave out of their responses. It reports whether a response
+	// with the given headers names no request. Such a response is accepted only if the request is the first one of its
+	// connection: behind another one, it may be a late response to that. The request is therefore sent over an unused
+	// connection, or one on which the server has named a request of this kind.
+	Unidentified func(http.Header) bool
 }
 
 // Client sends requests to backend servers and pools the connections to them.
@@ -128,15 +136,28 @@
 	reader *bufio.Reader
 	// expiresAt is when the server may close the idle connection.
 	expiresAt time.Time
-	reused    bool
+	// used is set when the connection has carried a request.
+	used bool
+	// identifies is set when the server has named a request whose identifier it may leave out.
+	identifies bool
 	// inFlight counts the bytes of the request that the connection carries.
 	inFlight int64
 	// carriedIDs are the identifiers of the latest requests, the latest last.
 	carriedIDs []string
 }
 
+// canCarry reports whether the response to a request can be told from late ones to the earlier requests of the
+// connection.
+func (c *conn) canCarry(r *Request) bool {
+	if r.Unidentified != nil && !c.identifies {
+		return !c.used
+	}
+	return r.ID == "" || !slices.Contains(c.carriedIDs, r.ID)
+}
+
 // carry records that a request is sent over the connection.
 func (c *conn) carry(id string) {
+	c.used = true
 	if id != "" {
 		c.carriedIDs = append(c.carriedIDs, id)
 		c.carriedIDs = slices.Delete(c.carriedIDs, 0, max(0, len(c.carriedIDs)-maxCarriedIDs))
@@ -190,6 +211,8 @@
 	// stopContextWatch ends the watch that closes the connection when the context ends. It
 	// returns false if the context has already ended.
 	stopContextWatch func() bool
+	// first means that the connection has carried no other request.
+	first bool
 	// finished is set by Release and Abort.
 	finished bool
 }
@@ -204,8 +227,8 @@
 	if err != nil {
 		return nil, &NotSentError{Err: err}
 	}
+	response := &Response{client: c, address: address, conn: cn, first: !cn.used, written: make(chan struct{})}
 	cn.carry(r.ID)
-	response := &Response{client: c, address: address, conn: cn, written: make(chan struct{})}
 	response.stopContextWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if r.bodySize() > asyncBodyBytes {
 		go response.writeRequest(head, append([][]byte{r.Body}, r.BodyRest...))
@@ -260,6 +283,14 @@
 			continue
 		}
 		if request.Matches == nil || request.Matches(response.Header) {
+			r.conn.identifies = r.conn.identifies || request.Unidentified != nil
+			r.Response = response
+			return nil
+		}
+		if request.Unidentified != nil && request.Unidentified(response.Header) {
+			if !r.first {
+				return errUnidentifiedResponse
+			}
 			r.Response = response
 			return nil
 		}
@@ -368,8 +399,7 @@
 	return b.Bytes()
 }
 
-// acquire returns an idle connection that is still open and has not carried the request with this ID,
-// or opens a new one.
+// acquire returns an idle connection that is still open and can carry the request, or opens a new one.
 func (c *Client) acquire(ctx context.Context, address string, maxConnections int, r *Request, size int64) (*conn, error) {
 	for {
 		cn, err := c.acquireIdle(address, maxConnections, r, size)
@@ -379,8 +409,7 @@
 		if cn == nil {
 			break
 		}
-		if time.Now().Before(cn.expiresAt) && !slices.Contains(cn.carriedIDs, r.ID) && reusable(cn) {
-			cn.reused = true
+		if time.Now().Before(cn.expiresAt) && cn.canCarry(r) && reusable(cn) {
 			return cn, nil
 		}
 		c.discard(address, cn)
@@ -398,12 +427,11 @@
 	return cn, nil
 }
 
-// acquireIdle returns the most recently used idle connection that has not carried the request with
-// this ID. If there is none, it returns nil and already counts the connection that the caller then has
-// to open; if the limit leaves no room for that, it returns another idle connection, to be closed.
+// acquireIdle returns the most recently used idle connection that can carry the request. If there is none,
+// it returns nil and already counts the connection that the caller then has to open; if the limit leaves no
+// room for that, it returns another idle connection, to be closed.
 // The size of the request counts as sent from then on.
 func (c *Client) acquireIdle(address string, maxConnections int, r *Request, size int64) (*conn, error) {
-	id := r.ID
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[address]
@@ -422,7 +450,7 @@
 		return cn
 	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if id == "" || !slices.Contains(p.idle[i].carriedIDs, id) {
+		if p.idle[i].canCarry(r) {
 			return take(i), nil
 		}
 	}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -386,3 +386,87 @@
 	qt.Assert(t, err, qt.IsNotNil)
 	qt.Assert(t, client.BytesInFlight(address), qt.Equals, int64(0))
 }
+
+// newUnidentifiedRequest returns a request whose response need not name it.
+func newUnidentifiedRequest(id string) *Request {
+	request := newRequest(id)
+	request.ID = id
+	request.Unidentified = func(h http.Header) bool { return h.Get("X-Id") == "" }
+	return request
+}
+
+// Guards against a late response to an earlier request that is taken for that to a request whose response need not name it, and
+// against servers that never name it and could not be used any more.
+func TestLateResponseIsNotTakenForAnUnidentifiedOne(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// requests lists the requests: "own N" is one whose response need not name it.
+		requests []string
+		// named reports whether the server names the request in its response.
+		named func(request string) bool
+		// failed lists the requests without a response.
+		failed []string
+		// connections is the number of connections that are opened.
+		connections int32
+	}{
+		{"all are named", []string{"own 1", "own 2", "call 3", "own 4"}, func(string) bool { return true }, nil, 1},
+		{"only calls are named", []string{"call 1", "own 2", "call 3", "own 4", "own 5", "call 6"}, func(r string) bool { return r[:4] == "call" }, nil, 4},
+		{"the first is named", []string{"own 1", "own 2", "own 3"}, func(r string) bool { return r == "own 1" }, []string{"own 2"}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newScriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				late := ""
+				for id := readRequest(r); id != ""; id = readRequest(r) {
+					_, _ = io.WriteString(c, late)
+					late = responseTo(id, "response to "+id)
+					if !test.named(id) {
+						late = strings.Replace(late, "X-Id: "+id+"\r\n", "", 1)
+					}
+					_, _ = io.WriteString(c, late)
+				}
+			})
+			c := NewClient(nil)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			var failed []string
+			for _, id := range test.requests {
+				request := newRequest(id)
+				if id[:3] == "own" {
+					request = newUnidentifiedRequest(id)
+				}
+				response, err := c.Do(ctx, s.address(), 0, request)
+				if err != nil {
+					qt.Assert(t, isNotSent(err), qt.IsFalse)
+					qt.Assert(t, c.IdleConnections(s.address()), qt.Equals, 0)
+					failed = append(failed, id)
+					continue
+				}
+				body, err := response.ReadAll(100)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, string(body), qt.Equals, "response to "+id)
+			}
+			qt.Assert(t, failed, qt.DeepEquals, test.failed)
+			qt.Assert(t, s.connections.Load(), qt.Equals, test.connections)
+		})
+	}
+}
+
+// Guards against unidentified requests that exceed the connection limit, or are not sent although an idle connection could make
+// room, and against a new connection for one although an unused one is idle.
+func TestUnidentifiedRequestTakesTheRoomOfAnIdleConnection(t *testing.T) {
+	s := newScriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for id := readRequest(r); id != ""; id = readRequest(r) {
+			_, _ = io.WriteString(c, responseTo("", "done"))
+		}
+	})
+	c := NewClient(nil)
+	qt.Assert(t, c.CanConnect(t.Context(), s.address()), qt.IsTrue)
+	for i := range 3 {
+		response, err := c.Do(t.Context(), s.address(), 1, newUnidentifiedRequest(itoa(i)))
+		qt.Assert(t, err, qt.IsNil)
+		_, err = response.ReadAll(100)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.IdleConnections(s.address()), qt.Equals, 1)
+		qt.Assert(t, s.connections.Load(), qt.Equals, int32(i+1))
+	}
+}
