gateway: a request without an identifier gets its own response

Of two callers whose requests have no identifier, the second got the answer of the first, as a server wrote it once more on a kept connection. Cause: a response without an identifier matched every request without one. Change: such a request is the first one of its connection. Why it works: a connection without earlier requests has no late responses. Failed before: TestLateResponseToARequestWithoutID (all four routes got the earlier response), TestRequestWithoutIDGetsNoLateResponse (all four cases). Requests with an identifier are sent as before.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -429,11 +429,14 @@
 // newUpstreamRequest returns the request to send to a backend server, with the given headers. The
 // request identifier of a response is parsed from its headers alone, so its status is left at 0.
 func (g *Gateway) newUpstreamRequest(req *callerRequest, header http.Header) *upstream.Request {
-	return &upstream.Request{
+	request := &upstream.Request{
 		ID: req.fields.ID, Method: req.method, Target: req.target, Host: req.host, Header: header, Body: req.body.First, BodyRest: req.body.Rest,
 		MaxBytesInFlight: g.serverBytesLimit(req),
-		Matches:          func(h http.Header) bool { return g.protocol.ParseResponse(0, h).RequestID == req.fields.ID },
 	}
+	if req.fields.ID != "" {
+		request.Matches = func(h http.Header) bool { return g.protocol.ParseResponse(0, h).RequestID == req.fields.ID }
+	}
+	return request
 }
 
 // connectionLimit returns the number of connections that this gateway may open to one server of a
--- a/pkg/gateway/lateresponse_test.go
+++ b/pkg/gateway/lateresponse_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,3 +193,32 @@
 	f.checkMoves(2)
 	qt.Assert(t, f.log.String(), qt.Contains, "the response names no request and the connection has carried others")
 }
+
+// Guards against a caller that gets the response to another request, as neither of the two has an identifier.
+func TestLateResponseToARequestWithoutID(t *testing.T) {
+	for _, tt := range []struct{ path, service string }{
+		{"/once/x", "app"}, {"/safe/x", "app"}, {"/stream/x", "pool"}, {"/fixed/x", "pool"},
+	} {
+		t.Run(tt.path, func(t *testing.T) {
+			f := newFixture(t)
+			f.publish(1, testConfig())
+			var requests atomic.Int64
+			var late sync.Map
+			f.addRawServer(tt.service, "faulty", "local", func(c net.Conn, r *http.Request) bool {
+				body := fmt.Sprintf("id: 1\ndata: response %d\n\n", requests.Add(1))
+				response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				if earlier, ok := late.Swap(c, response); ok {
+					_, _ = io.WriteString(c, earlier.(string))
+					time.Sleep(20 * time.Millisecond)
+				}
+				_, _ = io.WriteString(c, response)
+				return true
+			})
+			for i := 1; i <= 3; i++ {
+				got := f.send("POST", tt.path, map[string]string{"X-Id": ""})
+				qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+				qt.Assert(t, got.body, qt.Equals, fmt.Sprintf("id: 1\ndata: response %d\n\n", i))
+			}
+		})
+	}
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -100,8 +100,8 @@
 	// MaxBytesInFlight bounds the bytes of the unanswered requests to the backend server, with this one; 0 is no
 	// limit. A request is always sent if there is no other.
 	MaxBytesInFlight int64
-	// Matches reports whether a response with the given headers belongs to this request.
-	// If it is nil, every response does.
+	// Matches reports whether a response with the given headers belongs to this request. If it is nil, every response
+	// does, and the request is the first one of its connection: there are no late responses to earlier ones.
 	Matches func(http.Header) bool
 	// Unidentified is set for a request whose ID servers may leave out of their responses. It reports whether a response
 	// with the given headers names no request. Such a response is accepted only if the request is the first one of its
@@ -149,7 +149,7 @@
 // canCarry reports whether the response to a request can be told from late ones to the earlier requests of the
 // connection.
 func (c *conn) canCarry(r *Request) bool {
-	if r.Unidentified != nil && !c.identifies {
+	if r.Matches == nil || r.Unidentified != nil && !c.identifies {
 		return !c.used
 	}
 	return r.ID == "" || !slices.Contains(c.carriedIDs, r.ID)
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -470,3 +470,62 @@
 		qt.Assert(t, s.connections.Load(), qt.Equals, int32(i+1))
 	}
 }
+
+// Guards against a late response to an earlier request that is taken for that to a request without an identifier, whose response
+// nothing identifies.
+func TestRequestWithoutIDGetsNoLateResponse(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// earlier lists the identifiers of the requests before, echoes whether their responses have them.
+		earlier []string
+		echoes  bool
+	}{
+		{"behind one without an identifier", []string{""}, false},
+		{"behind several without an identifier", []string{"", "", ""}, false},
+		{"behind one whose response has no identifier", []string{"1"}, false},
+		{"behind one whose response has an identifier", []string{"1"}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var requests atomic.Int32
+			s := newScriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				late := ""
+				for {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(c, late)
+					head := "HTTP/1.1 200 OK\r\n"
+					if id := request.Header.Get("X-Id"); id != "" && test.echoes {
+						head += "X-Id: " + id + "\r\n"
+					}
+					body := "response " + itoa(int(requests.Add(1)))
+					late = head + "Content-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+					_, _ = io.WriteString(c, late)
+				}
+			})
+			c := NewClient(nil)
+			send := func(id string) string {
+				request := newRequest(id)
+				request.ID = id
+				if id == "" {
+					request.Header, request.Matches = http.Header{}, nil
+				} else if !test.echoes {
+					request.Matches = func(http.Header) bool { return true }
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				response, err := c.Do(ctx, s.address(), 0, request)
+				qt.Assert(t, err, qt.IsNil)
+				body, err := response.ReadAll(100)
+				qt.Assert(t, err, qt.IsNil)
+				return string(body)
+			}
+			for _, id := range test.earlier {
+				send(id)
+			}
+			qt.Assert(t, send(""), qt.Equals, "response "+itoa(len(test.earlier)+1))
+		})
+	}
+}
