gateway: do not use a copy that has fewer events than the caller

Cause: the handle in the response to a copy request decides whose memory a run gets, and nothing else in the response was compared with the run. Change: engines also say how many events the run had generated. If these are fewer than were received before the request, the response counts as no answer, and the log line of the request has the reason. Measured: without the comparison TestCopyWithTooFewEventsIsNotUsed fails (the run goes on from the copy).

--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/geraniumpitch/geraniumpitch/pkg/directory"
 	"github.com/geraniumpitch/geraniumpitch/pkg/placement"
 	"github.com/geraniumpitch/geraniumpitch/pkg/routing"
@@ -203,6 +205,7 @@
 ) (handle string, status int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, copyRequestTimeout)
 	defer cancel()
+	received := int(s.eventsReceived.Load())
 	request := s.g.protocol.CopyRequest(s.req.fields.ID, holder.Address, stopRun)
 	response, err := s.g.sendEngineRequest(ctx, s.req.service, engine.ID, engine.Address, request)
 	if err != nil {
@@ -215,8 +218,14 @@
 	if response.StatusCode != http.StatusOK && !stopRun {
 		return "", response.StatusCode, nil
 	}
-	handle, err = s.g.protocol.ParseCopyHandle(body)
-	return handle, response.StatusCode, err
+	made, err := s.g.protocol.ParseCopyResponse(body)
+	if err != nil {
+		return "", response.StatusCode, err
+	}
+	if made.Events != nil && *made.Events < received {
+		return "", response.StatusCode, eris.Errorf("the engine copied a run with %d events, of which %d had been received", *made.Events, received)
+	}
+	return made.Handle, response.StatusCode, nil
 }
 
 // sendEngineRequest sends a request of the gateway itself to an engine, which need not name it in its response. The
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -79,7 +79,14 @@
 	h.Set("X-Instance", engineID)
 }
 
-func (testProtocol) ParseCopyHandle(body []byte) (string, error) { return string(body), nil }
+// ParseCopyResponse reads "HANDLE" or "HANDLE EVENTS".
+func (testProtocol) ParseCopyResponse(body []byte) (CopyResponse, error) {
+	handle, count, _ := strings.Cut(string(body), " ")
+	if events, err := strconv.Atoi(count); err == nil {
+		return CopyResponse{Handle: handle, Events: &events}, nil
+	}
+	return CopyResponse{Handle: handle}, nil
+}
 
 func (testProtocol) ParseConfig(content []byte) (*routing.Config, error) {
 	c := &routing.Config{}
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -27,8 +27,8 @@
 	// IdentifyEngineRequest sets the headers with the identifier of a request of the gateway itself and with the engine
 	// that it is meant for.
 	IdentifyEngineRequest(h http.Header, requestID, engineID string)
-	// ParseCopyHandle reads the handle of the copy from the response to a copy request.
-	ParseCopyHandle(body []byte) (handle string, err error)
+	// ParseCopyResponse reads the body of the response to a copy request.
+	ParseCopyResponse(body []byte) (CopyResponse, error)
 	// ParseConfig parses the content of a publication.
 	ParseConfig(content []byte) (*routing.Config, error)
 }
@@ -41,6 +41,14 @@
 	Body   []byte
 }
 
+// CopyResponse is the response of an engine to a copy request.
+type CopyResponse struct {
+	// Handle identifies the copy; it is not empty.
+	Handle string
+	// Events is the number of events that the run had generated when its memory was copied, nil if it is unknown.
+	Events *int
+}
+
 // RequestFields holds the fields of a caller's request that the gateway uses.
 type RequestFields struct {
 	// ID is the request identifier. A caller that sends a request again uses a new one.
--- a/pkg/gateway/relocate_test.go
+++ b/pkg/gateway/relocate_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -102,6 +105,26 @@
 	qt.Assert(t, free.receivedRequests(), qt.HasLen, 0)
 }
 
+// Guards against a run that is resumed from a copy that cannot be its own: the copied run has fewer events than the caller received.
+func TestCopyWithTooFewEventsIsNotUsed(t *testing.T) {
+	for _, test := range []struct {
+		response string
+		moved    bool
+	}{{"handle-of-e1 0", false}, {"handle-of-e1 3", true}} {
+		t.Run(test.response, func(t *testing.T) {
+			f, _, free := newBusyEngineFixture(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, test.response) })
+			var log syncBuffer
+			f.log = slog.New(slog.NewTextHandler(&log, nil))
+			got := f.send("POST", "/stream/x", relocatableRun)
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.body, qt.Equals, expectedEvents(1))
+			moved := slices.ContainsFunc(free.receivedRequests(), func(h http.Header) bool { return h.Get("X-Copy") != "/" })
+			qt.Assert(t, moved, qt.Equals, test.moved)
+			qt.Assert(t, strings.Contains(log.String(), "the engine copied a run with 0 events"), qt.Equals, !test.moved)
+		})
+	}
+}
+
 // Guards against requests on connections to a process that has ended: they would be
 // reset, and the prefill would be repeated at another engine.
 func TestRestartedServerGetsNewConnections(t *testing.T) {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -88,6 +88,8 @@
 	// firstEventAt when it has sent an event.
 	headReceived bool
 	firstEventAt time.Time
+	// eventsReceived counts the events that were received in the present attempt.
+	eventsReceived atomic.Int64
 	// ends counts the engines that ended under this stream.
 	ends engineEnds
 	// quarantined is set when an attempt is aborted because the prompt is suspected, and
@@ -226,6 +228,7 @@
 	s.possibleRuns++
 	s.engineID = engine.ID
 	s.headReceived, s.firstEventAt = false, time.Time{}
+	s.eventsReceived.Store(0)
 	if s.firstEngineID == "" {
 		s.firstEngineID = engine.ID
 	}
@@ -396,6 +399,9 @@
 			return s.handleBrokenStream(ctx, engine, silence.engineSlow.Load(), err)
 		}
 		arrivedAt := time.Now()
+		if e.id != "" {
+			s.eventsReceived.Add(1)
+		}
 		watch.recordFirstEvent()
 		if s.firstEventAt.IsZero() {
 			s.firstEventAt = arrivedAt
