entry: a caller never gets the answer to another call

Behind a response that a plain service wrote twice on a kept connection, the next idempotent call was answered with it. Nothing in these responses names a call. Change: idempotent calls have a connection of their own, too, as the others had. The client's parameter for the difference is gone; in its tests both values took the same path from now on, so that each case runs once.

--- a/pkg/entry/client.go
+++ b/pkg/entry/client.go
@@ -24,8 +24,6 @@
 	maxResponseBytes = 8 << 20
 	// maxResponseHeadBytes bounds the head of a response of a backend server.
 	maxResponseHeadBytes = 64 << 10
-	// maxIdleConnsPerBackend limits the idle connections to one backend server.
-	maxIdleConnsPerBackend = 32
 )
 
 // backendRequest is the HTTP request that is sent to a backend server.
@@ -46,15 +44,10 @@
 // Unwrap returns the underlying error.
 func (e *notSentError) Unwrap() error { return e.err }
 
-// serviceClient sends requests to the backend servers of plain services.
-type serviceClient struct {
-	// keepAlive reuses connections; net/http may resend a request when an idle
-	// connection turns out to be closed.
-	keepAlive http.RoundTripper
-	// singleUse opens one connection per request, so net/http never resends the
-	// request. It is used for calls that are not idempotent.
-	singleUse http.RoundTripper
-}
+// serviceClient sends requests to the backend servers of plain services. It opens one connection
+// per request, so that net/http never resends a request, and no late response to another request,
+// which nothing distinguishes, is returned.
+type serviceClient struct{ transport http.RoundTripper }
 
 // errResponseTooLarge is the error of a response whose body exceeds maxResponseBytes.
 var errResponseTooLarge = eris.New("response body exceeds the size limit")
@@ -63,20 +56,14 @@
 // source, unless it is nil.
 func newServiceClient(source net.Addr) serviceClient {
 	dialer := &net.Dialer{Timeout: backendDialTimeout, LocalAddr: source}
-	return serviceClient{
-		keepAlive: httpstrict.NewTransport(&http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerBackend,
-			IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
-		}),
-		singleUse: httpstrict.NewTransport(&http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
-		}),
-	}
+	return serviceClient{transport: httpstrict.NewTransport(&http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
+	})}
 }
 
 // do sends a request and reads the whole response. The error is a *notSentError
 // if no connection was made.
-func (c serviceClient) do(ctx context.Context, address string, b backendRequest, idempotent bool) (once.Answer, error) {
+func (c serviceClient) do(ctx context.Context, address string, b backendRequest) (once.Answer, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -87,11 +74,7 @@
 		return once.Answer{}, &notSentError{err}
 	}
 	request.Header = b.header.Clone()
-	transport := c.keepAlive
-	if !idempotent {
-		transport, request.GetBody = c.singleUse, nil
-	}
-	response, err := transport.RoundTrip(request)
+	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		if !connected.Load() {
 			return once.Answer{}, &notSentError{err}
--- a/pkg/entry/endless_test.go
+++ b/pkg/entry/endless_test.go
@@ -21,35 +21,33 @@
 		"body":         {"HTTP/1.1 200 OK\r\n\r\n", "x"},
 		"chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
 	} {
-		for _, idempotent := range []bool{true, false} {
-			t.Run(name, func(t *testing.T) {
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				qt.Assert(t, err, qt.IsNil)
-				defer l.Close()
-				closed := make(chan struct{})
-				go func() {
-					defer close(closed)
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-					defer c.Close()
-					_, err = io.WriteString(c, sent[0])
-					for chunk := strings.Repeat(sent[1], 1+4096/len(sent[1])); err == nil; {
-						_, err = io.WriteString(c, chunk)
-					}
-				}()
-				startedAt := time.Now()
-				_, err = newServiceClient(nil).do(t.Context(), l.Addr().String(), backendRequest{method: "GET", path: "/", header: http.Header{}}, idempotent)
-				var notSent *notSentError
-				qt.Assert(t, err != nil && !errors.As(err, &notSent), qt.IsTrue, qt.Commentf("%v", err))
-				select {
-				case <-closed:
-				case <-time.After(3 * time.Second):
-					t.Fatalf("the connection is still open after: %v", err)
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			defer l.Close()
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				c, err := l.Accept()
+				if err != nil {
+					return
 				}
-				qt.Assert(t, time.Since(startedAt) < 3*time.Second, qt.IsTrue)
-			})
-		}
+				defer c.Close()
+				_, err = io.WriteString(c, sent[0])
+				for chunk := strings.Repeat(sent[1], 1+4096/len(sent[1])); err == nil; {
+					_, err = io.WriteString(c, chunk)
+				}
+			}()
+			startedAt := time.Now()
+			_, err = newServiceClient(nil).do(t.Context(), l.Addr().String(), backendRequest{method: "GET", path: "/", header: http.Header{}})
+			var notSent *notSentError
+			qt.Assert(t, err != nil && !errors.As(err, &notSent), qt.IsTrue, qt.Commentf("%v", err))
+			select {
+			case <-closed:
+			case <-time.After(3 * time.Second):
+				t.Fatalf("the connection is still open after: %v", err)
+			}
+			qt.Assert(t, time.Since(startedAt) < 3*time.Second, qt.IsTrue)
+		})
 	}
 }
--- a/pkg/entry/malformed_test.go
+++ b/pkg/entry/malformed_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -32,19 +31,17 @@
 		"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
 		"version of another syntax": "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\ndone",
 	} {
-		for _, idempotent := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s, idempotent %t", name, idempotent), func(t *testing.T) {
-				address := testnet.Serve(t, func(c net.Conn) {
-					if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-						_, _ = io.WriteString(c, response)
-					}
-				})
-				answer, err := newServiceClient(nil).do(t.Context(), address, backendRequest{method: "GET", path: "/", header: http.Header{}}, idempotent)
-				qt.Assert(t, err, qt.ErrorIs, httpstrict.ErrMalformed, qt.Commentf("answer %d %q", answer.Status, answer.Body))
-				var notSent *notSentError
-				qt.Assert(t, errors.As(err, &notSent), qt.IsFalse)
+		t.Run(name, func(t *testing.T) {
+			address := testnet.Serve(t, func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, response)
+				}
 			})
-		}
+			answer, err := newServiceClient(nil).do(t.Context(), address, backendRequest{method: "GET", path: "/", header: http.Header{}})
+			qt.Assert(t, err, qt.ErrorIs, httpstrict.ErrMalformed, qt.Commentf("answer %d %q", answer.Status, answer.Body))
+			var notSent *notSentError
+			qt.Assert(t, errors.As(err, &notSent), qt.IsFalse)
+		})
 	}
 }
 
@@ -59,7 +56,7 @@
 	})
 	client := newServiceClient(nil)
 	for i := range 300 {
-		answer, err := client.do(t.Context(), address, backendRequest{method: "POST", path: "/", header: http.Header{}, body: make([]byte, 6<<20)}, i%2 == 0)
+		answer, err := client.do(t.Context(), address, backendRequest{method: "POST", path: "/", header: http.Header{}, body: make([]byte, 6<<20)})
 		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("call %d: answer %d %q", i, answer.Status, answer.Body))
 	}
 }
--- a/pkg/entry/services.go
+++ b/pkg/entry/services.go
@@ -122,7 +122,7 @@
 	var tried []string
 	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
-		result, err := s.sendAttempt(ctx, call, &tried, true)
+		result, err := s.sendAttempt(ctx, call, &tried)
 		if err == nil && !result.notRun && result.answer.Status < http.StatusBadGateway {
 			return s.writeAnswer(w, result.answer)
 		}
@@ -182,7 +182,7 @@
 func (s *Service) sendClaimed(ctx context.Context, call serviceCall) (attemptResult, error) {
 	var tried []string
 	for attempt := 1; ; attempt++ {
-		result, err := s.sendAttempt(ctx, call, &tried, false)
+		result, err := s.sendAttempt(ctx, call, &tried)
 		mayHaveRun := err == nil && !result.notRun || err != nil && !provablyNotRun(err)
 		if mayHaveRun || attempt == maxAttempts || isRefusal(err) || ctx.Err() != nil {
 			return result, err
@@ -199,7 +199,7 @@
 
 // sendAttempt acquires a slot, sends a call to the backend server of the slot and
 // appends the server to tried. Servers in tried are excluded.
-func (s *Service) sendAttempt(ctx context.Context, call serviceCall, tried *[]string, idempotent bool) (attemptResult, error) {
+func (s *Service) sendAttempt(ctx context.Context, call serviceCall, tried *[]string) (attemptResult, error) {
 	lease, err := s.Slots.Acquire(ctx, broker.Request{
 		Pool: call.service, Organisation: call.caller.organisation, Rank: call.rank,
 		EstimatedTokens: 1, Exclude: *tried,
@@ -210,7 +210,7 @@
 	backendID, address := lease.Backend()
 	*tried = append(*tried, backendID)
 	startedAt := time.Now()
-	answer, err := s.serviceClient.do(ctx, address, call.request, idempotent)
+	answer, err := s.serviceClient.do(ctx, address, call.request)
 	if err != nil && !provablyNotRun(err) && ctx.Err() == nil {
 		s.Log.Warn("no complete response from a backend server", "service", call.service, "backend", backendID, "error", err)
 	}
