--- a/pkg/gateway/lateresponse_test.go
+++ b/pkg/gateway/lateresponse_test.go
@@ -21,6 +21,10 @@
 type lateEngine struct {
 	// named reports whether the response to copy request n, from 1, names that request.
 	named func(n int) bool
+	// interval is the time between two events, and breakAfter the event after which the engine breaks off its first run; 0
+	// is never.
+	interval   time.Duration
+	breakAfter int
 
 	mu sync.Mutex
 	// last holds the last response to a copy request by connection.
@@ -57,10 +61,13 @@
 	for i := last + 1; i <= streamEvents; i++ {
 		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i)
 		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		if i == e.breakAfter && last == 0 {
+			return false
+		}
 		select {
 		case <-stopped:
 			return false
-		case <-time.After(60 * time.Millisecond):
+		case <-time.After(e.interval):
 		}
 	}
 	_, _ = io.WriteString(c, "0\r\n\r\n")
@@ -113,10 +120,10 @@
 	f.fixture.log = slog.New(slog.NewTextHandler(&f.log, nil))
 	config := testConfig()
 	pinned := config.Routes[2]
-	pinned.Name, pinned.Prefix, pinned.MaxPossibleRuns = "pinned", "/pinned/", 2
+	pinned.Name, pinned.Prefix, pinned.MaxPossibleRuns, pinned.Timeout = "pinned", "/pinned/", 2, 5*time.Second
 	config.Routes = append(config.Routes, pinned)
 	f.publish(1, config)
-	f.engine = &lateEngine{named: named, last: map[net.Conn]string{}, stopped: map[string]chan struct{}{}}
+	f.engine = &lateEngine{named: named, interval: 60 * time.Millisecond, last: map[net.Conn]string{}, stopped: map[string]chan struct{}{}}
 	f.address = f.addRawServer("pool", "e1", "local", f.engine.respond)
 	f.free = f.addServer("pool", "e2", "remote", streamHandler(nil))
 	return f
@@ -194,6 +201,16 @@
 	qt.Assert(t, f.log.String(), qt.Contains, "the response names no request and the connection has carried others")
 }
 
+// Guards against a run that loses its copy because the response to the refresh cannot be told from a late one.
+func TestUnidentifiedRefreshKeepsTheCopy(t *testing.T) {
+	f := newLateEngineFixture(t, func(n int) bool { return n == 1 })
+	f.engine.interval, f.engine.breakAfter = 300*time.Millisecond, 8
+	f.run("/pinned/x", "part 1")
+	copyRequests, _ := f.engine.counts()
+	qt.Assert(t, copyRequests, qt.Equals, 2)
+	f.checkMoves(1)
+}
+
 // Guards against a caller that gets the response to another request, as neither of the two has an identifier.
 func TestLateResponseToARequestWithoutID(t *testing.T) {
 	for _, tt := range []struct{ path, service string }{
